--- /dev/null
+++ b/amaranthbend/__init__.py
@@ -0,0 +1,5 @@
+"""Load balancer for servers whose load shifts in milliseconds."""
+
+__all__ = ["__version__"]
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/amaranthbend/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to callers, upstreams, the platform, metrics and logs."""
--- /dev/null
+++ b/amaranthbend/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""State controllers of the control process."""
--- /dev/null
+++ b/amaranthbend/core/outcomes.py
@@ -0,0 +1,61 @@
+"""Outcomes of a request, and the reasons for refusals, failures and retries.
+
+Every reason has its own statsd counter, named after its value.
+"""
+
+from enum import StrEnum
+
+__all__ = ["Outcome", "OutcomeReason", "RetryReason"]
+
+
+class Outcome(StrEnum):
+    """What a caller is told about its request, in the `X-Request-Outcome` header."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class OutcomeReason(StrEnum):
+    """Why a request ended without a complete answer, in the `X-Outcome-Reason` header."""
+
+    # Always "not run".
+    NO_CONFIGURATION = "no_configuration"
+    NO_ROUTE = "no_route"
+    NO_UPSTREAM = "no_upstream"
+    QUEUE_FULL = "queue_full"
+    QUEUE_TIMEOUT = "queue_timeout"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    CONCURRENCY_LIMIT = "concurrency_limit"
+    RETRY_BUDGET = "retry_budget"
+    UPSTREAM_REFUSED = "upstream_refused"
+    UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    SHUTTING_DOWN = "shutting_down"
+    MALFORMED_REQUEST = "malformed_request"
+    CONFLICTING_LENGTH = "conflicting_length"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    BAD_DEADLINE = "bad_deadline"
+    BAD_IDEMPOTENCY_KEY = "bad_idempotency_key"
+    CLAIM_RATE = "claim_rate"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+
+    # Not run, or unknown, according to what had been sent.
+    CALLER_GONE = "caller_gone"
+    TIMEOUT = "timeout"
+
+    # Always "unknown".
+    DUPLICATE_REQUEST = "duplicate_request"
+    UPSTREAM_FAILED = "upstream_failed"
+    TRUNCATED_ANSWER = "truncated_answer"
+    MALFORMED_ANSWER = "malformed_answer"
+    STALLED_STREAM = "stalled_stream"
+
+
+class RetryReason(StrEnum):
+    """Why a request is sent again."""
+
+    UPSTREAM_REFUSED = "upstream_refused"
+    NEVER_CONNECTED = "never_connected"
+    IDEMPOTENT_FAILURE = "idempotent_failure"
--- /dev/null
+++ b/amaranthbend/filters/__init__.py
@@ -0,0 +1,1 @@
+"""Request filter chain of the entry process."""
--- /dev/null
+++ b/amaranthbend/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs of the package."""
--- /dev/null
+++ b/amaranthbend/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files, their merge, their checks and their approvals."""
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems, used by tests, benchmarks and the demo."""
