Add Dispatcher with retry rules, bounded queue and departures

Routing is least own requests in flight for now; probing, ejection and adaptive limits follow. depart and list_departures are added to the interface, since departures are exchanged between processes.

--- /dev/null
+++ b/amaranthbend/core/membership.py
@@ -0,0 +1,79 @@
+"""Members of a service, and the incarnations that have left it."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .actions import Member, UpstreamState
+
+__all__ = ["Departure", "Membership"]
+
+
+class Departure(NamedTuple):
+    """An upstream that left; this incarnation and all before it get no new work."""
+
+    upstream: str
+    incarnation: int
+
+
+class Membership:
+    """Merges the host list, load reports and departures seen by other processes.
+
+    A departure is remembered by incarnation, so a host list or a report that
+    lags behind cannot bring a leaving upstream back; only a higher incarnation
+    can. Absence from the host list stops new work but is no departure, since a
+    stale list may lack a new upstream that is alive.
+    """
+
+    def __init__(self) -> None:
+        self._members: dict[str, Member] = {}
+        self._departed: dict[str, int] = {}
+
+    @property
+    def members(self) -> dict[str, Member]:
+        """Members of the newest host list, departed ones included."""
+        return self._members
+
+    def set_members(self, members: Iterable[Member]) -> None:
+        """Replace the host list, keeping higher incarnations known from reports."""
+        merged: dict[str, Member] = {}
+        for member in members:
+            known = self._members.get(member.upstream)
+            if known is not None and known.incarnation > member.incarnation:
+                member = known
+            merged[member.upstream] = member
+            if member.state is UpstreamState.DRAINING:
+                self.depart(member.upstream, member.incarnation)
+        self._members = merged
+
+    def note_state(self, upstream: str, state: UpstreamState, incarnation: int) -> bool:
+        """Record the state that an upstream reports.
+
+        Returns
+        -------
+        bool
+            False if the report comes from an earlier incarnation or an unknown upstream.
+        """
+        member = self._members.get(upstream)
+        if member is None or incarnation < member.incarnation:
+            return False
+        if state is UpstreamState.DRAINING:
+            self.depart(upstream, incarnation)
+        if state is not member.state or incarnation != member.incarnation:
+            self._members[upstream] = member._replace(state=state, incarnation=incarnation)
+        return True
+
+    def depart(self, upstream: str, incarnation: int) -> bool:
+        """Remember that an incarnation leaves, and return whether that is new."""
+        if self._departed.get(upstream, -1) >= incarnation:
+            return False
+        self._departed[upstream] = incarnation
+        return True
+
+    def is_usable(self, upstream: str) -> bool:
+        """Return whether the upstream may receive new work."""
+        member = self._members.get(upstream)
+        return member is not None and member.incarnation > self._departed.get(upstream, -1)
+
+    def list_departures(self) -> list[Departure]:
+        """Return the departures known so far, for the exchange with other processes."""
+        return [Departure(upstream, number) for upstream, number in self._departed.items()]
--- /dev/null
+++ b/amaranthbend/core/queueing.py
@@ -0,0 +1,87 @@
+"""Bounded queue with priorities and deadlines."""
+
+import heapq
+from typing import NamedTuple
+
+from .actions import RequestInfo
+
+__all__ = ["RequestQueue"]
+
+
+class _Entry(NamedTuple):
+    """Heap entry: work in progress first, then by priority, then in order of arrival."""
+
+    rank: int
+    priority: int
+    sequence: int
+    request: RequestInfo
+
+
+class RequestQueue:
+    """Requests that wait for an upstream. The length limit is the caller's decision."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[int, int] = {}
+        self._order: list[_Entry] = []
+        self._deadlines: list[tuple[float, int, int]] = []
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def push(self, request: RequestInfo, in_progress: bool = False) -> None:
+        """Add a request; one in progress, that is one sent before, goes ahead of all others."""
+        self._sequence += 1
+        rank = 0 if in_progress else 1
+        self._waiting[request.request_id] = self._sequence
+        heapq.heappush(self._order, _Entry(rank, -request.priority, self._sequence, request))
+        heapq.heappush(self._deadlines, (request.deadline, self._sequence, request.request_id))
+
+    def peek(self) -> RequestInfo | None:
+        """Return the request whose turn it is, without removing it."""
+        while self._order:
+            entry = self._order[0]
+            if self._waiting.get(entry.request.request_id) == entry.sequence:
+                return entry.request
+            heapq.heappop(self._order)
+        return None
+
+    def remove(self, request_id: int) -> bool:
+        """Remove a request, and return whether it was waiting."""
+        if self._waiting.pop(request_id, None) is None:
+            return False
+        # Removed entries stay in the heaps until they surface; rebuild when they dominate.
+        if len(self._order) > 64 and len(self._order) > 4 * len(self._waiting):
+            self._compact()
+        return True
+
+    def pop_expired(self, now: float) -> list[int]:
+        """Remove the requests whose deadline has passed, and return their identifiers."""
+        expired: list[int] = []
+        while (deadline := self.next_deadline()) is not None and deadline <= now:
+            request_id = heapq.heappop(self._deadlines)[2]
+            del self._waiting[request_id]
+            expired.append(request_id)
+        return expired
+
+    def next_deadline(self) -> float | None:
+        """Return the earliest deadline of a waiting request."""
+        while self._deadlines:
+            deadline, sequence, request_id = self._deadlines[0]
+            if self._waiting.get(request_id) == sequence:
+                return deadline
+            heapq.heappop(self._deadlines)
+        return None
+
+    def _compact(self) -> None:
+        """Drop entries of requests that no longer wait."""
+        self._order = [
+            entry
+            for entry in self._order
+            if self._waiting.get(entry.request.request_id) == entry.sequence
+        ]
+        self._deadlines = [
+            item for item in self._deadlines if self._waiting.get(item[2]) == item[1]
+        ]
+        heapq.heapify(self._order)
+        heapq.heapify(self._deadlines)
--- /dev/null
+++ b/amaranthbend/core/retries.py
@@ -0,0 +1,95 @@
+"""Decides whether a request may be sent again, within a budget."""
+
+from .actions import AttemptResult, AttemptStatus, RequestInfo
+from .outcomes import RetryReason
+from .policy import RetryPolicy
+
+__all__ = ["RetryBudget", "decide_retry", "proves_not_run"]
+
+# Bounds the burst after a quiet time; covers one host's requests in flight at one upstream.
+BURST_RETRIES = 20.0
+
+
+def proves_not_run(status: AttemptStatus) -> bool:
+    """Return whether an attempt that ended this way certainly did not run."""
+    return status is AttemptStatus.REFUSED or status is AttemptStatus.NEVER_CONNECTED
+
+
+def decide_retry(
+    request: RequestInfo, result: AttemptResult, attempts: int, policy: RetryPolicy, now: float
+) -> RetryReason | None:
+    """Return why the request may be sent again, or None if it may not.
+
+    Parameters
+    ----------
+    request : RequestInfo
+        The request.
+    result : AttemptResult
+        Result of its latest attempt.
+    attempts : int
+        Attempts made so far.
+    policy : RetryPolicy
+        Limits in force.
+    now : float
+        Present time.
+
+    Returns
+    -------
+    RetryReason or None
+        The budget is not consulted here.
+    """
+    if result.answer_begun or not request.replayable:
+        return None
+    if attempts >= policy.max_attempts or now >= request.deadline:
+        return None
+    if result.status is AttemptStatus.REFUSED:
+        return RetryReason.UPSTREAM_REFUSED
+    if result.status is AttemptStatus.NEVER_CONNECTED:
+        return RetryReason.NEVER_CONNECTED
+    if result.status is AttemptStatus.FAILED and request.idempotent:
+        return RetryReason.IDEMPOTENT_FAILURE
+    return None
+
+
+class RetryBudget:
+    """Limits retries to a share of first attempts plus a floor, against retry storms.
+
+    Parameters
+    ----------
+    policy : RetryPolicy
+        Limits in force.
+    """
+
+    def __init__(self, policy: RetryPolicy) -> None:
+        self._policy = policy
+        self._earned = 0.0
+        self._floor = policy.floor_per_s
+        self._floor_at: float | None = None
+
+    def set_policy(self, policy: RetryPolicy) -> None:
+        """Use other limits from now on."""
+        self._policy = policy
+
+    def note_first_attempt(self) -> None:
+        """Earn a share of a retry."""
+        self._earned = min(BURST_RETRIES, self._earned + self._policy.ratio)
+
+    def take(self, now: float) -> bool:
+        """Spend one retry, and return whether the budget allowed it."""
+        if self._earned >= 1.0:
+            self._earned -= 1.0
+            return True
+        self._refill_floor(now)
+        if self._floor >= 1.0:
+            self._floor -= 1.0
+            return True
+        return False
+
+    def _refill_floor(self, now: float) -> None:
+        """Add the floor's retries since the last refill, at most one second's worth."""
+        rate = self._policy.floor_per_s
+        if self._floor_at is not None:
+            self._floor += max(0.0, now - self._floor_at) * rate
+        # A floor below one a second must still be able to reach one whole retry.
+        self._floor = min(self._floor, max(rate, 1.0) if rate > 0.0 else 0.0)
+        self._floor_at = now
--- /dev/null
+++ b/tests/test_dispatching.py
@@ -0,0 +1,141 @@
+"""Tests of the Dispatcher on single events."""
+
+import pytest
+
+from amaranthbend.core.actions import (
+    AttemptResult,
+    AttemptStatus,
+    Cancel,
+    Complete,
+    LoadReport,
+    Member,
+    Refuse,
+    RequestInfo,
+    Send,
+    UpstreamState,
+    WorkClass,
+)
+from amaranthbend.core.dispatching import Dispatcher
+from amaranthbend.core.outcomes import Outcome, OutcomeReason, RetryReason
+from amaranthbend.core.policy import LimitPolicy, ProbePolicy, ServicePolicy
+
+ANSWERED = AttemptResult(AttemptStatus.ANSWERED, 200)
+
+
+def make_dispatcher(upstreams: int = 3, **settings: object) -> Dispatcher:
+    """Return a dispatcher with members u0, u1 and so on."""
+    policy = ServicePolicy("desk", 2)._replace(**settings)
+    dispatcher = Dispatcher(policy, ProbePolicy(), "tartu-a", 1)
+    members = [Member(f"u{n}", f"127.0.0.1:{n}", "tartu-a", 1) for n in range(upstreams)]
+    dispatcher.set_members(members, 0.0)
+    return dispatcher
+
+
+def make_request(request_id: int, idempotent: bool = False, deadline: float = 5.0) -> RequestInfo:
+    """Return a short request."""
+    return RequestInfo(request_id, "r", idempotent, WorkClass.SHORT, deadline)
+
+
+def get_send(actions: list) -> Send:
+    """Return the only Send among the actions."""
+    sends = [action for action in actions if isinstance(action, Send)]
+    assert len(sends) == 1, actions
+    return sends[0]
+
+
+def test_answer_completes_request() -> None:
+    """Guards against a request that never ends."""
+    dispatcher = make_dispatcher()
+    send = get_send(dispatcher.submit(make_request(1), 0.0))
+    assert send.timeout_s == 5.0
+    assert dispatcher.finish(1, 1, ANSWERED, 0.1) == [Complete(1, Outcome.ANSWERED)]
+    assert dispatcher.finish(1, 1, ANSWERED, 0.1) == []
+
+
+def test_spreads_requests() -> None:
+    """Guards against all requests going to one upstream."""
+    dispatcher = make_dispatcher(3)
+    sends = [get_send(dispatcher.submit(make_request(n), 0.0)) for n in range(3)]
+    assert len({send.upstream for send in sends}) == 3
+
+
+@pytest.mark.parametrize(
+    ("status", "idempotent", "reason"),
+    [
+        (AttemptStatus.REFUSED, False, RetryReason.UPSTREAM_REFUSED),
+        (AttemptStatus.NEVER_CONNECTED, False, RetryReason.NEVER_CONNECTED),
+        (AttemptStatus.FAILED, True, RetryReason.IDEMPOTENT_FAILURE),
+    ],
+)
+def test_retry_goes_elsewhere(status: AttemptStatus, idempotent: bool, reason: RetryReason) -> None:
+    """Guards against a retry at the upstream that just failed."""
+    dispatcher = make_dispatcher()
+    first = get_send(dispatcher.submit(make_request(1, idempotent), 0.0))
+    second = get_send(dispatcher.finish(1, 1, AttemptResult(status), 0.5))
+    assert second.upstream != first.upstream
+    assert second.retry_reason is reason
+    assert second.timeout_s == pytest.approx(4.5)
+
+
+def test_non_idempotent_failure_is_unknown() -> None:
+    """Guards against running a non-idempotent request twice."""
+    dispatcher = make_dispatcher()
+    dispatcher.submit(make_request(1), 0.0)
+    actions = dispatcher.finish(1, 1, AttemptResult(AttemptStatus.FAILED), 0.5)
+    assert actions == [Complete(1, Outcome.UNKNOWN, OutcomeReason.UPSTREAM_FAILED)]
+
+
+def test_refusal_after_failed_attempt_is_unknown() -> None:
+    """Guards against calling a request not run when an earlier attempt may have run."""
+    dispatcher = make_dispatcher()
+    dispatcher.submit(make_request(1, idempotent=True), 0.0)
+    dispatcher.finish(1, 1, AttemptResult(AttemptStatus.FAILED), 0.1)
+    actions = dispatcher.finish(1, 2, AttemptResult(AttemptStatus.REFUSED), 5.0)
+    assert actions == [Complete(1, Outcome.UNKNOWN, OutcomeReason.UPSTREAM_REFUSED)]
+
+
+def test_retry_budget_bounds_retries() -> None:
+    """Guards against a retry storm when every upstream refuses."""
+    dispatcher = make_dispatcher()
+    retries = 0
+    for n in range(100):
+        actions = dispatcher.submit(make_request(n), 0.0)
+        while sends := [action for action in actions if isinstance(action, Send)]:
+            retries += sends[0].attempt > 1
+            refused = AttemptResult(AttemptStatus.REFUSED)
+            actions = dispatcher.finish(n, sends[0].attempt, refused, 0.0)
+    assert 0 < retries <= 100 * 0.1 + 1.0
+
+
+def test_abandoned_request_is_cancelled() -> None:
+    """Guards against work that goes on for a caller who left."""
+    dispatcher = make_dispatcher()
+    dispatcher.submit(make_request(1), 0.0)
+    actions = dispatcher.abandon(1, 0.1)
+    assert actions == [Cancel(1, 1), Complete(1, Outcome.UNKNOWN, OutcomeReason.CALLER_GONE)]
+    assert dispatcher.finish(1, 1, AttemptResult(AttemptStatus.CANCELLED), 0.2) == []
+    assert all(view.in_flight == 0 for view in dispatcher.snapshot(0.2))
+
+
+def test_queue_is_bounded_and_expires() -> None:
+    """Guards against an unbounded queue and waits beyond the deadline."""
+    limits = LimitPolicy(queue_length=1)
+    dispatcher = make_dispatcher(1, connections_per_upstream=1, limits=limits)
+    dispatcher.submit(make_request(1), 0.0)
+    assert dispatcher.submit(make_request(2, deadline=1.0), 0.0) == []
+    assert dispatcher.submit(make_request(3), 0.0) == [Refuse(3, OutcomeReason.QUEUE_FULL, 1.0)]
+    assert dispatcher.next_tick(0.0) == 1.0
+    assert dispatcher.tick(1.0) == [Refuse(2, OutcomeReason.QUEUE_TIMEOUT, 1.0)]
+
+
+def test_departed_upstream_gets_no_work_until_higher_incarnation() -> None:
+    """Guards against a lagging host list that brings a leaving upstream back."""
+    dispatcher = make_dispatcher(1)
+    dispatcher.report("u0", LoadReport(0, 0, 2, UpstreamState.DRAINING, 1), 0.0)
+    refusal = [Refuse(1, OutcomeReason.NO_UPSTREAM, 1.0)]
+    assert dispatcher.submit(make_request(1), 0.0) == refusal
+    dispatcher.set_members([Member("u0", "127.0.0.1:1", "tartu-a", 1)], 0.1)
+    assert dispatcher.submit(make_request(1), 0.2) == refusal
+    dispatcher.set_members([Member("u0", "127.0.0.1:1", "tartu-a", 2)], 0.3)
+    assert get_send(dispatcher.submit(make_request(1), 0.4)).upstream == "u0"
+    assert dispatcher.list_departures() == [("u0", 1)]
