--- /dev/null
+++ b/amaranthbend/core/attempts.py
@@ -0,0 +1,54 @@
+"""State of requests that have not ended and of attempts that hold a connection."""
+
+from .actions import AttemptResult, AttemptStatus, RequestInfo
+from .ejection import UpstreamHealth
+from .outcomes import OutcomeReason, RetryReason
+from .routing import UpstreamLoad
+
+__all__ = ["AttemptState", "RequestState", "describe_failure", "is_upstream_failure"]
+
+SERVER_ERROR = 500
+
+
+class RequestState:
+    """State of a request that has not ended."""
+
+    __slots__ = ("attempts", "info", "may_have_run", "retry_reason", "running", "tried")
+
+    def __init__(self, info: RequestInfo) -> None:
+        self.info = info
+        self.attempts = 0
+        self.running = False
+        self.may_have_run = False
+        self.retry_reason: RetryReason | None = None
+        self.tried: frozenset[str] = frozenset()
+
+
+class AttemptState:
+    """One attempt that holds a connection, possibly after its request has ended."""
+
+    __slots__ = ("health", "is_long", "load", "started_at")
+
+    def __init__(
+        self, load: UpstreamLoad, health: UpstreamHealth, started_at: float, is_long: bool
+    ) -> None:
+        self.load = load
+        self.health = health
+        self.started_at = started_at
+        self.is_long = is_long
+
+
+def describe_failure(result: AttemptResult) -> OutcomeReason:
+    """Return the reason that the caller gets for a failed attempt."""
+    if result.status is AttemptStatus.REFUSED:
+        return OutcomeReason.UPSTREAM_REFUSED
+    if result.status is AttemptStatus.NEVER_CONNECTED:
+        return OutcomeReason.UPSTREAM_UNREACHABLE
+    return result.reason or OutcomeReason.UPSTREAM_FAILED
+
+
+def is_upstream_failure(result: AttemptResult) -> bool:
+    """Return whether the attempt counts against the upstream, unlike a refusal."""
+    if result.status is AttemptStatus.ANSWERED:
+        return result.http_status >= SERVER_ERROR
+    return result.status in (AttemptStatus.FAILED, AttemptStatus.NEVER_CONNECTED)
--- a/amaranthbend/core/dispatching.py
+++ b/amaranthbend/core/dispatching.py
@@ -10,18 +10,25 @@
     Complete,
     LoadReport,
     Member,
+    Probe,
     Refuse,
     RequestInfo,
     Send,
+    UpstreamState,
     UpstreamView,
     WorkClass,
 )
+from .attempts import AttemptState, RequestState, describe_failure, is_upstream_failure
+from .ejection import Ejector
+from .limits import LONGEST_WAIT_S, ConcurrencyLimit
 from .membership import Departure, Membership
-from .outcomes import Outcome, OutcomeReason, RetryReason
+from .outcomes import Outcome, OutcomeReason
 from .policy import ProbePolicy, ServicePolicy
+from .probing import ProbePlanner
 from .queueing import RequestQueue
 from .retries import RetryBudget, decide_retry, proves_not_run
-from .routing import Router, UpstreamLoad
+from .routing import REFUSAL_PAUSE_S, Router, UpstreamLoad
+from .workclass import LongWorkLimit, OverdueWatch
 
 __all__ = ["Dispatcher"]
 
@@ -29,31 +36,6 @@
 RETRY_AFTER_S = 1.0
 
 
-class _Request:
-    """State of a request that has not ended."""
-
-    __slots__ = ("attempts", "info", "may_have_run", "retry_reason", "running", "tried")
-
-    def __init__(self, info: RequestInfo) -> None:
-        self.info = info
-        self.attempts = 0
-        self.running = False
-        self.may_have_run = False
-        self.retry_reason: RetryReason | None = None
-        self.tried: frozenset[str] = frozenset()
-
-
-class _Attempt:
-    """One attempt that holds a connection, also after its request has ended."""
-
-    __slots__ = ("is_long", "load", "started_at")
-
-    def __init__(self, load: UpstreamLoad, started_at: float, is_long: bool) -> None:
-        self.load = load
-        self.started_at = started_at
-        self.is_long = is_long
-
-
 class Dispatcher:
     """Decides where and when requests of one service run. Pure: no I/O, no clock.
 
@@ -85,17 +67,20 @@
         processes: int = 1,
     ) -> None:
         self._policy = policy
-        self._probing = probing
-        self._data_centre = data_centre
         self._processes = max(1, processes)
-        self._probe_share = 0.0
         self._membership = Membership()
-        self._router = Router(seed)
+        self._router = Router(data_centre, policy.slots_per_upstream, seed)
+        self._ejector = Ejector(seed)
+        self._planner = ProbePlanner(probing)
         self._budget = RetryBudget(policy.retries)
+        self._limit = ConcurrencyLimit(policy.slots_per_upstream)
+        self._long_limit = LongWorkLimit(policy.limits.long_share, self._processes)
+        self._overdue = OverdueWatch()
         self._loads: dict[str, UpstreamLoad] = {}
-        self._requests: dict[int, _Request] = {}
-        self._attempts: dict[tuple[int, int], _Attempt] = {}
+        self._requests: dict[int, RequestState] = {}
+        self._attempts: dict[tuple[int, int], AttemptState] = {}
         self._queues = {WorkClass.SHORT: RequestQueue(), WorkClass.LONG: RequestQueue()}
+        self._running = {WorkClass.SHORT: 0, WorkClass.LONG: 0}
 
     def submit(self, request: RequestInfo, now: float) -> list[Action]:
         """Accept a new request: it is sent, queued or refused.
@@ -107,18 +92,15 @@
         """
         if request.request_id in self._requests:
             raise ValueError(f"request {request.request_id} is already submitted; use a new id")
-        if now >= request.deadline:
-            return [Refuse(request.request_id, OutcomeReason.DEADLINE_UNREACHABLE, RETRY_AFTER_S)]
-        if not any(load.usable for load in self._loads.values()):
-            return [Refuse(request.request_id, OutcomeReason.NO_UPSTREAM, RETRY_AFTER_S)]
+        self._mark_overdue(now)
         actions = self._expire(now)
-        if self._count_waiting() >= self._policy.limits.queue_length:
-            actions.append(Refuse(request.request_id, OutcomeReason.QUEUE_FULL, RETRY_AFTER_S))
+        reason = self._find_refusal(request, now)
+        if reason is not None:
+            actions.append(Refuse(request.request_id, reason, RETRY_AFTER_S))
             return actions
-        self._requests[request.request_id] = _Request(request)
+        self._requests[request.request_id] = RequestState(request)
         self._queues[request.work_class].push(request)
-        actions += self._drain(now)
-        return actions
+        return actions + self._drain(now)
 
     def finish(
         self, request_id: int, attempt: int, result: AttemptResult, now: float
@@ -127,9 +109,7 @@
         ended = self._attempts.pop((request_id, attempt), None)
         if ended is None:
             return []
-        ended.load.in_flight -= 1
-        if ended.is_long:
-            ended.load.long_in_flight -= 1
+        self._release(ended, result, now)
         actions: list[Action] = []
         record = self._requests.get(request_id)
         if record is not None and record.running and record.attempts == attempt:
@@ -139,19 +119,27 @@
 
     def report(self, upstream: str, report: LoadReport, now: float) -> list[Action]:
         """Record a load report, from a response or from a probe."""
+        before = self._membership.members.get(upstream)
         if not self._membership.note_state(upstream, report.state, report.incarnation):
             return []
         load = self._loads[upstream]
-        load.report = report
-        load.report_at = now
+        if before is not None and before.incarnation != report.incarnation:
+            self._ejector.add(upstream, on_trial=True)
+        # A response frees the slot of its own request before it carries the report.
+        own = load.in_flight if load.probe_pending else max(0, load.in_flight - 1)
+        load.probe_pending = False
+        load.note_report(report, own, now)
+        self._limit.note_answer(
+            report.queued, report.slots, self._running[WorkClass.SHORT], self._ejector.mean_s, now
+        )
         self._refresh(load)
         return self._refuse_all_if_unusable() + self._drain(now)
 
     def probe_failed(self, upstream: str, now: float) -> list[Action]:
-        """Record that a probe brought no report, which makes the last report worthless."""
+        """Record that a probe brought no report."""
         load = self._loads.get(upstream)
         if load is not None:
-            load.report = None
+            load.probe_pending = False
         return self._drain(now)
 
     def abandon(self, request_id: int, now: float) -> list[Action]:
@@ -169,24 +157,41 @@
 
     def tick(self, now: float) -> list[Action]:
         """Act on timers that are due."""
-        return self._expire(now) + self._drain(now)
+        self._mark_overdue(now)
+        for upstream in self._ejector.readmit_due(now):
+            self._refresh(self._loads[upstream])
+        actions = self._expire(now) + self._drain(now)
+        probed = self._planner.plan(self._loads.values(), now)
+        if probed is not None:
+            self._loads[probed].probe_pending = True
+            actions.append(Probe(probed))
+        return actions
 
     def next_tick(self, now: float) -> float | None:
         """Return the time of the next timer, or None."""
         times = [queue.next_deadline() for queue in self._queues.values()]
+        times += [self._ejector.next_readmission(), self._planner.next_time()]
         return min((max(now, time) for time in times if time is not None), default=None)
 
     def set_members(self, members: Iterable[Member], now: float) -> list[Action]:
         """Replace the host list of the service."""
+        is_first = not self._membership.members
+        before = dict(self._membership.members)
         self._membership.set_members(members)
-        known = self._membership.members
-        for upstream in list(self._loads):
-            if upstream not in known:
-                self._loads.pop(upstream).usable = False
-        for upstream, member in known.items():
-            if upstream not in self._loads:
+        for upstream in before.keys() - self._membership.members.keys():
+            self._loads.pop(upstream).usable = False
+            self._ejector.remove(upstream)
+        for upstream, member in self._membership.members.items():
+            known = before.get(upstream)
+            if known is None:
                 self._loads[upstream] = UpstreamLoad(member)
-            self._refresh(self._loads[upstream])
+            if known is None or known.incarnation != member.incarnation:
+                # A process that has just started must not treat all upstreams as new.
+                on_trial = not is_first or member.state is UpstreamState.COLD
+                self._ejector.add(upstream, on_trial)
+        for load in self._loads.values():
+            self._refresh(load)
+        self._limit.set_maximum(self._count_slots())
         return self._refuse_all_if_unusable() + self._drain(now)
 
     def depart(self, upstream: str, incarnation: int, now: float) -> list[Action]:
@@ -205,11 +210,14 @@
         """Use other settings from now on; requests already accepted are kept."""
         self._policy = policy
         self._budget.set_policy(policy.retries)
+        self._long_limit.set_share(policy.limits.long_share)
+        self._router.slots = policy.slots_per_upstream
+        self._limit.set_maximum(self._count_slots())
         return self._drain(now)
 
     def set_probe_share(self, share: float, now: float) -> list[Action]:
         """Set the part of the deployment's probe budget that this dispatcher may spend, 0 to 1."""
-        self._probe_share = share
+        self._planner.set_share(share)
         return self._drain(now)
 
     def snapshot(self, now: float) -> list[UpstreamView]:
@@ -218,17 +226,83 @@
         for load in self._loads.values():
             age = None if load.report is None else now - load.report_at
             views.append(
-                UpstreamView(load.member, load.in_flight, load.report, age, not load.usable)
+                UpstreamView(
+                    load.member, load.in_flight, load.report, age, load.ejected or not load.usable
+                )
             )
         return views
 
-    def _count_waiting(self) -> int:
-        return sum(len(queue) for queue in self._queues.values())
+    def _count_slots(self) -> int:
+        """Return the slots of all usable upstreams."""
+        slots = 0
+        for load in self._loads.values():
+            if load.usable:
+                slots += self._router.slots if load.report is None else load.report.slots
+        return slots
 
     def _refresh(self, load: UpstreamLoad) -> None:
-        """Copy the state of the member to its load record."""
-        load.member = self._membership.members[load.member.upstream]
-        load.usable = self._membership.is_usable(load.member.upstream)
+        """Copy the state of the member and the verdict on it to its load record."""
+        upstream = load.member.upstream
+        load.member = self._membership.members[upstream]
+        was_usable = load.usable
+        load.usable = self._membership.is_usable(upstream)
+        load.ejected = self._ejector.is_ejected(upstream)
+        load.most_in_flight = self._ejector.count_allowed(upstream)
+        if was_usable != load.usable:
+            self._limit.set_maximum(self._count_slots())
+
+    def _find_refusal(self, request: RequestInfo, now: float) -> OutcomeReason | None:
+        """Return why a new request is refused at once, or None."""
+        if now >= request.deadline:
+            return OutcomeReason.DEADLINE_UNREACHABLE
+        if not any(load.usable for load in self._loads.values()):
+            return OutcomeReason.NO_UPSTREAM
+        waiting = len(self._queues[request.work_class])
+        length = self._policy.limits.queue_length
+        if request.work_class is WorkClass.LONG:
+            # Waiting long work must not fill the queue that short work needs.
+            is_full = waiting >= max(1, int(length * self._policy.limits.long_share))
+            return OutcomeReason.QUEUE_FULL if is_full else None
+        if waiting >= length:
+            return OutcomeReason.QUEUE_FULL
+        if not waiting:
+            return None
+        mean_s = self._ejector.mean_s
+        wait_s = self._limit.estimate_wait(waiting, self._running[WorkClass.SHORT], mean_s)
+        if now + wait_s >= request.deadline:
+            return OutcomeReason.DEADLINE_UNREACHABLE
+        return OutcomeReason.CONCURRENCY_LIMIT if wait_s > LONGEST_WAIT_S else None
+
+    def _mark_overdue(self, now: float) -> None:
+        """Count short requests that run for too long as long work."""
+        for key in self._overdue.pop_overdue(self._policy.limits.long_after_s, now):
+            attempt = self._attempts.get(key)
+            if attempt is None or attempt.is_long:
+                continue
+            attempt.is_long = True
+            attempt.load.long_in_flight += 1
+            self._running[WorkClass.SHORT] -= 1
+            self._running[WorkClass.LONG] += 1
+            self._ejector.note_overdue(attempt.health, attempt.started_at, now)
+
+    def _release(self, ended: AttemptState, result: AttemptResult, now: float) -> None:
+        """Give back what an attempt held, and judge its upstream."""
+        load = ended.load
+        load.in_flight -= 1
+        self._running[WorkClass.LONG if ended.is_long else WorkClass.SHORT] -= 1
+        failed = is_upstream_failure(result)
+        if result.status is AttemptStatus.REFUSED:
+            load.paused_until = now + REFUSAL_PAUSE_S
+        elif result.status is not AttemptStatus.CANCELLED:
+            self._ejector.note_failure(ended.health, failed)
+        if ended.is_long:
+            load.long_in_flight -= 1
+        elif result.status is AttemptStatus.ANSWERED and not failed:
+            self._ejector.note_duration(ended.health, ended.started_at, now)
+        else:
+            self._ejector.stop_watching(ended.health, ended.started_at)
+        if load.member.upstream in self._loads:
+            load.most_in_flight = self._ejector.count_allowed(load.member.upstream)
 
     def _expire(self, now: float) -> list[Action]:
         """End the queued requests whose deadline has passed."""
@@ -255,26 +329,53 @@
         actions: list[Action] = []
         for work_class in (WorkClass.SHORT, WorkClass.LONG):
             queue = self._queues[work_class]
-            while (request := queue.peek()) is not None:
+            while len(queue) and self._has_room(work_class):
+                request = queue.peek()
+                if request is None:
+                    break
+                record = self._requests[request.request_id]
                 if now >= request.deadline:
                     queue.remove(request.request_id)
-                    record = self._requests[request.request_id]
                     actions.append(self._end(record, OutcomeReason.QUEUE_TIMEOUT))
                     continue
-                record = self._requests[request.request_id]
-                load = self._router.choose(
-                    self._loads.values(), self._connection_limit(), record.tried
-                )
+                load = self._choose(record, now)
                 if load is None:
                     break
                 queue.remove(request.request_id)
                 actions.append(self._send(record, load, now))
         return actions
 
-    def _connection_limit(self) -> int:
-        return max(1, self._policy.connections_per_upstream // self._processes)
-
-    def _send(self, record: _Request, load: UpstreamLoad, now: float) -> Send:
+    def _has_room(self, work_class: WorkClass) -> bool:
+        """Return whether the limits allow another request of this class."""
+        running = self._running[work_class]
+        if work_class is WorkClass.LONG:
+            return running < self._long_limit.count_allowed(self._count_slots())
+        return running < self._limit.limit
+
+    def _choose(self, record: RequestState, now: float) -> UpstreamLoad | None:
+        """Return the upstream for a request, ejecting those that prove bad."""
+        long_limit = None
+        if record.info.work_class is WorkClass.LONG:
+            long_limit = self._long_limit.count_allowed_at(self._router.slots)
+        connections = max(1, self._policy.connections_per_upstream // self._processes)
+        while True:
+            load = self._router.choose(
+                self._loads.values(),
+                connections,
+                record.tried,
+                long_limit,
+                self._ejector.mean_s,
+                now,
+            )
+            if load is None or not self._ejector.is_bad(load.member.upstream, now):
+                return load
+            usable = sum(other.usable for other in self._loads.values())
+            if self._ejector.count_removable(usable) <= 0:
+                return load
+            self._ejector.eject(load.member.upstream, now)
+            load.ejected = True
+
+    def _send(self, record: RequestState, load: UpstreamLoad, now: float) -> Send:
         """Start an attempt."""
         request = record.info
         record.attempts += 1
@@ -282,20 +383,22 @@
         record.tried |= {load.member.upstream}
         if record.attempts == 1:
             self._budget.note_first_attempt()
+        key = (request.request_id, record.attempts)
+        health = self._ejector.get(load.member.upstream)
         is_long = request.work_class is WorkClass.LONG
+        self._attempts[key] = AttemptState(load, health, now, is_long)
+        self._running[request.work_class] += 1
         load.in_flight += 1
+        load.last_sent_at = now
         if is_long:
             load.long_in_flight += 1
-        self._attempts[request.request_id, record.attempts] = _Attempt(load, now, is_long)
-        return Send(
-            request.request_id,
-            record.attempts,
-            load.member.upstream,
-            request.deadline - now,
-            record.retry_reason,
-        )
+        else:
+            self._ejector.note_start(health, now)
+            self._overdue.add(key, now)
+        timeout_s = request.deadline - now
+        return Send(*key, load.member.upstream, timeout_s, record.retry_reason)
 
-    def _settle(self, record: _Request, result: AttemptResult, now: float) -> list[Action]:
+    def _settle(self, record: RequestState, result: AttemptResult, now: float) -> list[Action]:
         """End the request after an attempt, or queue it again."""
         request = record.info
         if result.status is AttemptStatus.ANSWERED:
@@ -305,7 +408,7 @@
             record.may_have_run = True
         reason = decide_retry(request, result, record.attempts, self._policy.retries, now)
         if reason is None:
-            return [self._end(record, _describe_failure(result))]
+            return [self._end(record, describe_failure(result))]
         if not self._budget.take(now):
             return [self._end(record, OutcomeReason.RETRY_BUDGET)]
         record.retry_reason = reason
@@ -314,19 +417,10 @@
         self._queues[request.work_class].push(request, in_progress=True)
         return []
 
-    def _end(self, record: _Request, reason: OutcomeReason) -> Action:
+    def _end(self, record: RequestState, reason: OutcomeReason) -> Action:
         """End a request that has no complete answer."""
         request_id = record.info.request_id
         del self._requests[request_id]
         if record.may_have_run:
             return Complete(request_id, Outcome.UNKNOWN, reason)
         return Refuse(request_id, reason, RETRY_AFTER_S)
-
-
-def _describe_failure(result: AttemptResult) -> OutcomeReason:
-    """Return the reason that the caller gets for a failed attempt."""
-    if result.status is AttemptStatus.REFUSED:
-        return OutcomeReason.UPSTREAM_REFUSED
-    if result.status is AttemptStatus.NEVER_CONNECTED:
-        return result.reason or OutcomeReason.UPSTREAM_UNREACHABLE
-    return result.reason or OutcomeReason.UPSTREAM_FAILED
--- /dev/null
+++ b/amaranthbend/core/ejection.py
@@ -0,0 +1,202 @@
+"""Takes slow or failing upstreams out of use, and brings them and cold ones back gradually.
+
+Only observed behaviour counts: durations of own requests, finished or not, and
+failures. Reports are not used, since a failing instance looks idle.
+"""
+
+import math
+import random
+
+__all__ = ["Ejector", "UpstreamHealth"]
+
+# Slowness is a cumulative sum of log-likelihood ratios: exponential service of SLOW_FACTOR times
+# the mean against the mean itself.
+SLOW_FACTOR = 4.0
+SLOW_LIMIT = 8.0
+# Bounds the weight of one request, so that a few heavy-tailed ones do not eject an upstream.
+LONGEST_RATIO = 6.0
+# Failures: moving average over attempts, compared with the average of the service.
+FAILURE_WEIGHT = 0.25
+FAILURE_LIMIT = 0.5
+SERVICE_FAILURE_WEIGHT = 0.01
+# An upstream fails more than the others only above this multiple of the average.
+FAILURE_FACTOR = 2.0
+# Part of the upstreams that stays in use when all look bad.
+KEPT_SHARE = 0.5
+# First ejection; doubles with each repetition. Each return costs every process a few slow
+# requests, and 5 s keeps these under 0.5% of the load at one slow instance in ten.
+EJECTION_S = 5.0
+EJECTION_MAX_S = 60.0
+EJECTION_JITTER = 0.5
+# Good answers, one at a time, before a returning or cold upstream gets full load.
+TRIAL_ANSWERS = 4
+# Own requests in flight during the slow start: one more for each of these many answers.
+RAMP_ANSWERS = 8
+MEAN_WEIGHT = 0.01
+
+
+class UpstreamHealth:
+    """Observed behaviour of one upstream.
+
+    Parameters
+    ----------
+    on_trial : bool
+        Whether the upstream starts with little load.
+    """
+
+    __slots__ = (
+        "ejected_until",
+        "ejections",
+        "failure_share",
+        "running",
+        "slowness",
+        "started_sum",
+        "trial_answers",
+    )
+
+    def __init__(self, on_trial: bool = False) -> None:
+        self.failure_share = 0.0
+        self.slowness = 0.0
+        self.ejected_until: float | None = None
+        self.ejections = 0
+        # Own short requests in flight and the sum of their start times, for the sum of their ages.
+        self.running = 0
+        self.started_sum = 0.0
+        self.trial_answers: int | None = 0 if on_trial else None
+
+    def count_allowed(self) -> int | None:
+        """Return how many own requests may be in flight, or None without a limit."""
+        if self.trial_answers is None:
+            return None
+        return 1 + max(0, self.trial_answers - TRIAL_ANSWERS) // RAMP_ANSWERS
+
+
+class Ejector:
+    """Judges the upstreams of one service.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the jitter.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._health: dict[str, UpstreamHealth] = {}
+        self._failure_share = 0.0
+        self.mean_s = 0.020
+        self._samples = 0
+
+    def add(self, upstream: str, on_trial: bool) -> None:
+        """Start judging an upstream, or a new incarnation of it."""
+        self._health[upstream] = UpstreamHealth(on_trial)
+
+    def remove(self, upstream: str) -> None:
+        """Forget an upstream."""
+        self._health.pop(upstream, None)
+
+    def count_allowed(self, upstream: str) -> int | None:
+        """Return how many own requests may be at the upstream, or None without a limit."""
+        return self._health[upstream].count_allowed()
+
+    def get(self, upstream: str) -> UpstreamHealth:
+        """Return the health of the present incarnation."""
+        return self._health[upstream]
+
+    def note_start(self, health: UpstreamHealth, now: float) -> None:
+        """Record that a short request was sent."""
+        health.running += 1
+        health.started_sum += now
+
+    def stop_watching(self, health: UpstreamHealth, started_at: float) -> None:
+        """Stop counting a short request that was cancelled, refused, or turned out to be long."""
+        health.running -= 1
+        health.started_sum = health.started_sum - started_at if health.running else 0.0
+
+    def note_overdue(self, health: UpstreamHealth, started_at: float, now: float) -> None:
+        """Record that a request turned out to be long, which may be the upstream's fault."""
+        self.stop_watching(health, started_at)
+        health.slowness += self._weigh(now - started_at, ended=False)
+
+    def note_failure(self, health: UpstreamHealth, failed: bool) -> None:
+        """Record whether an attempt failed through the upstream's fault."""
+        outcome = 1.0 if failed else 0.0
+        health.failure_share += FAILURE_WEIGHT * (outcome - health.failure_share)
+        self._failure_share += SERVICE_FAILURE_WEIGHT * (outcome - self._failure_share)
+
+    def note_duration(self, health: UpstreamHealth, started_at: float, now: float) -> None:
+        """Record that a short request was answered."""
+        self.stop_watching(health, started_at)
+        duration = now - started_at
+        health.slowness = max(0.0, health.slowness + self._weigh(duration, ended=True))
+        if health.ejected_until is None:
+            self._learn_mean(duration)
+        if health.trial_answers is not None:
+            self._advance_trial(health)
+
+    def is_bad(self, upstream: str, now: float) -> bool:
+        """Return whether the upstream behaves worse than the others."""
+        health = self._health[upstream]
+        threshold = max(FAILURE_LIMIT, FAILURE_FACTOR * self._failure_share)
+        if health.failure_share > threshold:
+            return True
+        waiting = 0.0
+        if health.running:
+            age = now - health.started_sum / health.running
+            waiting = health.running * self._weigh(age, ended=False)
+        return health.slowness + waiting > SLOW_LIMIT
+
+    def is_ejected(self, upstream: str) -> bool:
+        """Return whether the upstream is out of use."""
+        return self._health[upstream].ejected_until is not None
+
+    def eject(self, upstream: str, now: float) -> None:
+        """Take the upstream out for a time that grows with repetition and carries jitter."""
+        health = self._health[upstream]
+        base = min(EJECTION_MAX_S, EJECTION_S * 2.0**health.ejections)
+        jitter = 1.0 + EJECTION_JITTER * (2.0 * self._random.random() - 1.0)
+        health.ejected_until = now + base * jitter
+        health.ejections = min(10, health.ejections + 1)
+
+    def readmit_due(self, now: float) -> list[str]:
+        """Bring back the upstreams whose time is over, on trial, and return them."""
+        due: list[str] = []
+        for upstream, health in self._health.items():
+            if health.ejected_until is None or health.ejected_until > now:
+                continue
+            health.ejected_until = None
+            health.slowness = 0.0
+            health.failure_share = 0.0
+            health.trial_answers = 0
+            due.append(upstream)
+        return due
+
+    def next_readmission(self) -> float | None:
+        """Return the time of the next return."""
+        times = [health.ejected_until for health in self._health.values()]
+        return min((time for time in times if time is not None), default=None)
+
+    def count_removable(self, usable: int) -> int:
+        """Return how many more of the usable upstreams may be ejected."""
+        ejected = sum(health.ejected_until is not None for health in self._health.values())
+        return usable - math.ceil(usable * KEPT_SHARE) - ejected
+
+    def _weigh(self, duration: float, ended: bool) -> float:
+        """Return the evidence for slowness in the duration of one request."""
+        ratio = min(LONGEST_RATIO, duration / self.mean_s)
+        evidence = ratio * (1.0 - 1.0 / SLOW_FACTOR)
+        return evidence - math.log(SLOW_FACTOR) if ended else evidence
+
+    def _learn_mean(self, duration: float) -> None:
+        """Follow the mean duration, quickly at first."""
+        self._samples += 1
+        weight = max(MEAN_WEIGHT, 1.0 / self._samples)
+        self.mean_s = max(1e-4, self.mean_s + weight * (duration - self.mean_s))
+
+    def _advance_trial(self, health: UpstreamHealth) -> None:
+        """Allow more load after each answer; end the trial after enough of them."""
+        answers = (health.trial_answers or 0) + 1
+        is_over = answers >= TRIAL_ANSWERS + 4 * RAMP_ANSWERS
+        health.trial_answers = None if is_over else answers
+        if is_over:
+            health.ejections = 0
--- a/amaranthbend/core/routing.py
+++ b/amaranthbend/core/routing.py
@@ -1,5 +1,14 @@
-"""Choice of an upstream for one request."""
+"""Choice of an upstream for one request, by the expected wait there.
 
+Each upstream's load is estimated as own requests in flight, which are exact,
+plus those of other processes, which come from load reports. A report is soon
+out of date, so the estimate moves from the report towards the upstream's own
+average, and its uncertainty grows. The cost is the expected number of requests
+ahead of the next one; uncertainty raises it, so that a stale report of an idle
+instance does not attract every process at once.
+"""
+
+import math
 import random
 from collections.abc import Iterable
 
@@ -7,6 +16,30 @@
 
 __all__ = ["Router", "UpstreamLoad"]
 
+# Averages of other processes' load adapt within this time; 0.1 to 1 s measured alike.
+AVERAGE_TIME_S = 0.3
+# Uncertainty of a fresh report, in requests; values from 0.1 to 0.5 measured alike.
+FRESH_DEVIATION = 0.2
+# Part of the variance of other processes' load that the logistic form of the cost needs.
+DEVIATION_SCALE = 0.55
+# Load reports lose their value within about half a service time (measured at 5 to 40 ms).
+RELAXATION_SHARE = 0.5
+RELAXATION_MIN_S = 0.001
+# A report from another data centre is older on arrival, and so is the request when it arrives.
+REMOTE_AGE_S = 0.003
+LOCAL_AGE_S = 0.0002
+# Cost of leaving the data centre, in waiting requests: about the extra round trip divided by the
+# time in which one slot of an instance becomes free. 0.3 measured best with 6 and with 3 slots.
+REMOTE_COST = 0.3
+# Own requests sent within this time need not show in a report yet.
+TRANSIT_S = 0.01
+# Reports that contradict own requests raise doubt; consistent ones lower it more slowly.
+DOUBT_LIMIT = 3.0
+DOUBT_MAX = 20.0
+DOUBT_DECAY = 0.25
+# An upstream that refused work is left alone for this time, so that it can recover.
+REFUSAL_PAUSE_S = 0.05
+
 
 class UpstreamLoad:
     """What this process knows of the load at one upstream.
@@ -17,31 +50,96 @@
         The upstream.
     """
 
-    __slots__ = ("in_flight", "long_in_flight", "member", "report", "report_at", "usable")
+    __slots__ = (
+        "doubt",
+        "ejected",
+        "in_flight",
+        "last_sent_at",
+        "long_in_flight",
+        "mean_others",
+        "member",
+        "most_in_flight",
+        "others",
+        "paused_until",
+        "probe_pending",
+        "probed_at",
+        "report",
+        "report_at",
+        "usable",
+        "var_others",
+    )
 
     def __init__(self, member: Member) -> None:
         self.member = member
         self.usable = True
+        self.ejected = False
         self.in_flight = 0
         self.long_in_flight = 0
+        self.most_in_flight: int | None = None
+        self.paused_until = -math.inf
+        self.last_sent_at = -math.inf
+        self.probe_pending = False
+        self.probed_at = -math.inf
         self.report: LoadReport | None = None
-        self.report_at = 0.0
+        self.report_at = -math.inf
+        self.others = 0.0
+        self.mean_others = 1.0
+        self.var_others = 2.0
+        self.doubt = 0.0
+
+    def note_report(self, report: LoadReport, own: int, now: float) -> None:
+        """Take in a report.
+
+        Parameters
+        ----------
+        report : LoadReport
+            The report.
+        own : int
+            Own requests that the upstream still held when it made the report.
+        now : float
+            Present time.
+        """
+        total = report.in_flight + report.queued
+        if total < own and now - self.last_sent_at > TRANSIT_S:
+            self.doubt = min(DOUBT_MAX, self.doubt + 1.0)
+        else:
+            self.doubt = max(0.0, self.doubt - DOUBT_DECAY)
+        age = min(AVERAGE_TIME_S * 10, now - self.report_at)
+        weight = 1.0 - math.exp(-age / AVERAGE_TIME_S)
+        self.report = report
+        self.report_at = now
+        self.others = float(max(0, total - own))
+        error = self.others - self.mean_others
+        self.mean_others += weight * error
+        self.var_others += weight * (error * error - self.var_others)
 
 
 class Router:
-    """Chooses the usable upstream with the fewest own requests.
+    """Chooses the upstream with the least expected wait.
 
     Parameters
     ----------
+    data_centre : str
+        Data centre of this process, preferred until it costs more than the distance.
+    slots : int
+        Slots of an upstream that has not reported yet.
     seed : int
         Seed of the tie-breaking choices.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, data_centre: str, slots: int, seed: int) -> None:
+        self._data_centre = data_centre
         self._random = random.Random(seed)
+        self.slots = slots
 
     def choose(
-        self, loads: Iterable[UpstreamLoad], connection_limit: int, avoid: frozenset[str]
+        self,
+        loads: Iterable[UpstreamLoad],
+        connection_limit: int,
+        avoid: frozenset[str],
+        long_limit: int | None,
+        service_s: float,
+        now: float,
     ) -> UpstreamLoad | None:
         """Return the upstream for the next request, or None if all are at their limit.
 
@@ -53,14 +151,61 @@
             Most own requests at one upstream.
         avoid : frozenset of str
             Upstreams that failed this request before; used only when no other is left.
+        long_limit : int or None
+            Most own long requests at one upstream, for a long request.
+        service_s : float
+            Mean time of recent requests.
+        now : float
+            Present time.
         """
         best: UpstreamLoad | None = None
-        best_key = (True, 0, 0.0)
+        best_cost = math.inf
+        relaxation_s = max(RELAXATION_MIN_S, service_s * RELAXATION_SHARE)
+        fallback = self._average_others(loads)
         for load in loads:
-            if not load.usable or load.in_flight >= connection_limit:
+            if not load.usable or load.ejected or load.in_flight >= connection_limit:
+                continue
+            if load.most_in_flight is not None and load.in_flight >= load.most_in_flight:
+                continue
+            if long_limit is not None and load.long_in_flight >= long_limit:
                 continue
-            key = (load.member.upstream in avoid, load.in_flight, self._random.random())
-            if best is None or key < best_key:
+            cost = self._estimate_cost(load, relaxation_s, fallback, now)
+            if load.paused_until > now:
+                cost += load.report.slots if load.report is not None else self.slots
+            if avoid and load.member.upstream in avoid:
+                cost += 1e6
+            if cost < best_cost:
                 best = load
-                best_key = key
+                best_cost = cost
         return best
+
+    def _average_others(self, loads: Iterable[UpstreamLoad]) -> float:
+        """Return the average load by other processes at upstreams whose reports are trusted."""
+        total = 0.0
+        count = 0
+        for load in loads:
+            if load.doubt < DOUBT_LIMIT:
+                total += load.mean_others
+                count += 1
+        return total / count if count else 0.0
+
+    def _estimate_cost(
+        self, load: UpstreamLoad, relaxation_s: float, fallback: float, now: float
+    ) -> float:
+        """Return the expected number of requests ahead, with the cost of distance."""
+        is_remote = load.member.data_centre != self._data_centre
+        slots = self.slots if load.report is None else load.report.slots
+        if load.doubt >= DOUBT_LIMIT:
+            others = max(fallback, load.mean_others)
+            deviation = FRESH_DEVIATION + DEVIATION_SCALE * math.sqrt(load.var_others)
+        else:
+            age = now - load.report_at + (REMOTE_AGE_S if is_remote else LOCAL_AGE_S)
+            kept = math.exp(-age / relaxation_s)
+            mean = load.mean_others
+            others = mean + (load.others - mean) * kept
+            spread = load.var_others * (1.0 - kept * kept)
+            deviation = FRESH_DEVIATION + DEVIATION_SCALE * math.sqrt(spread)
+        excess = (others + load.in_flight - slots + 1) / deviation
+        ahead = math.log1p(math.exp(excess)) if excess < 30.0 else excess
+        cost = deviation * ahead + 1e-4 * self._random.random()
+        return cost + REMOTE_COST if is_remote else cost
--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -278,6 +278,7 @@
         self._delays = random.Random(seed + 1)
         self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._sequence = 0
+        self._open = 0
         self.now = 0.0
         self.upstreams = {
             f"u{n}": Upstream(f"u{n}", scenario.slots, f"dc{n % scenario.data_centres}")
@@ -302,7 +303,8 @@
         for fault in self.scenario.faults:
             self._at(fault.start, self._begin_fault, fault)
             self._at(fault.end, self._end_fault, fault)
-        while self._events:
+        # Timers for probes never end by themselves.
+        while self._events and (self.now < self.scenario.duration_s or self._open):
             time, _, function, arguments = heapq.heappop(self._events)
             self.now = time
             function(*arguments)
@@ -319,6 +321,8 @@
         return 1.0
 
     def _schedule_arrival(self, traffic: Traffic) -> None:
+        if not traffic.load:
+            return
         rate = traffic.load * self.scenario.capacity / traffic.mean_s
         rate *= self._get_demand_factor(traffic)
         time = self.now + self._random.expovariate(rate)
@@ -338,6 +342,7 @@
         record = RequestRecord(self.now, self._draw_service(traffic), traffic.is_long)
         request_id = len(self.records)
         self.records.append(record)
+        self._open += 1
         self._schedule_arrival(traffic)
         request = RequestInfo(
             request_id, "route", True, traffic.declared, self.now + traffic.deadline_s
@@ -353,6 +358,7 @@
                 self._complete(action)
             elif isinstance(action, Refuse):
                 self.records[action.request_id].refused = True
+                self._open -= 1
             elif isinstance(action, Probe):
                 self._probe(host, action.upstream)
             elif isinstance(action, Cancel):
@@ -365,6 +371,7 @@
     def _complete(self, action: Complete) -> None:
         record = self.records[action.request_id]
         record.done_at = self.now
+        self._open -= 1
         record.failed = record.failed or action.reason is not None
 
     def _tick(self, host: _Host, time: float) -> None:
