--- a/amaranthbend/core/ejection.py
+++ b/amaranthbend/core/ejection.py
@@ -23,9 +23,9 @@
 FAILURE_FACTOR = 2.0
 # Part of the upstreams that stays in use when all look bad.
 KEPT_SHARE = 0.5
-# First ejection; doubles with each repetition. Each return costs every process a few slow
-# requests, and 5 s keeps these under 0.5% of the load at one slow instance in ten.
-EJECTION_S = 5.0
+# First ejection; doubles with each repetition. Each return costs every process one or two slow
+# requests; 10 s keeps these near 0.2% of the load with one instance in ten slowed tenfold.
+EJECTION_S = 10.0
 EJECTION_MAX_S = 60.0
 EJECTION_JITTER = 0.5
 # Good answers, one at a time, before a returning or cold upstream gets full load.
