Add parsing, merging, approval and acceptance of settings

Cause: the entry and control processes need verify_envelope, decide_envelope and build_policy before they can put settings in force.

Signature verification inside core, since core has no I/O and no cryptography; decide_envelope takes its result.

--- /dev/null
+++ b/amaranthbend/core/versions.py
@@ -0,0 +1,162 @@
+"""Acceptance or rejection of an offered settings envelope.
+
+The decision depends on the held and the offered envelope only. `now` is
+recorded with it, so that the age of the settings in force can be reported.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from result import Err, Result
+
+from .envelope import SettingsEnvelope, compute_digest
+from .errors import ApprovalError, SettingsError
+
+__all__ = [
+    "EnvelopeDecision",
+    "EnvelopeVerdict",
+    "RejectionReason",
+    "decide_envelope",
+    "reject_envelope",
+]
+
+FIRST_SERIAL = 1
+
+
+class EnvelopeVerdict(StrEnum):
+    """What to do with an offered envelope."""
+
+    ACCEPTED = "accepted"
+    UNCHANGED = "unchanged"
+    REJECTED = "rejected"
+
+
+class RejectionReason(StrEnum):
+    """Why an offered envelope is rejected; each has its own counter, named after its value."""
+
+    LOWER_SERIAL = "lower_serial"
+    CONFLICTING_DIGEST = "conflicting_digest"
+    WRONG_DIGEST = "wrong_digest"
+    WRONG_DEPLOYMENT = "wrong_deployment"
+    TOO_FEW_APPROVALS = "too_few_approvals"
+    MALFORMED_ENVELOPE = "malformed_envelope"
+    MALFORMED_SETTINGS = "malformed_settings"
+
+
+class EnvelopeDecision(NamedTuple):
+    """Decision about one offered envelope.
+
+    Parameters
+    ----------
+    verdict : EnvelopeVerdict
+        Whether the offered envelope replaces the held one.
+    decided_at : float
+        Monotonic time of the decision in seconds.
+    reason : RejectionReason or None
+        Why it is rejected.
+    message : str
+        Explanation with the remedy, for the log.
+    """
+
+    verdict: EnvelopeVerdict
+    decided_at: float
+    reason: RejectionReason | None = None
+    message: str = ""
+
+
+def reject_envelope(reason: RejectionReason, message: str, now: float) -> EnvelopeDecision:
+    """Return a rejection.
+
+    Parameters
+    ----------
+    reason : RejectionReason
+        Why, for the counter.
+    message : str
+        Explanation with the remedy.
+    now : float
+        Monotonic time in seconds.
+    """
+    return EnvelopeDecision(EnvelopeVerdict.REJECTED, now, reason, message)
+
+
+def decide_envelope(
+    held: SettingsEnvelope | None,
+    offered: SettingsEnvelope,
+    deployment: str,
+    approval: Result[None, ApprovalError],
+    settings: Result[object, SettingsError],
+    now: float,
+) -> EnvelopeDecision:
+    """Decide whether an offered envelope replaces the held one.
+
+    Parameters
+    ----------
+    held : SettingsEnvelope or None
+        Envelope in force.
+    offered : SettingsEnvelope
+        Envelope from the platform, a peer or an entry process.
+    deployment : str
+        Deployment that the process belongs to.
+    approval : Result
+        Result of verifying the signatures of the offered envelope.
+    settings : Result
+        Result of building the policy from the offered settings.
+    now : float
+        Monotonic time in seconds.
+    """
+    if offered.deployment != deployment:
+        message = (
+            f"the envelope is for deployment {offered.deployment!r}, this process serves "
+            f"{deployment!r}; correct the process settings or the publishing folder"
+        )
+        return reject_envelope(RejectionReason.WRONG_DEPLOYMENT, message, now)
+    if offered.digest != _recompute_digest(offered):
+        message = (
+            f"digest {offered.digest!r} is not that of the manifest and the merged settings; "
+            "publish again from the folder"
+        )
+        return reject_envelope(RejectionReason.WRONG_DIGEST, message, now)
+    order = _compare_serials(held, offered, now)
+    if order is not None:
+        return order
+    if isinstance(approval, Err):
+        return reject_envelope(RejectionReason.TOO_FEW_APPROVALS, str(approval.err_value), now)
+    if isinstance(settings, Err):
+        return reject_envelope(RejectionReason.MALFORMED_SETTINGS, str(settings.err_value), now)
+    if offered.merged.get("deployment") != deployment:
+        message = (
+            f"the settings name deployment {offered.merged.get('deployment')!r}, this process "
+            f"serves {deployment!r}; correct the key 'deployment' in the folder"
+        )
+        return reject_envelope(RejectionReason.WRONG_DEPLOYMENT, message, now)
+    return EnvelopeDecision(EnvelopeVerdict.ACCEPTED, now)
+
+
+def _recompute_digest(envelope: SettingsEnvelope) -> str:
+    try:
+        return compute_digest(envelope.manifest, envelope.merged)
+    except RecursionError:
+        # Nesting this deep is never valid, and an offered envelope may hold anything.
+        return ""
+
+
+def _compare_serials(
+    held: SettingsEnvelope | None, offered: SettingsEnvelope, now: float
+) -> EnvelopeDecision | None:
+    """Return the decision that follows from the serials alone, if any."""
+    lowest = held.serial if held is not None else FIRST_SERIAL
+    if offered.serial < lowest:
+        message = (
+            f"serial {offered.serial} is lower than {lowest}; to go back to earlier settings, "
+            "approve and publish them under a new serial"
+        )
+        return reject_envelope(RejectionReason.LOWER_SERIAL, message, now)
+    if held is None or offered.serial > held.serial:
+        return None
+    if offered.digest != held.digest:
+        message = (
+            f"serial {offered.serial} is in force with digest {held.digest}, offered with "
+            f"{offered.digest}; publish the change again on the present base"
+        )
+        return reject_envelope(RejectionReason.CONFLICTING_DIGEST, message, now)
+    return EnvelopeDecision(EnvelopeVerdict.UNCHANGED, now)
--- /dev/null
+++ b/amaranthbend/settings/acceptance.py
@@ -0,0 +1,94 @@
+"""Acceptance of an offered envelope by a serving process: load, verify, build, decide."""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from result import Err, Ok, Result
+
+from ..core.envelope import SettingsEnvelope, load_envelope
+from ..core.errors import SettingsError
+from ..core.policy import DeploymentPolicy
+from ..core.versions import (
+    EnvelopeDecision,
+    EnvelopeVerdict,
+    RejectionReason,
+    decide_envelope,
+    reject_envelope,
+)
+from .approvals import verify_envelope
+from .policies import build_policy
+
+__all__ = ["AcceptedSettings", "Approvers", "accept_document", "accept_envelope"]
+
+
+class Approvers(NamedTuple):
+    """Whose approvals count, from the process settings.
+
+    Parameters
+    ----------
+    deployment : str
+        Deployment that the process belongs to.
+    approver_keys : mapping of str to str
+        Public keys as hexadecimal text, by key id.
+    required_approvals : int
+        Least number of distinct keys that must have signed.
+    """
+
+    deployment: str
+    approver_keys: Mapping[str, str]
+    required_approvals: int
+
+
+class AcceptedSettings(NamedTuple):
+    """An accepted envelope and its policy."""
+
+    envelope: SettingsEnvelope
+    policy: DeploymentPolicy
+
+
+def accept_document(
+    held: SettingsEnvelope | None, document: Any, approvers: Approvers, now: float
+) -> tuple[EnvelopeDecision, AcceptedSettings | None]:
+    """Decide about the JSON form of an envelope, which may be any JSON value.
+
+    Parameters
+    ----------
+    held : SettingsEnvelope or None
+        Envelope in force.
+    document : Any
+        JSON value from the platform, a peer or an entry process.
+    approvers : Approvers
+        Whose approvals count.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    tuple
+        The decision, and the settings to put in force if it is "accepted".
+    """
+    try:
+        offered = load_envelope(document)
+    except ValueError as error:
+        message = f"{error}; publish again from the folder"
+        return reject_envelope(RejectionReason.MALFORMED_ENVELOPE, message, now), None
+    return accept_envelope(held, offered, approvers, now)
+
+
+def accept_envelope(
+    held: SettingsEnvelope | None, offered: SettingsEnvelope, approvers: Approvers, now: float
+) -> tuple[EnvelopeDecision, AcceptedSettings | None]:
+    """Decide about an envelope; see `accept_document`."""
+    approval = verify_envelope(offered, approvers.approver_keys, approvers.required_approvals)
+    policy = _build_checked(offered)
+    decision = decide_envelope(held, offered, approvers.deployment, approval, policy, now)
+    if decision.verdict is not EnvelopeVerdict.ACCEPTED or isinstance(policy, Err):
+        return decision, None
+    return decision, AcceptedSettings(offered, policy.ok_value)
+
+
+def _build_checked(envelope: SettingsEnvelope) -> Result[DeploymentPolicy, SettingsError]:
+    try:
+        return Ok(build_policy(envelope.merged))
+    except SettingsError as error:
+        return Err(error)
--- /dev/null
+++ b/amaranthbend/settings/merging.py
@@ -0,0 +1,182 @@
+"""Merge of settings files in name order, and the check of the result."""
+
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+from result import Err, Ok, Result
+
+from ..core.errors import SettingsError
+from .documents import ParsedDocument
+from .references import check_merged
+from .schema import Problem, SettingPath, format_path, suggest_names
+
+__all__ = ["MergedSettings", "Origin", "merge_documents"]
+
+
+class Origin(NamedTuple):
+    """File and line that last set or removed a setting."""
+
+    file: str
+    line: int
+
+
+class MergedSettings(NamedTuple):
+    """Merged settings and where each of them comes from.
+
+    Parameters
+    ----------
+    value : dict
+        Merged settings, without removed keys.
+    origins : dict of tuple to Origin
+        Where each setting was set last, by path.
+    removals : dict of tuple to Origin
+        Where each setting that is no longer present was removed, by path.
+    """
+
+    value: dict[str, Any]
+    origins: dict[SettingPath, Origin]
+    removals: dict[SettingPath, Origin]
+
+
+def merge_documents(
+    documents: Sequence[ParsedDocument],
+) -> Result[MergedSettings, list[SettingsError]]:
+    """Merge and check settings files.
+
+    Parameters
+    ----------
+    documents : sequence of ParsedDocument
+        Files in merge order. Objects merge, other values replace, None removes.
+
+    Returns
+    -------
+    Result
+        The merged settings, or all problems found.
+    """
+    merged = MergedSettings({}, {}, {})
+    errors: list[SettingsError] = []
+    for document in documents:
+        _merge_object(merged, merged.value, document.value, (), document, errors)
+    errors += [_locate_problem(problem, merged, documents) for problem in _check(merged)]
+    return Err(errors) if errors else Ok(merged)
+
+
+def _check(merged: MergedSettings) -> list[Problem]:
+    if not merged.value:
+        return [Problem((), "no settings", "add a *.jsonc file with settings to the folder")]
+    return check_merged(merged.value)
+
+
+def _merge_object(
+    merged: MergedSettings,
+    target: dict[str, Any],
+    added: dict[str, Any],
+    path: SettingPath,
+    document: ParsedDocument,
+    errors: list[SettingsError],
+) -> None:
+    """Merge one object of a document into the object at the same path."""
+    for name, value in added.items():
+        below = (*path, name)
+        origin = Origin(document.file, document.positions[below].line)
+        if value is None:
+            _remove(merged, target, below, origin, errors)
+            continue
+        merged.removals.pop(below, None)
+        if not isinstance(value, dict):
+            _drop_below(merged.origins, below)
+            target[name] = value
+            _note_origins(merged, below, document)
+            continue
+        if not isinstance(target.get(name), dict):
+            _drop_below(merged.origins, below)
+            target[name] = {}
+            merged.origins[below] = origin
+        _merge_object(merged, target[name], value, below, document, errors)
+
+
+def _remove(
+    merged: MergedSettings,
+    target: dict[str, Any],
+    path: SettingPath,
+    origin: Origin,
+    errors: list[SettingsError],
+) -> None:
+    """Remove a setting; one that is not there points to a misspelt name or a wrong order."""
+    name = str(path[-1])
+    if name not in target:
+        problem = "null removes a setting that no earlier file sets"
+        valid = ", ".join(suggest_names(name, list(target))) or "none"
+        remedy = f"remove the line, or name one of those set: {valid}"
+        errors.append(SettingsError(origin.file, origin.line, format_path(path), problem, remedy))
+        return
+    del target[name]
+    _drop_below(merged.origins, path)
+    merged.removals[path] = origin
+
+
+def _drop_below(origins: dict[SettingPath, Origin], path: SettingPath) -> None:
+    """Forget the origins of a replaced or removed value."""
+    stale = [known for known in origins if known[: len(path)] == path]
+    for known in stale:
+        del origins[known]
+
+
+def _note_origins(merged: MergedSettings, path: SettingPath, document: ParsedDocument) -> None:
+    """Note the origins of a value and, for an array, of its elements."""
+    for known, position in document.positions.items():
+        if known[: len(path)] == path:
+            merged.origins[known] = Origin(document.file, position.line)
+
+
+def _locate_problem(
+    problem: Problem, merged: MergedSettings, documents: Sequence[ParsedDocument]
+) -> SettingsError:
+    """Return the error at the line to change: a removal that broke a dependency, or the setting."""
+    origin = _find_origin(problem.path, merged, documents)
+    cause = _find_removal(problem.depends_on, merged)
+    if cause is None or problem.depends_on is None:
+        setting = format_path(problem.path)
+        return SettingsError(origin.file, origin.line, setting, problem.problem, problem.remedy)
+    dependant = f"{format_path(problem.path)} ({origin.file}:{origin.line})"
+    return SettingsError(
+        cause.file,
+        cause.line,
+        format_path(problem.depends_on),
+        f"removed here, but {dependant} depends on it",
+        "keep the setting, or first change what depends on it",
+    )
+
+
+def _find_origin(
+    path: SettingPath, merged: MergedSettings, documents: Sequence[ParsedDocument]
+) -> Origin:
+    """Return the line to blame: of the last removal in an emptied object, else of the setting.
+
+    A path without an origin has that of its nearest ancestor.
+    """
+    removals = [origin for known, origin in merged.removals.items() if known[:-1] == path]
+    if path and removals and _look_up(merged.value, path) == {}:
+        return removals[-1]
+    for length in range(len(path), 0, -1):
+        origin = merged.origins.get(path[:length]) or merged.removals.get(path[:length])
+        if origin is not None:
+            return origin
+    return Origin(documents[-1].file if documents else "(folder)", 1 if documents else 0)
+
+
+def _look_up(value: Any, path: SettingPath) -> Any:
+    for step in path:
+        value = value[step] if isinstance(value, dict) and step in value else None
+    return value
+
+
+def _find_removal(path: SettingPath | None, merged: MergedSettings) -> Origin | None:
+    """Return where a path or an object that held it was removed."""
+    if path is None:
+        return None
+    for length in range(len(path), 0, -1):
+        origin = merged.removals.get(path[:length])
+        if origin is not None:
+            return origin
+    return None
--- /dev/null
+++ b/amaranthbend/settings/references.py
@@ -0,0 +1,86 @@
+"""Checks between settings: names that others refer to, and combinations that contradict."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from ..core.policy import DeploymentPolicy, ServicePolicy
+from .schema import DEPLOYMENT_SECTION, Problem, SettingPath, check_section, suggest_names
+
+__all__ = ["check_merged", "check_references"]
+
+_DEFAULT_HOSTS: int = DeploymentPolicy._field_defaults["entry_hosts_max"]
+_DEFAULT_CONNECTIONS: int = ServicePolicy._field_defaults["connections_per_upstream"]
+
+
+def check_merged(merged: Any) -> list[Problem]:
+    """Return all problems of merged settings: keys, types, ranges, then references."""
+    problems = check_section(merged, DEPLOYMENT_SECTION)
+    return problems or check_references(merged)
+
+
+def check_references(merged: dict[str, Any]) -> list[Problem]:
+    """Return the problems between settings that are each valid by themselves.
+
+    Parameters
+    ----------
+    merged : dict
+        Merged settings without a problem in `schema.check_section`.
+    """
+    problems = list(_find_lost_services(merged))
+    problems += _find_ambiguous_routes(merged["routes"])
+    problems += _find_contradicting_claims(merged["routes"])
+    problems += _find_thin_connections(merged)
+    return problems
+
+
+def _find_lost_services(merged: dict[str, Any]) -> Iterator[Problem]:
+    services = merged["services"]
+    for name, route in merged["routes"].items():
+        service = route["service"]
+        if service in services:
+            continue
+        near = ", ".join(suggest_names(service, list(services)))
+        yield Problem(
+            ("routes", name, "service"),
+            f"{service!r} is not a service",
+            f"use one of: {near}, or define services.{service}",
+            ("services", service),
+        )
+
+
+def _find_ambiguous_routes(routes: dict[str, Any]) -> Iterator[Problem]:
+    """Yield routes that share a prefix and a method, so that neither is the longest match."""
+    taken: dict[tuple[str, str], str] = {}
+    for name, route in routes.items():
+        path: SettingPath = ("routes", name, "path_prefix")
+        prefix = route["path_prefix"]
+        clashes = [method for method in route["methods"] if (prefix, method) in taken]
+        for method in route["methods"]:
+            taken.setdefault((prefix, method), name)
+        if not clashes:
+            continue
+        other = taken[prefix, clashes[0]]
+        problem = f"{prefix!r} with {', '.join(clashes)} is already matched by routes.{other}"
+        yield Problem(path, problem, "change the prefix or the methods of one of them")
+
+
+def _find_contradicting_claims(routes: dict[str, Any]) -> Iterator[Problem]:
+    for name, route in routes.items():
+        if route.get("claim") != "required" or route.get("idempotent") is not True:
+            continue
+        problem = "true contradicts claim 'required': a claim guards against a second run"
+        yield Problem(("routes", name, "idempotent"), problem, "remove it, or set claim to 'none'")
+
+
+def _find_thin_connections(merged: dict[str, Any]) -> Iterator[Problem]:
+    """Yield services whose connections do not give each entry host at least one."""
+    hosts = merged.get("entry_hosts_max", _DEFAULT_HOSTS)
+    for name, service in merged["services"].items():
+        connections = service.get("connections_per_upstream", _DEFAULT_CONNECTIONS)
+        if connections >= hosts:
+            continue
+        yield Problem(
+            ("services", name, "connections_per_upstream"),
+            f"{connections} connections cannot be split among {hosts} entry hosts",
+            f"use at least {hosts}, or lower entry_hosts_max",
+        )
--- /dev/null
+++ b/amaranthbend/settings/schema.py
@@ -0,0 +1,422 @@
+"""Valid keys of the settings: type, unit, range and meaning of each.
+
+The check works on plain values, without positions, so that a serving process
+can use it on the merged settings of an envelope.
+"""
+
+import difflib
+import math
+import re
+from collections.abc import Iterator, Mapping
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+__all__ = [
+    "DEPLOYMENT_SECTION",
+    "Choice",
+    "ChoiceList",
+    "Flag",
+    "NamedSections",
+    "Number",
+    "SettingPath",
+    "Problem",
+    "Section",
+    "Spec",
+    "Text",
+    "TextMap",
+    "Unit",
+    "check_section",
+    "format_path",
+    "suggest_names",
+]
+
+SettingPath = tuple[str | int, ...]
+
+MEBIBYTE = 1024 * 1024
+GIBIBYTE = 1024 * MEBIBYTE
+HOUR_MS = 3_600_000
+YEAR_S = 31_536_000
+SUGGESTION_COUNT = 3
+# Long bad values are cut so that an error stays on one readable line.
+QUOTE_LENGTH = 80
+
+NAME_PATTERN = "[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?"
+NAME_MEANING = "1 to 64 lower-case letters, digits and inner hyphens"
+PREFIX_PATTERN = "/[!-~]*"
+PREFIX_MEANING = "a path that starts with / and has no spaces"
+
+
+class Unit(StrEnum):
+    """Unit of a number; the key's name ends with it where it has one."""
+
+    NONE = ""
+    MILLISECONDS = "ms"
+    SECONDS = "s"
+    BYTES = "bytes"
+    PER_SECOND = "1/s"
+    BYTES_PER_SECOND = "bytes/s"
+    SHARE = "share of 1"
+
+
+class Number(NamedTuple):
+    """A number in a range; `whole` refuses fractions."""
+
+    meaning: str
+    minimum: float
+    maximum: float
+    unit: Unit = Unit.NONE
+    whole: bool = True
+    required: bool = False
+
+
+class Flag(NamedTuple):
+    """True or false."""
+
+    meaning: str
+    required: bool = False
+
+
+class Text(NamedTuple):
+    """A text that matches a pattern as a whole."""
+
+    meaning: str
+    pattern: str
+    form: str
+    required: bool = False
+
+
+class Choice(NamedTuple):
+    """One of several texts."""
+
+    meaning: str
+    choices: tuple[str, ...]
+    required: bool = False
+
+
+class ChoiceList(NamedTuple):
+    """At least one of several texts, each at most once."""
+
+    meaning: str
+    choices: tuple[str, ...]
+    required: bool = False
+
+
+class TextMap(NamedTuple):
+    """An object whose values are all texts of one form."""
+
+    meaning: str
+    name_pattern: str
+    name_form: str
+    text: Text
+    required: bool = False
+
+
+class Section(NamedTuple):
+    """An object with known keys."""
+
+    meaning: str
+    keys: Mapping[str, "Spec"]
+    required: bool = False
+
+
+class NamedSections(NamedTuple):
+    """An object with names that the operators choose, each for one section."""
+
+    meaning: str
+    section: Section
+    required: bool = False
+
+
+Spec = Number | Flag | Text | Choice | ChoiceList | TextMap | Section | NamedSections
+
+
+class Problem(NamedTuple):
+    """What is wrong at a path, and the remedy.
+
+    Parameters
+    ----------
+    path : tuple of str and int
+        Where the problem is.
+    problem : str
+        What is wrong, with the bad value and the valid ones.
+    remedy : str
+        What to do.
+    depends_on : tuple of str and int or None
+        Setting that is missing and whose removal may be the cause.
+    """
+
+    path: SettingPath
+    problem: str
+    remedy: str
+    depends_on: SettingPath | None = None
+
+
+RETRIES = Section(
+    "Limits on repeated attempts.",
+    {
+        "ratio": Number("Retries as a share of first attempts.", 0, 1, Unit.SHARE, whole=False),
+        "floor_per_s": Number(
+            "Retries that are always allowed.", 0, 10_000, Unit.PER_SECOND, whole=False
+        ),
+        "max_attempts": Number("Attempts of one request, the first included.", 1, 10),
+    },
+)
+
+LIMITS = Section(
+    "Limits on queued and running work in one entry process.",
+    {
+        "queue_length": Number("Requests that wait.", 0, 1_000_000),
+        "queue_bytes": Number("Bytes of bodies that wait.", 0, GIBIBYTE, Unit.BYTES),
+        "long_share": Number(
+            "Share of slots and connections that long work may take.",
+            0,
+            1,
+            Unit.SHARE,
+            whole=False,
+        ),
+        "long_after_ms": Number(
+            "Running time after which a request counts as long.", 1, HOUR_MS, Unit.MILLISECONDS
+        ),
+    },
+)
+
+SERVICE = Section(
+    "A group of upstreams, under its name in the host list.",
+    {
+        "slots_per_upstream": Number(
+            "Requests that one upstream runs at a time.", 1, 10_000, required=True
+        ),
+        "connections_per_upstream": Number(
+            "Connections to one upstream, over all entry processes.", 1, 100_000
+        ),
+        "retries": RETRIES,
+        "limits": LIMITS,
+    },
+)
+
+METHODS = ("GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE")
+
+ROUTE = Section(
+    "Requests that one service serves, under a name of your choice.",
+    {
+        "path_prefix": Text(
+            "Paths that start with it match; the longest prefix wins.",
+            PREFIX_PATTERN,
+            PREFIX_MEANING,
+            required=True,
+        ),
+        "methods": ChoiceList("Methods that match.", METHODS, required=True),
+        "service": Text("Service that serves it.", NAME_PATTERN, NAME_MEANING, required=True),
+        "idempotent": Flag("Whether a request may run more than once."),
+        "work_class": Choice("Expected length of the work.", ("short", "long")),
+        "deadline_ms": Number(
+            "Longest wait for the start of the response.", 1, HOUR_MS, Unit.MILLISECONDS
+        ),
+        "priority": Number("Higher values leave the queue first.", -100, 100),
+        "claim": Choice(
+            "Whether a request needs a claim on its idempotency key.", ("none", "required")
+        ),
+        "max_body_bytes": Number("Largest request body.", 0, GIBIBYTE, Unit.BYTES),
+    },
+)
+
+PROBING = Section(
+    "Budget for measuring load, over all entry hosts.",
+    {
+        "probes_per_s_per_upstream": Number(
+            "Probes to one upstream.", 0, 10_000, Unit.PER_SECOND, whole=False
+        ),
+        "probes_per_s": Number("Probes.", 0, 1_000_000, Unit.PER_SECOND, whole=False),
+        "bytes_per_s": Number(
+            "Bytes of probes and their responses.",
+            0,
+            GIBIBYTE,
+            Unit.BYTES_PER_SECOND,
+            whole=False,
+        ),
+        "cpu_share": Number(
+            "Share of an entry process's time for probes.", 0, 1, Unit.SHARE, whole=False
+        ),
+    },
+)
+
+DEPLOYMENT_SECTION = Section(
+    "All settings of a deployment.",
+    {
+        "deployment": Text("Name of the deployment.", NAME_PATTERN, NAME_MEANING, required=True),
+        "services": NamedSections("Services by name.", SERVICE, required=True),
+        "routes": NamedSections("Routes by name.", ROUTE, required=True),
+        "probing": PROBING,
+        "entry_hosts_max": Number("Shares into which budgets are split.", 1, 1_000),
+        "claim_writes_per_s": Number(
+            "Platform writes for claims, over all entry hosts.",
+            0,
+            100_000,
+            Unit.PER_SECOND,
+            whole=False,
+        ),
+        # A claim that is removed sooner would let a caller's late repeat run again.
+        "claim_retention_s": Number(
+            "Time after which a claim may be removed.", 60, YEAR_S, Unit.SECONDS, whole=False
+        ),
+    },
+)
+
+
+def format_path(path: SettingPath) -> str:
+    """Return the dotted form of a path, such as `routes.profile.methods[0]`."""
+    text = ""
+    for step in path:
+        if isinstance(step, int):
+            text += f"[{step}]"
+            continue
+        text += f".{step}" if text else step
+    return text or "(file)"
+
+
+def suggest_names(name: str, valid: list[str]) -> list[str]:
+    """Return the valid names nearest to a name, all of them where none is near."""
+    near = difflib.get_close_matches(name, valid, SUGGESTION_COUNT, cutoff=0.5)
+    return near or sorted(valid)
+
+
+def quote_value(value: Any) -> str:
+    """Return a bad value for a message, cut to a readable length."""
+    # repr of a container may recurse deeply; its type says enough.
+    text = type(value).__name__ if isinstance(value, dict | list) else repr(value)
+    return text if len(text) <= QUOTE_LENGTH else text[:QUOTE_LENGTH] + "..."
+
+
+def check_section(value: Any, section: Section, path: SettingPath = ()) -> list[Problem]:
+    """Return all problems of an object: unknown and missing keys, wrong types and ranges.
+
+    Parameters
+    ----------
+    value : Any
+        Plain JSON value.
+    section : Section
+        Valid keys.
+    path : tuple, optional
+        SettingPath of the object.
+    """
+    if not isinstance(value, dict):
+        return [_describe_type(path, value, "an object { }")]
+    problems = list(_find_missing(value, section, path))
+    for name, below in value.items():
+        spec = section.keys.get(name)
+        if spec is None:
+            problems.append(_describe_unknown(path, name, list(section.keys)))
+            continue
+        problems += _check_value(below, spec, (*path, name))
+    return problems
+
+
+def _find_missing(value: dict[str, Any], section: Section, path: SettingPath) -> Iterator[Problem]:
+    for name, spec in section.keys.items():
+        if not spec.required or name in value:
+            continue
+        missing = (*path, name)
+        problem = f"the required setting {format_path(missing)} is missing"
+        yield Problem(path, problem, f"add it: {spec.meaning}", missing)
+
+
+def _describe_unknown(path: SettingPath, name: Any, valid: list[str]) -> Problem:
+    where = (*path, str(name))
+    names = ", ".join(suggest_names(str(name), valid))
+    return Problem(
+        where, f"unknown setting {quote_value(name)}", f"use one of: {names}, or remove it"
+    )
+
+
+def _describe_type(path: SettingPath, value: Any, valid: str) -> Problem:
+    return Problem(path, f"{quote_value(value)} is not valid", f"use {valid}")
+
+
+def _check_value(value: Any, spec: Spec, path: SettingPath) -> list[Problem]:
+    """Return all problems of a value."""
+    match spec:
+        case Section():
+            return check_section(value, spec, path)
+        case NamedSections():
+            return _check_named(value, spec, path)
+        case TextMap():
+            return _check_text_map(value, spec, path)
+        case ChoiceList():
+            return _check_list(value, spec, path)
+        case _:
+            valid = _explain_invalid(value, spec)
+            return [_describe_type(path, value, valid)] if valid else []
+
+
+def _explain_invalid(value: Any, spec: Number | Flag | Text | Choice) -> str:
+    """Return the valid values if the value is not one of them, else an empty text."""
+    match spec:
+        case Number():
+            return "" if _fits_number(value, spec) else describe_range(spec)
+        case Flag():
+            return "" if isinstance(value, bool) else "true or false"
+        case Text():
+            matches = isinstance(value, str) and re.fullmatch(spec.pattern, value) is not None
+            return "" if matches else spec.form
+        case Choice():
+            fits = isinstance(value, str) and value in spec.choices
+            return "" if fits else "one of: " + ", ".join(spec.choices)
+
+
+def _fits_number(value: Any, spec: Number) -> bool:
+    # bool is a subclass of int, but true is no number in JSON.
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    if spec.whole and not isinstance(value, int):
+        return False
+    if isinstance(value, float) and not math.isfinite(value):
+        return False
+    return spec.minimum <= value <= spec.maximum
+
+
+def describe_range(spec: Number) -> str:
+    """Return the valid values of a number, with the unit."""
+    kind = "a whole number" if spec.whole else "a number"
+    unit = f" ({spec.unit})" if spec.unit else ""
+    return f"{kind} from {spec.minimum:,} to {spec.maximum:,}{unit}"
+
+
+def _check_named(value: Any, spec: NamedSections, path: SettingPath) -> list[Problem]:
+    if not isinstance(value, dict):
+        return [_describe_type(path, value, "an object { } with one entry for each name")]
+    if not value:
+        return [Problem(path, "no entry", "add at least one")]
+    problems: list[Problem] = []
+    for name, below in value.items():
+        if not isinstance(name, str) or not re.fullmatch(NAME_PATTERN, name):
+            problems.append(_describe_type((*path, str(name)), name, NAME_MEANING))
+            continue
+        problems += check_section(below, spec.section, (*path, name))
+    return problems
+
+
+def _check_text_map(value: Any, spec: TextMap, path: SettingPath) -> list[Problem]:
+    if not isinstance(value, dict):
+        return [_describe_type(path, value, "an object { } with texts")]
+    problems: list[Problem] = []
+    for name, below in value.items():
+        if not isinstance(name, str) or not re.fullmatch(spec.name_pattern, name):
+            problems.append(_describe_type((*path, str(name)), name, spec.name_form))
+            continue
+        problems += _check_value(below, spec.text, (*path, name))
+    return problems
+
+
+def _check_list(value: Any, spec: ChoiceList, path: SettingPath) -> list[Problem]:
+    valid = "one of: " + ", ".join(spec.choices)
+    if not isinstance(value, list) or not value:
+        return [_describe_type(path, value, f"a list [ ] with at least {valid}")]
+    problems: list[Problem] = []
+    for index, element in enumerate(value):
+        if not isinstance(element, str) or element not in spec.choices:
+            problems.append(_describe_type((*path, index), element, valid))
+            continue
+        if element in value[:index]:
+            problem = f"{quote_value(element)} is listed twice"
+            problems.append(Problem((*path, index), problem, "keep one of the two"))
+    return problems
