--- /dev/null
+++ b/amaranthbend/adapters/platform.py
@@ -0,0 +1,367 @@
+"""Client of the platform: object API and host list."""
+
+import json
+import time
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Any, NamedTuple, Protocol, TypeVar
+from urllib.parse import quote, urlencode
+
+from result import Err, Ok, Result
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest, HTTPResponse
+
+from ..core.backoff import TokenBucket
+from ..core.errors import PlatformError
+
+__all__ = [
+    "Counters",
+    "HostList",
+    "ObjectChanges",
+    "PlatformCallError",
+    "PlatformClient",
+    "PlatformErrorKind",
+    "PlatformHost",
+    "StoredObject",
+    "dump_host_list",
+    "load_host_list",
+]
+
+T = TypeVar("T")
+
+DEFAULT_TIMEOUT_S = 2.0
+# Allowance on top of the waiting time of a watch, for the response to arrive.
+WATCH_GRACE_S = 5.0
+# Calls a second of one process. 14 hosts with a control process and a few entry
+# processes each then stay below the platform's 2,000 reads and several hundred writes.
+CALLS_PER_S = 20.0
+CALLS_BURST = 20.0
+
+
+class PlatformErrorKind(StrEnum):
+    """Why a call failed, and so what is known of its effect."""
+
+    CONFLICT = "conflict"
+    NOT_FOUND = "not_found"
+    RATE_LIMITED = "rate_limited"
+    UNAVAILABLE = "unavailable"
+    TOO_LARGE = "too_large"
+    # A write whose effect is unknown: read it back.
+    LOST_RESPONSE = "lost_response"
+    MALFORMED = "malformed"
+
+
+REMEDIES = {
+    PlatformErrorKind.CONFLICT: "read the object again and decide anew",
+    PlatformErrorKind.NOT_FOUND: "create the object first",
+    PlatformErrorKind.RATE_LIMITED: "repeat later with backoff",
+    PlatformErrorKind.UNAVAILABLE: "repeat later with backoff",
+    PlatformErrorKind.TOO_LARGE: "keep values below 1 MB",
+    PlatformErrorKind.LOST_RESPONSE: "read the object back to learn whether the write took effect",
+    PlatformErrorKind.MALFORMED: "check that platform_url is the address of the object API",
+}
+
+
+class PlatformCallError(PlatformError):
+    """A failed call.
+
+    Parameters
+    ----------
+    kind : PlatformErrorKind
+        Why it failed.
+    call : str
+        Method and path.
+    detail : str
+        Status code or error of the connection.
+    """
+
+    def __init__(self, kind: PlatformErrorKind, call: str, detail: str) -> None:
+        super().__init__(f"{call}: {kind}: {detail}; {REMEDIES[kind]}")
+        self.kind = kind
+
+
+class Counters(Protocol):
+    """Sink for counters."""
+
+    def incr(self, stat: str, count: int = 1) -> Any:
+        """Add to a counter."""
+
+
+class StoredObject(NamedTuple):
+    """One object; the version changes with each write and is never used twice."""
+
+    name: str
+    version: int
+    value: Any
+
+
+class ObjectChanges(NamedTuple):
+    """Objects of a kind, or the changes since a revision."""
+
+    revision: int
+    objects: tuple[StoredObject, ...]
+    deleted: tuple[str, ...]
+
+
+class PlatformHost(NamedTuple):
+    """One entry of the host list.
+
+    Parameters
+    ----------
+    id : str
+        Identifier, unique in its role.
+    role : str
+        `entry`, or the name of the service that the host runs.
+    address : str
+        IP number.
+    port : int
+        Port for requests.
+    control_port : int
+        Port of the control process, 0 where there is none.
+    data_centre : str
+        Data centre of the host.
+    state : str
+        `live` or `leaving`.
+    incarnation : int
+        Grows with each restart.
+    """
+
+    id: str
+    role: str
+    address: str
+    port: int
+    control_port: int
+    data_centre: str
+    state: str
+    incarnation: int
+
+
+class HostList(NamedTuple):
+    """The host list, which may lag behind the truth."""
+
+    revision: int
+    hosts: tuple[PlatformHost, ...]
+
+
+def load_host_list(document: Any) -> HostList:
+    """Return the host list of its JSON form.
+
+    Raises
+    ------
+    ValueError
+        If the document has not the shape of a host list.
+    """
+    try:
+        hosts = tuple(_load_host(entry) for entry in document["hosts"])
+        return HostList(int(document["revision"]), hosts)
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"not a host list: {error!r}") from error
+
+
+def _load_host(entry: Any) -> PlatformHost:
+    return PlatformHost(
+        id=str(entry["id"]),
+        role=str(entry["role"]),
+        address=str(entry["address"]),
+        port=int(entry["port"]),
+        control_port=int(entry.get("control_port") or 0),
+        data_centre=str(entry["data_centre"]),
+        state=str(entry["state"]),
+        incarnation=int(entry["incarnation"]),
+    )
+
+
+def dump_host_list(host_list: HostList) -> bytes:
+    """Return the JSON form of a host list."""
+    hosts = [host._asdict() for host in host_list.hosts]
+    return json.dumps({"revision": host_list.revision, "hosts": hosts}).encode()
+
+
+class PlatformClient:
+    """Calls to the platform, each with a deadline and a counter.
+
+    Parameters
+    ----------
+    base_url : str
+        Address of the platform, without a trailing slash.
+    http_client : AsyncHTTPClient
+        Any tornado client.
+    counters : Counters
+        Receives `platform.<call>` for each call and `platform.error.<kind>` for each failure.
+    calls_per_s, burst : float
+        Limit on the calls of the process.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        base_url: str,
+        http_client: AsyncHTTPClient,
+        counters: Counters,
+        calls_per_s: float = CALLS_PER_S,
+        burst: float = CALLS_BURST,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._http_client = http_client
+        self._counters = counters
+        self._clock = clock
+        self._bucket = TokenBucket(calls_per_s, burst, clock())
+
+    async def get(
+        self, kind: str, name: str, timeout_s: float = DEFAULT_TIMEOUT_S
+    ) -> Result[StoredObject, PlatformCallError]:
+        """Read one object."""
+        path = _join_path(kind, name)
+        answer = await self._call("get", "GET", path, timeout_s)
+        return _parse(answer, path, _load_object)
+
+    async def list(
+        self, kind: str, timeout_s: float = DEFAULT_TIMEOUT_S
+    ) -> Result[ObjectChanges, PlatformCallError]:
+        """Read all objects of a kind."""
+        path = _join_path(kind)
+        return _parse(await self._call("list", "GET", path, timeout_s), path, _load_changes)
+
+    async def watch(
+        self, kind: str, after: int, wait_s: float
+    ) -> Result[ObjectChanges, PlatformCallError]:
+        """Wait up to `wait_s` seconds for changes after a revision."""
+        path = _join_path(kind) + "?" + urlencode({"after": after, "wait_s": wait_s})
+        answer = await self._call("watch", "GET", path, wait_s + WATCH_GRACE_S)
+        return _parse(answer, path, _load_changes)
+
+    async def fetch_hosts(
+        self, timeout_s: float = DEFAULT_TIMEOUT_S
+    ) -> Result[HostList, PlatformCallError]:
+        """Read the host list."""
+        answer = await self._call("hosts", "GET", "/hosts", timeout_s)
+        return _parse(answer, "/hosts", load_host_list)
+
+    async def create(
+        self, kind: str, name: str, value: Any, timeout_s: float = DEFAULT_TIMEOUT_S
+    ) -> Result[int, PlatformCallError]:
+        """Create an object that must not exist; return its version."""
+        return await self._write(kind, name, {"If-None-Match": "*"}, value, timeout_s)
+
+    async def replace(
+        self, kind: str, name: str, value: Any, version: int, timeout_s: float = DEFAULT_TIMEOUT_S
+    ) -> Result[int, PlatformCallError]:
+        """Replace an object that must have the given version; return the new one."""
+        return await self._write(kind, name, {"If-Match": str(version)}, value, timeout_s)
+
+    async def delete(
+        self, kind: str, name: str, version: int, timeout_s: float = DEFAULT_TIMEOUT_S
+    ) -> Result[None, PlatformCallError]:
+        """Remove an object that must have the given version."""
+        path = _join_path(kind, name)
+        headers = {"If-Match": str(version)}
+        answer = await self._call("delete", "DELETE", path, timeout_s, headers)
+        return answer.map(lambda _response: None)
+
+    async def _write(
+        self, kind: str, name: str, headers: dict[str, str], value: Any, timeout_s: float
+    ) -> Result[int, PlatformCallError]:
+        path = _join_path(kind, name)
+        headers = {**headers, "Content-Type": "application/json"}
+        body = json.dumps(value).encode()
+        answer = await self._call("put", "PUT", path, timeout_s, headers, body)
+        parsed = _parse(answer, path, lambda document: int(document["version"]))
+        if isinstance(parsed, Err) and parsed.err_value.kind is PlatformErrorKind.MALFORMED:
+            # The write was answered with success, but its version is not known.
+            return Err(PlatformCallError(PlatformErrorKind.LOST_RESPONSE, path, "no version"))
+        return parsed
+
+    async def _call(
+        self,
+        call: str,
+        method: str,
+        path: str,
+        timeout_s: float,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> Result[HTTPResponse, PlatformCallError]:
+        if not self._bucket.take(self._clock()):
+            self._counters.incr("platform.error.own_rate")
+            kind = PlatformErrorKind.RATE_LIMITED
+            return Err(PlatformCallError(kind, f"{method} {path}", "own limit on calls"))
+        self._counters.incr(f"platform.{call}")
+        request = HTTPRequest(
+            self._base_url + path,
+            method=method,
+            headers=headers,
+            body=body,
+            connect_timeout=timeout_s,
+            request_timeout=timeout_s,
+            follow_redirects=False,
+            decompress_response=True,
+        )
+        try:
+            return Ok(await self._http_client.fetch(request))
+        except (HTTPError, OSError) as error:
+            kind = classify_error(error, is_write=method != "GET")
+            self._counters.incr(f"platform.error.{kind}")
+            return Err(PlatformCallError(kind, f"{method} {path}", str(error)))
+
+
+STATUS_KINDS = {
+    404: PlatformErrorKind.NOT_FOUND,
+    412: PlatformErrorKind.CONFLICT,
+    413: PlatformErrorKind.TOO_LARGE,
+    429: PlatformErrorKind.RATE_LIMITED,
+    503: PlatformErrorKind.UNAVAILABLE,
+}
+# Errors of libcurl that precede the sending: unresolved name, failed connection.
+CURL_UNSENT_ERRORS = {6, 7}
+# Messages of tornado's simple client for timeouts that precede the sending.
+UNSENT_MESSAGES = ("while connecting", "in request queue")
+
+
+def classify_error(error: HTTPError | OSError, *, is_write: bool) -> PlatformErrorKind:
+    """Return the kind of a failed call.
+
+    A write counts as without effect only when the platform says so or when no
+    connection was made; every other failure leaves its effect unknown.
+    """
+    if isinstance(error, HTTPError) and error.code in STATUS_KINDS:
+        return STATUS_KINDS[error.code]
+    if isinstance(error, HTTPError) and 400 <= error.code < 500:
+        return PlatformErrorKind.MALFORMED
+    if not is_write or _precedes_sending(error):
+        return PlatformErrorKind.UNAVAILABLE
+    return PlatformErrorKind.LOST_RESPONSE
+
+
+def _precedes_sending(error: HTTPError | OSError) -> bool:
+    if isinstance(error, ConnectionRefusedError):
+        return True
+    if getattr(error, "errno", None) in CURL_UNSENT_ERRORS and isinstance(error, HTTPError):
+        return True
+    return any(message in str(error) for message in UNSENT_MESSAGES)
+
+
+def _join_path(*parts: str) -> str:
+    return "/objects/" + "/".join(quote(part, safe="") for part in parts)
+
+
+def _parse(
+    answer: Result[HTTPResponse, PlatformCallError], path: str, load: Callable[[Any], T]
+) -> Result[T, PlatformCallError]:
+    if isinstance(answer, Err):
+        return answer
+    try:
+        return Ok(load(json.loads(answer.ok_value.body)))
+    except (ValueError, KeyError, TypeError) as error:
+        return Err(PlatformCallError(PlatformErrorKind.MALFORMED, path, repr(error)))
+
+
+def _load_object(document: Any) -> StoredObject:
+    return StoredObject(str(document["name"]), int(document["version"]), document["value"])
+
+
+def _load_changes(document: Any) -> ObjectChanges:
+    return ObjectChanges(
+        revision=int(document["revision"]),
+        objects=tuple(_load_object(entry) for entry in document["objects"]),
+        deleted=tuple(str(name) for name in document.get("deleted", ())),
+    )
--- /dev/null
+++ b/amaranthbend/controllers/entry_feed.py
@@ -0,0 +1,179 @@
+"""Feed from the control process to the entry processes of its host."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from typing import Any, NamedTuple
+
+from absl import logging
+
+from ..adapters.platform import Counters
+from ..rpc import control_pb2, control_pb2_grpc
+from ..rpc.messages import (
+    decode_departures,
+    decode_envelope,
+    encode_departures,
+    encode_envelope,
+    encode_members,
+)
+from .host_state import HostState
+
+__all__ = ["EntryFeed", "EntrySession", "ProbeShareSource"]
+
+
+class ShareValidity(NamedTuple):
+    """Fraction of the deployment's probe budget, and how long it may still be used."""
+
+    share: float
+    valid_for_s: float
+
+
+ProbeShareSource = Callable[[], ShareValidity]
+
+
+class EntrySession:
+    """What one connected entry process last reported, and what it was sent."""
+
+    def __init__(self) -> None:
+        self.process_id = ""
+        self.serial = 0
+        self.digest = ""
+        self.sequence = 0
+        self.probes_sent = 0
+        self.probe_bytes = 0
+        self.answered_sequence = 0
+        self.sent_digest = ""
+        self.sent_host_list: object = None
+        self.sent_departures = 0
+        self.asked_serial = 0
+        self.closed = False
+
+
+class EntryFeed(control_pb2_grpc.FeedServicer):
+    """Serves `Feed.Subscribe`.
+
+    Only the latest state is sent, so a slow entry process makes no queue grow.
+
+    Parameters
+    ----------
+    state : HostState
+        State to send.
+    counters : Counters
+        Sink for counters.
+    probe_share : callable
+        Gives the host's probe share.
+    """
+
+    def __init__(self, state: HostState, counters: Counters, probe_share: ProbeShareSource) -> None:
+        self._state = state
+        self._counters = counters
+        self._probe_share = probe_share
+        self.sessions: set[EntrySession] = set()
+
+    async def Subscribe(  # noqa: N802
+        self, request_iterator: AsyncIterator[Any], _context: Any
+    ) -> AsyncIterator[Any]:
+        """Send updates until the entry process disconnects."""
+        session = EntrySession()
+        with self._state.listen() as changed:
+            reader = asyncio.create_task(self._read(session, request_iterator, changed))
+            try:
+                while True:
+                    await changed.wait()
+                    changed.clear()
+                    if session.closed:
+                        break
+                    if not session.process_id:
+                        continue
+                    update = self.make_update(session)
+                    if update is not None:
+                        yield update
+            finally:
+                reader.cancel()
+                self.sessions.discard(session)
+                logging.info("event=entry_disconnected process_id=%s", session.process_id)
+
+    async def _read(
+        self, session: EntrySession, reports: AsyncIterator[Any], changed: asyncio.Event
+    ) -> None:
+        try:
+            async for report in reports:
+                self.take_report(session, report)
+                changed.set()
+        finally:
+            session.closed = True
+            changed.set()
+
+    def take_report(self, session: EntrySession, report: Any) -> None:
+        """Record a report of an entry process."""
+        if not session.process_id:
+            logging.info(
+                "event=entry_connected process_id=%s serial=%d", report.process_id, report.serial
+            )
+        session.process_id = report.process_id
+        session.serial = report.serial
+        session.digest = report.digest
+        session.sequence = report.sequence
+        session.probes_sent = report.probes_sent
+        session.probe_bytes = report.probe_bytes
+        self.sessions.add(session)
+        self._state.add_departures(decode_departures(report.departures))
+        if report.envelope:
+            self._take_envelope(session, report.envelope)
+
+    def _take_envelope(self, session: EntrySession, document: bytes) -> None:
+        try:
+            envelope = decode_envelope(document)
+        except ValueError as error:
+            self._counters.incr("settings.malformed")
+            logging.error('event=settings_malformed source=entry error="%s"', error)
+            return
+        self._state.offer_settings(envelope, f"entry:{session.process_id}")
+
+    def make_update(self, session: EntrySession) -> Any | None:
+        """Return what the entry process lacks, or None."""
+        update = control_pb2.ControlUpdate()
+        changed = self._add_settings(session, update)
+        changed |= self._add_members(session, update)
+        changed |= self._add_departures(session, update)
+        if session.answered_sequence != session.sequence:
+            session.answered_sequence = session.sequence
+            self._add_probe_share(session, update)
+            changed = True
+        return update if changed else None
+
+    def _add_settings(self, session: EntrySession, update: Any) -> bool:
+        state = self._state
+        if session.serial > state.serial:
+            if session.asked_serial == session.serial:
+                return False
+            session.asked_serial = session.serial
+            update.send_envelope = True
+            return True
+        is_current = state.digest in (session.digest, session.sent_digest)
+        if state.envelope is None or is_current:
+            return False
+        update.envelope = encode_envelope(state.envelope)
+        session.sent_digest = state.digest
+        return True
+
+    def _add_members(self, session: EntrySession, update: Any) -> bool:
+        host_list = self._state.host_list
+        # Without a host list nothing is sent, so that the entry process keeps what it holds.
+        if host_list is None or session.sent_host_list is host_list:
+            return False
+        update.members.CopyFrom(encode_members(host_list.revision, self._state.members))
+        session.sent_host_list = host_list
+        return True
+
+    def _add_departures(self, session: EntrySession, update: Any) -> bool:
+        departures = self._state.departures
+        news = departures.list_after(session.sent_departures)
+        session.sent_departures = departures.sequence
+        update.departures.extend(encode_departures(news))
+        return bool(news)
+
+    def _add_probe_share(self, session: EntrySession, update: Any) -> None:
+        share = self._probe_share()
+        update.probe_share.share = share.share
+        update.probe_share.valid_for_s = share.valid_for_s
+        update.probe_share.answered_sequence = session.sequence
--- /dev/null
+++ b/amaranthbend/controllers/host_state.py
@@ -0,0 +1,209 @@
+"""What the control process of a host holds, in memory only."""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
+
+from absl import logging
+from result import Err, Result
+
+from ..adapters.platform import Counters, HostList, PlatformHost
+from ..core.actions import Member, UpstreamState
+from ..core.departures import Departure, Departures
+from ..core.envelope import SettingsEnvelope
+from ..core.errors import ApprovalError
+from ..rpc.messages import MembersByService
+
+__all__ = ["ENTRY_ROLE", "HostState", "SettingsVerifier"]
+
+ENTRY_ROLE = "entry"
+LEAVING = "leaving"
+# Polls that give an older host list before it is believed: a replica that lags
+# catches up sooner, while a platform that lost its revisions never does.
+OLDER_LISTS_IGNORED = 15
+
+# Accepts a candidate given the envelope in force, or says why not.
+SettingsVerifier = Callable[
+    [SettingsEnvelope | None, SettingsEnvelope], Result[SettingsEnvelope, ApprovalError]
+]
+
+
+class HostState:
+    """Settings in force, host list and departures, with a signal on each change.
+
+    Parameters
+    ----------
+    host_id : str
+        Identifier of this host.
+    verify : callable
+        Accepts or rejects a settings envelope.
+    counters : Counters
+        Sink for counters.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        verify: SettingsVerifier,
+        counters: Counters,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.host_id = host_id
+        self.envelope: SettingsEnvelope | None = None
+        self.host_list: HostList | None = None
+        self.members: MembersByService = {}
+        self.departures = Departures()
+        self._verify = verify
+        self._counters = counters
+        self._clock = clock
+        self._older_lists = 0
+        self._listeners: set[asyncio.Event] = set()
+
+    @property
+    def serial(self) -> int:
+        """Serial of the settings in force, 0 without settings."""
+        return 0 if self.envelope is None else self.envelope.serial
+
+    @property
+    def digest(self) -> str:
+        """Digest of the settings in force, empty without settings."""
+        return "" if self.envelope is None else self.envelope.digest
+
+    @property
+    def host_list_revision(self) -> int:
+        """Revision of the held host list, -1 without one."""
+        return -1 if self.host_list is None else self.host_list.revision
+
+    @contextmanager
+    def listen(self) -> Iterator[asyncio.Event]:
+        """Give an event that is set on each change, until the block ends."""
+        event = asyncio.Event()
+        self._listeners.add(event)
+        try:
+            yield event
+        finally:
+            self._listeners.discard(event)
+
+    def offer_settings(self, envelope: SettingsEnvelope, source: str) -> bool:
+        """Put an envelope in force if it is valid and newer.
+
+        Returns
+        -------
+        bool
+            Whether it came into force.
+        """
+        if envelope.serial == self.serial and envelope.digest == self.digest:
+            return False
+        verdict = self._verify(self.envelope, envelope)
+        if isinstance(verdict, Err):
+            self._counters.incr("settings.rejected")
+            logging.warning(
+                'event=settings_rejected source=%s serial=%d held_serial=%d error="%s"',
+                source,
+                envelope.serial,
+                self.serial,
+                verdict.err_value,
+            )
+            return False
+        self.envelope = envelope
+        self._counters.incr("settings.accepted")
+        logging.info(
+            "event=settings_accepted source=%s serial=%d digest=%s",
+            source,
+            envelope.serial,
+            envelope.digest,
+        )
+        self._notify()
+        return True
+
+    def offer_host_list(self, host_list: HostList) -> bool:
+        """Take a host list that is newer than the held one.
+
+        Returns
+        -------
+        bool
+            Whether it replaced the held one.
+        """
+        if self._ignores(host_list):
+            return False
+        self._older_lists = 0
+        self.host_list = host_list
+        self.members = group_members(host_list)
+        self._take_departures(host_list)
+        self._notify()
+        return True
+
+    def add_departures(self, departures: Iterable[Departure]) -> bool:
+        """Remember departures.
+
+        Returns
+        -------
+        bool
+            Whether any of them was news.
+        """
+        now = self._clock()
+        news = [departure for departure in departures if self.departures.add(departure, now)]
+        for departure in news:
+            self._counters.incr("departures.learned")
+            logging.info(
+                "event=upstream_departed service=%s upstream=%s incarnation=%d", *departure
+            )
+        if news:
+            self._notify()
+        return bool(news)
+
+    def list_peers(self) -> list[PlatformHost]:
+        """Return the other entry hosts that run a control process."""
+        if self.host_list is None:
+            return []
+        return [
+            host
+            for host in self.host_list.hosts
+            if host.role == ENTRY_ROLE and host.control_port and host.id != self.host_id
+        ]
+
+    def _ignores(self, host_list: HostList) -> bool:
+        if self.host_list is None:
+            return False
+        if host_list.revision == self.host_list.revision:
+            self._older_lists = 0
+            return True
+        if not host_list.hosts:
+            # Serving with a stale list is safer than refusing everything.
+            self._counters.incr("host_list.empty")
+            return True
+        if host_list.revision > self.host_list.revision:
+            return False
+        self._counters.incr("host_list.older")
+        self._older_lists += 1
+        return self._older_lists <= OLDER_LISTS_IGNORED
+
+    def _take_departures(self, host_list: HostList) -> None:
+        upstreams = [host for host in host_list.hosts if host.role != ENTRY_ROLE]
+        present = {(host.role, host.id): host.incarnation for host in upstreams}
+        self.departures.set_present(present, self._clock())
+        self.add_departures(
+            Departure(host.role, host.id, host.incarnation)
+            for host in upstreams
+            if host.state == LEAVING
+        )
+
+    def _notify(self) -> None:
+        for event in self._listeners:
+            event.set()
+
+
+def group_members(host_list: HostList) -> MembersByService:
+    """Return the upstreams of each service in a host list."""
+    members: dict[str, list[Member]] = {}
+    for host in host_list.hosts:
+        if host.role == ENTRY_ROLE:
+            continue
+        state = UpstreamState.DRAINING if host.state == LEAVING else UpstreamState.SERVING
+        address = f"{host.address}:{host.port}"
+        member = Member(host.id, address, host.data_centre, host.incarnation, state)
+        members.setdefault(host.role, []).append(member)
+    return {service: tuple(service_members) for service, service_members in members.items()}
--- /dev/null
+++ b/amaranthbend/controllers/host_watch.py
@@ -0,0 +1,56 @@
+"""Poll of the platform's host list."""
+
+import asyncio
+import random
+
+from absl import logging
+from result import Err
+
+from ..adapters.platform import PlatformClient
+from ..core.backoff import Backoff
+from .host_state import HostState
+
+__all__ = ["HostWatch"]
+
+# Mean time between polls. The first of the hosts to see a departure tells the
+# others, so a departure is known long before one host's interval has passed.
+POLL_S = 2.0
+POLL_JITTER = 0.25
+
+
+class HostWatch:
+    """Offers the host list to the host state.
+
+    Parameters
+    ----------
+    platform : PlatformClient
+        Client of the platform.
+    state : HostState
+        Receiver of the lists.
+    rng : random.Random
+        Source of jitter.
+    """
+
+    def __init__(self, platform: PlatformClient, state: HostState, rng: random.Random) -> None:
+        self._platform = platform
+        self._state = state
+        self._rng = rng
+        self._backoff = Backoff(rng.random)
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await asyncio.sleep(await self.poll())
+
+    async def poll(self) -> float:
+        """Fetch the list once and return the delay in seconds until the next poll."""
+        answer = await self._platform.fetch_hosts()
+        if isinstance(answer, Err):
+            delay_s = self._backoff.next_delay()
+            logging.warning(
+                'event=host_list_failed delay_s=%.2f error="%s"', delay_s, answer.err_value
+            )
+            return delay_s
+        self._backoff.reset()
+        self._state.offer_host_list(answer.ok_value)
+        return POLL_S * self._rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
--- /dev/null
+++ b/amaranthbend/controllers/settings_watch.py
@@ -0,0 +1,90 @@
+"""Watch on the settings of the deployment."""
+
+import asyncio
+import random
+
+from absl import logging
+from result import Err, Result
+
+from ..adapters.platform import ObjectChanges, PlatformCallError, PlatformClient
+from ..core.backoff import Backoff
+from ..core.envelope import load_envelope
+from .host_state import HostState
+
+__all__ = ["SettingsWatch"]
+
+SETTINGS_KIND = "settings"
+# Length of one long poll. A lost connection without a notice costs at most this
+# long, but a working watch answers at once.
+WATCH_WAIT_S = 5.0
+
+
+class SettingsWatch:
+    """Offers every envelope that the platform holds to the host state.
+
+    Parameters
+    ----------
+    platform : PlatformClient
+        Client of the platform.
+    state : HostState
+        Receiver of the envelopes.
+    deployment : str
+        Name of the deployment.
+    rng : random.Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self, platform: PlatformClient, state: HostState, deployment: str, rng: random.Random
+    ) -> None:
+        self._platform = platform
+        self._state = state
+        self._deployment = deployment
+        self._backoff = Backoff(rng.random)
+        self._revision: int | None = None
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            answer = await self._fetch()
+            if isinstance(answer, Err):
+                delay_s = self._backoff.next_delay()
+                logging.warning(
+                    'event=settings_watch_failed delay_s=%.2f error="%s"', delay_s, answer.err_value
+                )
+                await asyncio.sleep(delay_s)
+                continue
+            self._backoff.reset()
+            self.take(answer.ok_value)
+
+    async def fetch_once(self) -> bool:
+        """Read the settings once, for the start.
+
+        Returns
+        -------
+        bool
+            Whether the platform answered.
+        """
+        answer = await self._platform.list(SETTINGS_KIND)
+        if isinstance(answer, Err):
+            return False
+        self.take(answer.ok_value)
+        return True
+
+    def take(self, changes: ObjectChanges) -> None:
+        """Offer the envelope of the deployment, if it is among the changes."""
+        self._revision = changes.revision
+        for stored in changes.objects:
+            if stored.name != self._deployment:
+                continue
+            try:
+                envelope = load_envelope(stored.value)
+            except ValueError as error:
+                logging.error('event=settings_malformed version=%d error="%s"', stored[1], error)
+                continue
+            self._state.offer_settings(envelope, "platform")
+
+    async def _fetch(self) -> Result[ObjectChanges, PlatformCallError]:
+        if self._revision is None:
+            return await self._platform.list(SETTINGS_KIND)
+        return await self._platform.watch(SETTINGS_KIND, self._revision, WATCH_WAIT_S)
--- /dev/null
+++ b/amaranthbend/core/departures.py
@@ -0,0 +1,108 @@
+"""Upstreams that left, by incarnation, as exchanged between processes and hosts."""
+
+from typing import NamedTuple
+
+import xxhash
+
+__all__ = ["Departure", "Departures"]
+
+# Departures learned this recently go out with every exchange between hosts, so
+# that one lost message does not delay them until the next full exchange.
+RECENT_S = 10.0
+# A departure whose upstream is no longer in the host list is kept this long, in
+# case the list lags and shows the upstream once more.
+RETENTION_S = 3600.0
+# Keeps memory bounded if identifiers are never used again.
+MAX_DEPARTURES = 8192
+
+
+class Departure(NamedTuple):
+    """An upstream that left; only a higher incarnation brings it back."""
+
+    service: str
+    upstream: str
+    incarnation: int
+
+
+class _Entry(NamedTuple):
+    incarnation: int
+    learned_at: float
+    sequence: int
+
+
+class Departures:
+    """The highest departed incarnation of each upstream."""
+
+    def __init__(self) -> None:
+        self._entries: dict[tuple[str, str], _Entry] = {}
+        self._present: dict[tuple[str, str], int] = {}
+        self._sequence = 0
+
+    @property
+    def sequence(self) -> int:
+        """Number of the latest news, for `list_after`."""
+        return self._sequence
+
+    def add(self, departure: Departure, now: float) -> bool:
+        """Remember a departure.
+
+        Returns
+        -------
+        bool
+            Whether it was news.
+        """
+        key = (departure.service, departure.upstream)
+        known = self._entries.get(key)
+        if known is not None and known.incarnation >= departure.incarnation:
+            return False
+        self._sequence += 1
+        # Reinsertion keeps the dictionary in the order of learning.
+        self._entries.pop(key, None)
+        self._entries[key] = _Entry(departure.incarnation, now, self._sequence)
+        if len(self._entries) > MAX_DEPARTURES:
+            del self._entries[next(iter(self._entries))]
+        return True
+
+    def set_present(self, present: dict[tuple[str, str], int], now: float) -> None:
+        """Take the incarnations of the host list; forget what no longer matters."""
+        self._present = present
+        for key, entry in list(self._entries.items()):
+            if key in present or now - entry.learned_at < RETENTION_S:
+                continue
+            del self._entries[key]
+
+    def has_left(self, service: str, upstream: str, incarnation: int) -> bool:
+        """Return whether this incarnation left."""
+        entry = self._entries.get((service, upstream))
+        return entry is not None and incarnation <= entry.incarnation
+
+    def list_after(self, sequence: int) -> list[Departure]:
+        """Return the departures learned after a sequence number."""
+        return [
+            Departure(*key, entry.incarnation)
+            for key, entry in self._entries.items()
+            if entry.sequence > sequence
+        ]
+
+    def list_recent(self, now: float) -> list[Departure]:
+        """Return the departures learned in the last seconds."""
+        return [
+            Departure(*key, entry.incarnation)
+            for key, entry in self._entries.items()
+            if now - entry.learned_at < RECENT_S
+        ]
+
+    def list_relevant(self) -> list[Departure]:
+        """Return the departures that exclude an upstream of the present host list."""
+        return sorted(
+            Departure(*key, entry.incarnation)
+            for key, entry in self._entries.items()
+            if self._present.get(key, entry.incarnation + 1) <= entry.incarnation
+        )
+
+    def compute_hash(self) -> int:
+        """Return a hash of the relevant departures, equal on hosts that hold the same ones."""
+        text = "\n".join(
+            f"{d.service}\t{d.upstream}\t{d.incarnation}" for d in self.list_relevant()
+        )
+        return xxhash.xxh64_intdigest(text.encode())
