--- /dev/null
+++ b/amaranthbend/programs/operator.py
@@ -0,0 +1,396 @@
+"""Operators' program: check, show, approve and publish the settings in the folder."""
+
+import asyncio
+import random
+import signal
+import sys
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any, NoReturn, TypeVar
+
+import fire
+import statsd
+from absl import logging
+from result import Err, Result
+from tornado.httpclient import AsyncHTTPClient
+
+from ..adapters.platform import Counters, PlatformClient
+from ..core.backoff import Backoff
+from ..core.envelope import SettingsEnvelope, dump_canonical
+from ..core.errors import SettingsError
+from ..settings.approvals import (
+    ApproverKey,
+    create_key,
+    load_key,
+    save_key,
+    sign_envelope,
+    verify_envelope,
+    write_approval,
+)
+from ..settings.effects import describe_effect
+from ..settings.folder import (
+    CheckedFolder,
+    FolderSnapshot,
+    check_folder,
+    make_candidate,
+    read_folder,
+)
+from ..settings.operator_settings import OperatorSettings, load_operator_settings
+from ..settings.publishing import (
+    Base,
+    Publication,
+    PublishStatus,
+    collect_approvals,
+    is_in_force,
+    read_base,
+)
+from ..settings.watching import Publish, publish_folder, watch_folder
+
+__all__ = ["main"]
+
+T = TypeVar("T")
+
+COUNTER_PREFIX = "amaranthbend.operator"
+STATUS_KIND = "status"
+SUCCESSES = (PublishStatus.PUBLISHED, PublishStatus.IN_FORCE)
+
+
+class Invocation:
+    """A command with its arguments, to be run once all arguments are known to be valid.
+
+    Fire calls a function before it refuses a misspelt flag, which is too late
+    for a command that writes.
+    """
+
+    def __init__(self, run: Callable[[], None]) -> None:
+        self._run = run
+
+
+class SilentCounters:
+    """Stands for statsd where the operator settings name no address."""
+
+    def incr(self, stat: str, count: int = 1) -> None:
+        """Drop the count."""
+
+
+def keygen(key_id: str, out: str) -> Invocation:
+    """Create the key file of an approver and print the public key.
+
+    Parameters
+    ----------
+    key_id : str
+        Name of the key, such as legal-1.
+    out : str
+        Path of the new key file; only its owner can read it.
+    """
+    return Invocation(lambda: _keygen(key_id, Path(str(out))))
+
+
+def check(settings: str) -> Invocation:
+    """Merge and check the folder without the platform; print all problems.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the operator settings.
+    """
+    return Invocation(lambda: _check(_load_settings(settings)))
+
+
+def diff(settings: str) -> Invocation:
+    """Show what the folder would change for which route and service.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the operator settings.
+    """
+    return Invocation(lambda: _diff(_load_settings(settings)))
+
+
+def approve(settings: str, key: str, yes: bool = False, renew: bool = False) -> Invocation:
+    """Show what the folder would change, then write the approval into it.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the operator settings.
+    key : str
+        Path of the approver's key file.
+    yes : bool
+        Do not ask before the approval is written.
+    renew : bool
+        Approve settings that are in force already, after a change of keys.
+    """
+    return Invocation(
+        lambda: _approve(_load_settings(settings), Path(str(key)), yes is True, renew is True)
+    )
+
+
+def publish(settings: str, watch: bool = False) -> Invocation:
+    """Write the folder to the platform if enough approvals match it.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the operator settings.
+    watch : bool
+        Publish after each change of the folder until SIGTERM or SIGINT.
+    """
+    run = _watch if watch is True else _publish
+    return Invocation(lambda: run(_load_settings(settings)))
+
+
+def status(settings: str) -> Invocation:
+    """Show the settings on the platform, the state of the folder and the fleet's report.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the operator settings.
+    """
+    return Invocation(lambda: _status(_load_settings(settings)))
+
+
+COMMANDS = {
+    "keygen": keygen,
+    "check": check,
+    "diff": diff,
+    "approve": approve,
+    "publish": publish,
+    "status": status,
+}
+
+
+def main() -> None:
+    """Run one command of the operators' program."""
+    logging.set_verbosity(logging.INFO)
+    invocation = fire.Fire(COMMANDS, name="amaranthbend", serialize=_show_nothing)
+    if isinstance(invocation, Invocation):
+        invocation._run()
+
+
+def _show_nothing(component: Any) -> Any:
+    """Return what Fire prints: nothing for a command, its usual help otherwise."""
+    return None if isinstance(component, Invocation) else component
+
+
+def _fail(*messages: object) -> NoReturn:
+    for message in messages:
+        print(message, file=sys.stderr)
+    raise SystemExit(1)
+
+
+def _require(result: Result[T, Any]) -> T:
+    """Return the value, or end with all the messages of the failure."""
+    if not isinstance(result, Err):
+        return result.ok_value
+    error = result.err_value
+    if isinstance(error, Publication):
+        _fail(*error.messages)
+    _fail(*(error if isinstance(error, list) else [error]))
+
+
+def _load_settings(path: str) -> OperatorSettings:
+    return _require(load_operator_settings(Path(str(path))))
+
+
+def _keygen(key_id: object, out: Path) -> None:
+    # Fire turns a name of digits into a number.
+    key = _require(create_key(str(key_id)))
+    _require(save_key(key, out))
+    print(f"private key in {out}; keep it secret, and never in the folder of settings files")
+    print("add to approver_keys of the process settings and the operator settings:")
+    print(f'  "{key.key_id}": "{key.public_key}",')
+
+
+def _read_checked(settings: OperatorSettings) -> tuple[FolderSnapshot, CheckedFolder]:
+    snapshot = _require(read_folder(settings.folder))
+    for name in snapshot.ignored:
+        logging.warning("event=file_ignored file=%r valid=*.jsonc,*.approval.json", name)
+    return snapshot, _require(check_folder(snapshot, settings.deployment))
+
+
+def _check(settings: OperatorSettings) -> None:
+    _, checked = _read_checked(settings)
+    print("files in merge order: " + ", ".join(entry.name for entry in checked.manifest))
+    value = checked.merged.value
+    print(f"valid: {len(value['services'])} services, {len(value['routes'])} routes")
+
+
+def _open_counters(settings: OperatorSettings) -> Counters:
+    if not settings.statsd_address:
+        return SilentCounters()
+    address, port = settings.statsd_address, settings.statsd_port
+    client: Counters = statsd.StatsClient(address, port, prefix=COUNTER_PREFIX)
+    return client
+
+
+def _open_platform(settings: OperatorSettings, counters: Counters) -> PlatformClient:
+    # The platform is met directly, whatever proxies the environment names.
+    http_client = AsyncHTTPClient(force_instance=True)
+    return PlatformClient(settings.platform_url, http_client, counters)
+
+
+def _call(
+    settings: OperatorSettings,
+    use: Callable[[PlatformClient, Counters], Coroutine[Any, Any, T]],
+) -> T:
+    """Run calls to the platform in an event loop of their own."""
+
+    async def run() -> T:
+        counters = _open_counters(settings)
+        return await use(_open_platform(settings, counters), counters)
+
+    return asyncio.run(run())
+
+
+def _read_base(settings: OperatorSettings) -> Base:
+    return _require(_call(settings, lambda store, _: read_base(store, settings.deployment)))
+
+
+def _show_effect(settings: OperatorSettings, base: Base) -> SettingsEnvelope:
+    """Print what the folder would change and return the unsigned envelope."""
+    _, checked = _read_checked(settings)
+    candidate = make_candidate(checked, settings.deployment, base.envelope)
+    _warn_about_base(settings, base)
+    for line in describe_effect(base.envelope, candidate, checked.merged.origins):
+        print(line)
+    return candidate
+
+
+def _warn_about_base(settings: OperatorSettings, base: Base) -> None:
+    """Warn if the present keys do not confirm the envelope, as after a change of keys."""
+    if base.envelope is None:
+        return
+    verified = verify_envelope(base.envelope, settings.approver_keys, settings.required_approvals)
+    if isinstance(verified, Err):
+        logging.warning("event=base_not_confirmed problem=%r", str(verified.err_value))
+
+
+def _diff(settings: OperatorSettings) -> None:
+    _show_effect(settings, _read_base(settings))
+
+
+def _approve(settings: OperatorSettings, key_path: Path, yes: bool, renew: bool) -> None:
+    key = _require(load_key(key_path))
+    _check_key(settings, key)
+    base = _read_base(settings)
+    candidate = _show_effect(settings, base)
+    if is_in_force(base, candidate) and not renew:
+        _fail("nothing to approve: the folder is in force; to sign it anew, add --renew")
+    if not yes:
+        _confirm(candidate.serial)
+    signature = sign_envelope(candidate, key)
+    path = _require(write_approval(settings.folder, candidate, signature))
+    print(f"approval written to {path}; any change of a file makes it void")
+
+
+def _check_key(settings: OperatorSettings, key: ApproverKey) -> None:
+    if settings.approver_keys.get(key.key_id) == key.public_key:
+        return
+    known = ", ".join(sorted(settings.approver_keys))
+    _fail(
+        f"key {key.key_id!r} with public key {key.public_key} is not in approver_keys "
+        f"(valid: {known}); use one of those keys, or add it there and in the process settings"
+    )
+
+
+def _confirm(serial: int) -> None:
+    if not sys.stdin.isatty():
+        _fail("not approved: there is no terminal to ask; add --yes after a review of diff")
+    answer = input(f"type {serial} to approve this change: ")
+    if answer.strip() != str(serial):
+        _fail("not approved")
+
+
+def _make_backoff() -> Backoff:
+    return Backoff(random.random)
+
+
+def _make_publisher(
+    settings: OperatorSettings, store: PlatformClient, counters: Counters
+) -> Publish:
+    async def publish_snapshot(snapshot: Result[FolderSnapshot, SettingsError]) -> Publication:
+        publication = await publish_folder(store, settings, snapshot, _make_backoff())
+        counters.incr(f"publish.{publication.status}")
+        return publication
+
+    return publish_snapshot
+
+
+def _publish(settings: OperatorSettings) -> None:
+    async def run(store: PlatformClient, counters: Counters) -> Publication:
+        return await _make_publisher(settings, store, counters)(read_folder(settings.folder))
+
+    publication = _call(settings, run)
+    _report(publication)
+    if publication.status not in SUCCESSES:
+        raise SystemExit(1)
+
+
+def _report(publication: Publication) -> None:
+    """Log the status, and each message in a line of its own."""
+    log = logging.info if publication.status in SUCCESSES else logging.error
+    log("event=publish status=%s messages=%d", publication.status, len(publication.messages))
+    for message in publication.messages:
+        log("event=publish_message text=%r", message)
+
+
+def _watch(settings: OperatorSettings) -> None:
+    async def run(store: PlatformClient, counters: Counters) -> None:
+        stopped = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopped.set)
+
+        logging.info("event=watch_started folder=%r", str(settings.folder))
+        await watch_folder(
+            settings.folder,
+            settings.watch_interval_s,
+            _make_publisher(settings, store, counters),
+            _report,
+            _make_backoff(),
+            stopped,
+        )
+        logging.info("event=watch_stopped")
+
+    _call(settings, run)
+
+
+def _status(settings: OperatorSettings) -> None:
+    base = _read_base(settings)
+    _print_base(settings, base)
+    _print_folder(settings, base)
+    report = _call(settings, lambda store, _: store.get(STATUS_KIND, settings.deployment))
+    if isinstance(report, Err):
+        print(f"fleet: no report ({report.err_value})")
+        return
+    print(f"fleet: {dump_canonical(report.ok_value.value)}")
+
+
+def _print_base(settings: OperatorSettings, base: Base) -> None:
+    envelope = base.envelope
+    if envelope is None:
+        print("platform: no settings yet")
+        return
+    signers = ", ".join(signature.key_id for signature in envelope.signatures)
+    print(f"platform: serial={envelope.serial} digest={envelope.digest} approved_by={signers}")
+    _warn_about_base(settings, base)
+
+
+def _print_folder(settings: OperatorSettings, base: Base) -> None:
+    snapshot, checked = _read_checked(settings)
+    unsigned = make_candidate(checked, settings.deployment, base.envelope)
+    candidate = collect_approvals(unsigned, snapshot.approvals, settings.approver_keys)
+    if is_in_force(base, unsigned):
+        print("folder: on the platform")
+        return
+    count = len(candidate.envelope.signatures)
+    print(f"folder: differs, approvals={count} required={settings.required_approvals}")
+    for note in candidate.notes:
+        print(f"folder: {note}")
+
+
+if __name__ == "__main__":
+    main()
--- a/amaranthbend/settings/approvals.py
+++ b/amaranthbend/settings/approvals.py
@@ -33,6 +33,7 @@
     "save_key",
     "sign_envelope",
     "verify_envelope",
+    "write_approval",
 ]
 
 KEY_PURPOSE = "amaranthbend-approver-key-v1"
@@ -177,6 +178,32 @@
     )
 
 
+def write_approval(
+    folder: Path, envelope: SettingsEnvelope, signature: Signature
+) -> Result[Path, ApprovalError]:
+    """Write an approval file so that a watcher of the folder sees all of it or nothing.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder of settings files.
+    envelope : SettingsEnvelope
+        Approved envelope.
+    signature : Signature
+        Signature of the approver.
+    """
+    path = folder / name_approval_file(envelope.serial, signature.key_id)
+    # Hidden names are not read.
+    temporary = path.with_name(f".{path.name}.{os.getpid()}")
+    try:
+        temporary.write_text(json.dumps(dump_approval(envelope, signature), indent=2) + "\n")
+        temporary.replace(path)
+    except OSError as error:
+        problem = f"cannot write {path}: {error.strerror}; check the permissions of the folder"
+        return Err(ApprovalError(problem))
+    return Ok(path)
+
+
 def load_approval(text: str) -> Result[Approval, ApprovalError]:
     """Return the approval that a file holds."""
     try:
--- /dev/null
+++ b/amaranthbend/settings/effects.py
@@ -0,0 +1,132 @@
+"""Description of what a change does, for its reviewers."""
+
+import json
+from collections.abc import Iterator
+from typing import Any
+
+from ..core.envelope import SettingsEnvelope
+from ..core.errors import SettingsError
+from .defaults import find_default
+from .merging import Origin
+from .policies import build_policy
+from .schema import SettingPath, format_path
+
+__all__ = ["describe_effect"]
+
+ABSENT = object()
+
+
+def describe_effect(
+    base: SettingsEnvelope | None,
+    candidate: SettingsEnvelope,
+    origins: dict[SettingPath, Origin],
+) -> list[str]:
+    """Return the lines that tell what changes for which route and service.
+
+    Parameters
+    ----------
+    base : SettingsEnvelope or None
+        Envelope in force.
+    candidate : SettingsEnvelope
+        Envelope that would replace it.
+    origins : dict of tuple to Origin
+        Where the candidate's settings come from.
+    """
+    old = _read_settings(base)
+    in_force = f"serial {base.serial}, digest {base.digest[:12]}" if base else "nothing"
+    lines = [
+        f"deployment {candidate.deployment}: serial {candidate.serial}, "
+        f"digest {candidate.digest[:12]}, replaces {in_force}"
+    ]
+    if base is not None and not old:
+        lines.append("the stored settings are malformed, so every setting is shown as new")
+    lines += [f"file {text}" for text in _compare_files(base, candidate)]
+    changes = list(_compare(old, candidate.merged, ()))
+    if not changes:
+        lines.append("no setting changes")
+    group = ""
+    for path, before, after in changes:
+        heading = _describe_group(path, old, candidate.merged)
+        if heading != group:
+            lines.append(f"{heading}:")
+            group = heading
+        lines.append("  " + _describe_change(path, before, after, origins))
+    return lines
+
+
+def _read_settings(base: SettingsEnvelope | None) -> dict[str, Any]:
+    """Return the settings of the base, none if they are malformed: it may hold anything."""
+    if base is None:
+        return {}
+    try:
+        build_policy(base.merged)
+    except SettingsError:
+        return {}
+    return base.merged
+
+
+def _compare_files(base: SettingsEnvelope | None, candidate: SettingsEnvelope) -> Iterator[str]:
+    old = dict(base.manifest) if base is not None else {}
+    new = dict(candidate.manifest)
+    for name in sorted(old.keys() | new.keys()):
+        if old.get(name) == new.get(name):
+            continue
+        verb = "removed" if name not in new else "changed" if name in old else "added"
+        yield f"{verb}: {name}"
+
+
+def _compare(old: Any, new: Any, path: SettingPath) -> Iterator[tuple[SettingPath, Any, Any]]:
+    """Yield path, old and new value of every setting that differs."""
+    if not isinstance(old, dict) and not isinstance(new, dict):
+        # True equals 1 in Python, but they are different settings.
+        if old != new or type(old) is not type(new):
+            yield path, old, new
+        return
+    below_old = old if isinstance(old, dict) else {}
+    below_new = new if isinstance(new, dict) else {}
+    for name in sorted(below_old.keys() | below_new.keys()):
+        before = below_old.get(name, ABSENT)
+        after = below_new.get(name, ABSENT)
+        yield from _compare(before, after, (*path, name))
+
+
+def _describe_group(path: SettingPath, old: dict[str, Any], new: dict[str, Any]) -> str:
+    """Return the route or service that a setting belongs to, with the routes it serves."""
+    if len(path) < 2 or path[0] not in ("routes", "services"):
+        return "deployment (all routes and services)"
+    kind, name = str(path[0]), str(path[1])
+    verb = _choose_verb(name, old.get(kind, {}), new.get(kind, {}))
+    if kind == "routes":
+        service = (new.get(kind, {}).get(name) or old.get(kind, {}).get(name) or {}).get("service")
+        return f"route {name} (service {service}){verb}"
+    routes = sorted(
+        route
+        for settings in (old, new)
+        for route, value in settings.get("routes", {}).items()
+        if value.get("service") == name
+    )
+    served = ", ".join(dict.fromkeys(routes)) or "none"
+    return f"service {name} (routes: {served}){verb}"
+
+
+def _choose_verb(name: str, old: dict[str, Any], new: dict[str, Any]) -> str:
+    if name not in old:
+        return ", added"
+    return "" if name in new else ", removed"
+
+
+def _describe_change(
+    path: SettingPath, before: Any, after: Any, origins: dict[SettingPath, Origin]
+) -> str:
+    origin = origins.get(path)
+    place = f" ({origin.file}:{origin.line})" if origin is not None and after is not ABSENT else ""
+    old_text, new_text = _show(path, before), _show(path, after)
+    return f"{format_path(path)}: {old_text} -> {new_text}{place}"
+
+
+def _show(path: SettingPath, value: Any) -> str:
+    """Return a value for a reviewer; an absent one by its default."""
+    if value is not ABSENT:
+        return json.dumps(value)
+    default = find_default(path)
+    return "absent" if default is None else f"{json.dumps(default)} (default)"
--- a/amaranthbend/settings/merging.py
+++ b/amaranthbend/settings/merging.py
@@ -39,7 +39,7 @@
 
 
 def merge_documents(
-    documents: Sequence[ParsedDocument],
+    documents: Sequence[ParsedDocument], *, complete: bool = True
 ) -> Result[MergedSettings, list[SettingsError]]:
     """Merge and check settings files.
 
@@ -47,6 +47,9 @@
     ----------
     documents : sequence of ParsedDocument
         Files in merge order. Objects merge, other values replace, None removes.
+    complete : bool, optional
+        False if a file is left out because it cannot be parsed; what seems to
+        be missing may then be in that file and is not reported.
 
     Returns
     -------
@@ -57,13 +60,18 @@
     errors: list[SettingsError] = []
     for document in documents:
         _merge_object(merged, merged.value, document.value, (), document, errors)
-    errors += [_locate_problem(problem, merged, documents) for problem in _check(merged)]
+    problems = _check(merged)
+    if not complete:
+        errors.clear()
+        problems = [problem for problem in problems if problem.depends_on is None]
+    errors += [_locate_problem(problem, merged, documents) for problem in problems]
     return Err(errors) if errors else Ok(merged)
 
 
 def _check(merged: MergedSettings) -> list[Problem]:
     if not merged.value:
-        return [Problem((), "no settings", "add a *.jsonc file with settings to the folder")]
+        remedy = "add a *.jsonc file with settings to the folder"
+        return [Problem((), "no settings", remedy, depends_on=())]
     return check_merged(merged.value)
 
 
--- a/amaranthbend/settings/references.py
+++ b/amaranthbend/settings/references.py
@@ -4,7 +4,8 @@
 from typing import Any
 
 from ..core.policy import DeploymentPolicy, ServicePolicy
-from .schema import DEPLOYMENT_SECTION, Problem, SettingPath, check_section, suggest_names
+from .keys import DEPLOYMENT_SECTION
+from .schema import Problem, SettingPath, check_section, suggest_names
 
 __all__ = ["check_merged", "check_references"]
 
@@ -13,9 +14,31 @@
 
 
 def check_merged(merged: Any) -> list[Problem]:
-    """Return all problems of merged settings: keys, types, ranges, then references."""
+    """Return all problems of merged settings: keys, types, ranges and references.
+
+    References are checked among the entries that are valid by themselves.
+    """
     problems = check_section(merged, DEPLOYMENT_SECTION)
-    return problems or check_references(merged)
+    if not problems:
+        return check_references(merged)
+    sound = _keep_sound(merged, problems)
+    return problems + check_references(sound) if sound else problems
+
+
+def _keep_sound(merged: Any, problems: list[Problem]) -> dict[str, Any] | None:
+    """Return the part of faulty settings whose references can be checked, if any."""
+    faulty = {problem.path[:2] for problem in problems}
+    if any(path in faulty for path in [(), ("services",), ("routes",), ("entry_hosts_max",)]):
+        return None
+    # A faulty service is still there to refer to.
+    services = {
+        name: {} if ("services", name) in faulty else service
+        for name, service in merged["services"].items()
+    }
+    routes = {
+        name: route for name, route in merged["routes"].items() if ("routes", name) not in faulty
+    }
+    return {**merged, "services": services, "routes": routes}
 
 
 def check_references(merged: dict[str, Any]) -> list[Problem]:
@@ -24,7 +47,7 @@
     Parameters
     ----------
     merged : dict
-        Merged settings without a problem in `schema.check_section`.
+        Merged settings whose services and routes have no problem in `schema.check_section`.
     """
     problems = list(_find_lost_services(merged))
     problems += _find_ambiguous_routes(merged["routes"])
--- a/amaranthbend/settings/schema.py
+++ b/amaranthbend/settings/schema.py
@@ -1,4 +1,4 @@
-"""Valid keys of the settings: type, unit, range and meaning of each.
+"""Forms of settings (type, unit, range, meaning) and the check of values against them.
 
 The check works on plain values, without positions, so that a serving process
 can use it on the merged settings of an envelope.
@@ -12,7 +12,8 @@
 from typing import Any, NamedTuple
 
 __all__ = [
-    "DEPLOYMENT_SECTION",
+    "NAME_MEANING",
+    "NAME_PATTERN",
     "Choice",
     "ChoiceList",
     "Flag",
@@ -26,24 +27,19 @@
     "TextMap",
     "Unit",
     "check_section",
+    "describe_range",
     "format_path",
     "suggest_names",
 ]
 
 SettingPath = tuple[str | int, ...]
 
-MEBIBYTE = 1024 * 1024
-GIBIBYTE = 1024 * MEBIBYTE
-HOUR_MS = 3_600_000
-YEAR_S = 31_536_000
 SUGGESTION_COUNT = 3
 # Long bad values are cut so that an error stays on one readable line.
 QUOTE_LENGTH = 80
 
 NAME_PATTERN = "[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?"
 NAME_MEANING = "1 to 64 lower-case letters, digits and inner hyphens"
-PREFIX_PATTERN = "/[!-~]*"
-PREFIX_MEANING = "a path that starts with / and has no spaces"
 
 
 class Unit(StrEnum):
@@ -151,118 +147,6 @@
     depends_on: SettingPath | None = None
 
 
-RETRIES = Section(
-    "Limits on repeated attempts.",
-    {
-        "ratio": Number("Retries as a share of first attempts.", 0, 1, Unit.SHARE, whole=False),
-        "floor_per_s": Number(
-            "Retries that are always allowed.", 0, 10_000, Unit.PER_SECOND, whole=False
-        ),
-        "max_attempts": Number("Attempts of one request, the first included.", 1, 10),
-    },
-)
-
-LIMITS = Section(
-    "Limits on queued and running work in one entry process.",
-    {
-        "queue_length": Number("Requests that wait.", 0, 1_000_000),
-        "queue_bytes": Number("Bytes of bodies that wait.", 0, GIBIBYTE, Unit.BYTES),
-        "long_share": Number(
-            "Share of slots and connections that long work may take.",
-            0,
-            1,
-            Unit.SHARE,
-            whole=False,
-        ),
-        "long_after_ms": Number(
-            "Running time after which a request counts as long.", 1, HOUR_MS, Unit.MILLISECONDS
-        ),
-    },
-)
-
-SERVICE = Section(
-    "A group of upstreams, under its name in the host list.",
-    {
-        "slots_per_upstream": Number(
-            "Requests that one upstream runs at a time.", 1, 10_000, required=True
-        ),
-        "connections_per_upstream": Number(
-            "Connections to one upstream, over all entry processes.", 1, 100_000
-        ),
-        "retries": RETRIES,
-        "limits": LIMITS,
-    },
-)
-
-METHODS = ("GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE")
-
-ROUTE = Section(
-    "Requests that one service serves, under a name of your choice.",
-    {
-        "path_prefix": Text(
-            "Paths that start with it match; the longest prefix wins.",
-            PREFIX_PATTERN,
-            PREFIX_MEANING,
-            required=True,
-        ),
-        "methods": ChoiceList("Methods that match.", METHODS, required=True),
-        "service": Text("Service that serves it.", NAME_PATTERN, NAME_MEANING, required=True),
-        "idempotent": Flag("Whether a request may run more than once."),
-        "work_class": Choice("Expected length of the work.", ("short", "long")),
-        "deadline_ms": Number(
-            "Longest wait for the start of the response.", 1, HOUR_MS, Unit.MILLISECONDS
-        ),
-        "priority": Number("Higher values leave the queue first.", -100, 100),
-        "claim": Choice(
-            "Whether a request needs a claim on its idempotency key.", ("none", "required")
-        ),
-        "max_body_bytes": Number("Largest request body.", 0, GIBIBYTE, Unit.BYTES),
-    },
-)
-
-PROBING = Section(
-    "Budget for measuring load, over all entry hosts.",
-    {
-        "probes_per_s_per_upstream": Number(
-            "Probes to one upstream.", 0, 10_000, Unit.PER_SECOND, whole=False
-        ),
-        "probes_per_s": Number("Probes.", 0, 1_000_000, Unit.PER_SECOND, whole=False),
-        "bytes_per_s": Number(
-            "Bytes of probes and their responses.",
-            0,
-            GIBIBYTE,
-            Unit.BYTES_PER_SECOND,
-            whole=False,
-        ),
-        "cpu_share": Number(
-            "Share of an entry process's time for probes.", 0, 1, Unit.SHARE, whole=False
-        ),
-    },
-)
-
-DEPLOYMENT_SECTION = Section(
-    "All settings of a deployment.",
-    {
-        "deployment": Text("Name of the deployment.", NAME_PATTERN, NAME_MEANING, required=True),
-        "services": NamedSections("Services by name.", SERVICE, required=True),
-        "routes": NamedSections("Routes by name.", ROUTE, required=True),
-        "probing": PROBING,
-        "entry_hosts_max": Number("Shares into which budgets are split.", 1, 1_000),
-        "claim_writes_per_s": Number(
-            "Platform writes for claims, over all entry hosts.",
-            0,
-            100_000,
-            Unit.PER_SECOND,
-            whole=False,
-        ),
-        # A claim that is removed sooner would let a caller's late repeat run again.
-        "claim_retention_s": Number(
-            "Time after which a claim may be removed.", 60, YEAR_S, Unit.SECONDS, whole=False
-        ),
-    },
-)
-
-
 def format_path(path: SettingPath) -> str:
     """Return the dotted form of a path, such as `routes.profile.methods[0]`."""
     text = ""
@@ -385,7 +269,7 @@
     if not isinstance(value, dict):
         return [_describe_type(path, value, "an object { } with one entry for each name")]
     if not value:
-        return [Problem(path, "no entry", "add at least one")]
+        return [Problem(path, "no entry", "add at least one", depends_on=path)]
     problems: list[Problem] = []
     for name, below in value.items():
         if not isinstance(name, str) or not re.fullmatch(NAME_PATTERN, name):
--- /dev/null
+++ b/amaranthbend/settings/watching.py
@@ -0,0 +1,135 @@
+"""Publication of the folder, once or after each change."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from result import Err, Result
+
+from ..core.backoff import Backoff
+from ..core.errors import SettingsError
+from .approvals import verify_envelope
+from .folder import FolderSnapshot, check_folder, make_candidate, read_folder
+from .operator_settings import OperatorSettings
+from .publishing import (
+    ObjectStore,
+    Publication,
+    PublishStatus,
+    Sleep,
+    collect_approvals,
+    is_in_force,
+    publish_envelope,
+    read_base,
+)
+
+__all__ = ["Publish", "publish_folder", "watch_folder"]
+
+# Statuses that pass by themselves when the platform recovers.
+TRANSIENT = (PublishStatus.PLATFORM_UNAVAILABLE, PublishStatus.UNKNOWN_EFFECT)
+# A read may lag, so a refusal because of the base is looked at again.
+RECHECK_INTERVAL_S = 30.0
+
+Publish = Callable[[Result[FolderSnapshot, SettingsError]], Awaitable[Publication]]
+Report = Callable[[Publication], None]
+
+
+async def publish_folder(
+    store: ObjectStore,
+    settings: OperatorSettings,
+    snapshot: Result[FolderSnapshot, SettingsError],
+    backoff: Backoff,
+    sleep: Sleep = asyncio.sleep,
+) -> Publication:
+    """Merge, check and, with enough matching approvals, write the settings of the folder.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        The platform.
+    settings : OperatorSettings
+        Deployment and approver keys.
+    snapshot : Result
+        Content of the folder, or why it cannot be read.
+    backoff : Backoff
+        Delays between attempts at the platform.
+    sleep : callable, optional
+        Waits for a number of seconds.
+    """
+    if isinstance(snapshot, Err):
+        return Publication(PublishStatus.INVALID_SETTINGS, (str(snapshot.err_value),))
+    checked = check_folder(snapshot.ok_value, settings.deployment)
+    if isinstance(checked, Err):
+        messages = tuple(str(error) for error in checked.err_value)
+        return Publication(PublishStatus.INVALID_SETTINGS, messages)
+    base = await read_base(store, settings.deployment)
+    if isinstance(base, Err):
+        return base.err_value
+    unsigned = make_candidate(checked.ok_value, settings.deployment, base.ok_value.envelope)
+    candidate = collect_approvals(unsigned, snapshot.ok_value.approvals, settings.approver_keys)
+    if is_in_force(base.ok_value, unsigned) and not candidate.envelope.signatures:
+        return Publication(PublishStatus.IN_FORCE, (f"serial {unsigned.serial - 1}",))
+    approval = verify_envelope(
+        candidate.envelope, settings.approver_keys, settings.required_approvals
+    )
+    if isinstance(approval, Err):
+        messages = (str(approval.err_value), *candidate.notes)
+        return Publication(PublishStatus.TOO_FEW_APPROVALS, messages)
+    return await publish_envelope(store, candidate.envelope, base.ok_value, backoff, sleep)
+
+
+async def watch_folder(
+    folder: Path,
+    interval_s: float,
+    publish: Publish,
+    report: Report,
+    backoff: Backoff,
+    stopped: asyncio.Event,
+    clock: Callable[[], float] = time.monotonic,
+) -> None:
+    """Publish after each change of the folder until told to stop.
+
+    A result is reported when it differs from the last one or the folder has
+    changed, so that a lasting fault does not repeat its message.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder of settings files.
+    interval_s : float
+        Time between two looks.
+    publish : callable
+        Publishes a snapshot.
+    report : callable
+        Tells the operator.
+    backoff : Backoff
+        Delays after transient failures.
+    stopped : asyncio.Event
+        Ends the loop; a publication under way is completed first.
+    clock : callable, optional
+        Monotonic time in seconds.
+    """
+    seen: object = None
+    reported: Publication | None = None
+    due_at = clock()
+    while not stopped.is_set():
+        read = read_folder(folder)
+        snapshot: object = str(read.err_value) if isinstance(read, Err) else read.ok_value
+        changed = snapshot != seen
+        if changed or clock() >= due_at:
+            publication = await publish(read)
+            if changed or publication != reported:
+                report(publication)
+            seen, reported = snapshot, publication
+            due_at = clock() + _choose_delay(publication, backoff)
+        try:
+            await asyncio.wait_for(stopped.wait(), interval_s)
+        except TimeoutError:
+            continue
+
+
+def _choose_delay(publication: Publication, backoff: Backoff) -> float:
+    if publication.status in TRANSIENT:
+        return backoff.next_delay()
+    backoff.reset()
+    return RECHECK_INTERVAL_S
