--- a/amaranthbend/programs/operator.py
+++ b/amaranthbend/programs/operator.py
@@ -12,7 +12,7 @@
 import statsd
 from absl import logging
 from result import Err, Result
-from tornado.httpclient import AsyncHTTPClient
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from ..adapters.platform import Counters, PlatformClient
 from ..core.backoff import Backoff
@@ -219,16 +219,16 @@
 
 
 def _open_counters(settings: OperatorSettings) -> Counters:
-    if not settings.statsd_address:
+    if not settings.statsd_target:
         return SilentCounters()
-    address, port = settings.statsd_address, settings.statsd_port
-    client: Counters = statsd.StatsClient(address, port, prefix=COUNTER_PREFIX)
+    address, _, port = settings.statsd_target.rpartition(":")
+    client: Counters = statsd.StatsClient(address, int(port), prefix=COUNTER_PREFIX)
     return client
 
 
 def _open_platform(settings: OperatorSettings, counters: Counters) -> PlatformClient:
-    # The platform is met directly, whatever proxies the environment names.
-    http_client = AsyncHTTPClient(force_instance=True)
+    # The simple client ignores proxies that the environment names.
+    http_client = SimpleAsyncHTTPClient(force_instance=True)
     return PlatformClient(settings.platform_url, http_client, counters)
 
 
--- a/amaranthbend/settings/documents.py
+++ b/amaranthbend/settings/documents.py
@@ -60,15 +60,12 @@
 
     Parameters
     ----------
-    file : str
-        File name.
     value : dict
         The settings, with `None` for removals.
     positions : dict of tuple to Position
         Position by path; the empty path is the document itself.
     """
 
-    file: str
     value: dict[str, Any]
     positions: dict[SettingPath, Position]
 
@@ -204,7 +201,7 @@
         problems.append(SettingsError(file, position.line, format_path(path), problem, remedy))
 
     value = _flatten(root, (), positions, report)
-    return ParsedDocument(file, value, positions), problems
+    return ParsedDocument(value, positions), problems
 
 
 _Report = Callable[[SettingPath, Position, str, str], None]
--- a/amaranthbend/settings/folder.py
+++ b/amaranthbend/settings/folder.py
@@ -136,13 +136,13 @@
     Result
         The checked settings, or all problems found.
     """
-    documents: list[ParsedDocument] = []
+    documents: dict[str, ParsedDocument] = {}
     errors: list[SettingsError] = []
     for file in snapshot.files:
         document, problems = _parse_file(file)
         errors += problems
         if document is not None:
-            documents.append(document)
+            documents[file.name] = document
     complete = len(documents) == len(snapshot.files)
     merged = merge_documents(documents, complete=complete)
     if isinstance(merged, Err):
--- a/amaranthbend/settings/merging.py
+++ b/amaranthbend/settings/merging.py
@@ -1,12 +1,12 @@
 """Merge of settings files in name order, and the check of the result."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 
 from ..core.errors import SettingsError
-from .documents import ParsedDocument
+from .documents import ParsedDocument, Position
 from .references import check_merged
 from .schema import Problem, SettingPath, format_path, suggest_names
 
@@ -38,15 +38,22 @@
     removals: dict[SettingPath, Origin]
 
 
+class _Source(NamedTuple):
+    """File that is being merged and the positions of its settings."""
+
+    file: str
+    positions: dict[SettingPath, Position]
+
+
 def merge_documents(
-    documents: Sequence[ParsedDocument], *, complete: bool = True
+    documents: Mapping[str, ParsedDocument], *, complete: bool = True
 ) -> Result[MergedSettings, list[SettingsError]]:
     """Merge and check settings files.
 
     Parameters
     ----------
-    documents : sequence of ParsedDocument
-        Files in merge order. Objects merge, other values replace, None removes.
+    documents : mapping of str to ParsedDocument
+        Files by name, in merge order. Objects merge, other values replace, None removes.
     complete : bool, optional
         False if a file is left out because it cannot be parsed; what seems to
         be missing may then be in that file and is not reported.
@@ -58,13 +65,14 @@
     """
     merged = MergedSettings({}, {}, {})
     errors: list[SettingsError] = []
-    for document in documents:
-        _merge_object(merged, merged.value, document.value, (), document, errors)
+    for file, document in documents.items():
+        source = _Source(file, document.positions)
+        _merge_object(merged, merged.value, document.value, (), source, errors)
     problems = _check(merged)
     if not complete:
         errors.clear()
         problems = [problem for problem in problems if problem.depends_on is None]
-    errors += [_locate_problem(problem, merged, documents) for problem in problems]
+    errors += [_locate_problem(problem, merged, list(documents)) for problem in problems]
     return Err(errors) if errors else Ok(merged)
 
 
@@ -80,13 +88,13 @@
     target: dict[str, Any],
     added: dict[str, Any],
     path: SettingPath,
-    document: ParsedDocument,
+    source: _Source,
     errors: list[SettingsError],
 ) -> None:
     """Merge one object of a document into the object at the same path."""
     for name, value in added.items():
         below = (*path, name)
-        origin = Origin(document.file, document.positions[below].line)
+        origin = Origin(source.file, source.positions[below].line)
         if value is None:
             _remove(merged, target, below, origin, errors)
             continue
@@ -94,13 +102,13 @@
         if not isinstance(value, dict):
             _drop_below(merged.origins, below)
             target[name] = value
-            _note_origins(merged, below, document)
+            _note_origins(merged, below, source)
             continue
         if not isinstance(target.get(name), dict):
             _drop_below(merged.origins, below)
             target[name] = {}
             merged.origins[below] = origin
-        _merge_object(merged, target[name], value, below, document, errors)
+        _merge_object(merged, target[name], value, below, source, errors)
 
 
 def _remove(
@@ -130,18 +138,18 @@
         del origins[known]
 
 
-def _note_origins(merged: MergedSettings, path: SettingPath, document: ParsedDocument) -> None:
+def _note_origins(merged: MergedSettings, path: SettingPath, source: _Source) -> None:
     """Note the origins of a value and, for an array, of its elements."""
-    for known, position in document.positions.items():
+    for known, position in source.positions.items():
         if known[: len(path)] == path:
-            merged.origins[known] = Origin(document.file, position.line)
+            merged.origins[known] = Origin(source.file, position.line)
 
 
 def _locate_problem(
-    problem: Problem, merged: MergedSettings, documents: Sequence[ParsedDocument]
+    problem: Problem, merged: MergedSettings, files: Sequence[str]
 ) -> SettingsError:
     """Return the error at the line to change: a removal that broke a dependency, or the setting."""
-    origin = _find_origin(problem.path, merged, documents)
+    origin = _find_origin(problem.path, merged, files)
     cause = _find_removal(problem.depends_on, merged)
     if cause is None or problem.depends_on is None:
         setting = format_path(problem.path)
@@ -156,9 +164,7 @@
     )
 
 
-def _find_origin(
-    path: SettingPath, merged: MergedSettings, documents: Sequence[ParsedDocument]
-) -> Origin:
+def _find_origin(path: SettingPath, merged: MergedSettings, files: Sequence[str]) -> Origin:
     """Return the line to blame: of the last removal in an emptied object, else of the setting.
 
     A path without an origin has that of its nearest ancestor.
@@ -170,7 +176,7 @@
         origin = merged.origins.get(path[:length]) or merged.removals.get(path[:length])
         if origin is not None:
             return origin
-    return Origin(documents[-1].file if documents else "(folder)", 1 if documents else 0)
+    return Origin(files[-1] if files else "(folder)", 1 if files else 0)
 
 
 def _look_up(value: Any, path: SettingPath) -> Any:
--- a/amaranthbend/settings/operator_settings.py
+++ b/amaranthbend/settings/operator_settings.py
@@ -26,8 +26,7 @@
 
 MS_PER_S = 1000
 DEFAULT_WATCH_INTERVAL_MS = 1000
-DEFAULT_STATSD_PORT = 8125
-IP_PATTERN = r"[0-9a-fA-F:.]{2,45}"
+TARGET_PATTERN = r"[0-9a-fA-F:.]{2,45}:[0-9]{1,5}"
 
 OPERATOR_SECTION = Section(
     "Settings of the operators' program.",
@@ -58,8 +57,11 @@
         "watch_interval_ms": Number(
             "Time between two looks at the folder.", 100, 60_000, Unit.MILLISECONDS
         ),
-        "statsd_address": Text("Address that receives counters.", IP_PATTERN, "an IP number"),
-        "statsd_port": Number("UDP port that receives counters.", 1, 65_535),
+        "statsd_target": Text(
+            "Address and UDP port that receive counters.",
+            TARGET_PATTERN,
+            "an IP number and a port, such as 127.0.0.1:8125",
+        ),
     },
 )
 
@@ -81,10 +83,8 @@
         Least number of distinct keys that must have signed.
     watch_interval_s : float
         Time between two looks at the folder.
-    statsd_address : str
-        Address that receives counters, empty for none.
-    statsd_port : int
-        UDP port that receives counters.
+    statsd_target : str
+        `address:port` of the statsd server, empty to send nothing.
     """
 
     deployment: str
@@ -93,8 +93,7 @@
     approver_keys: dict[str, str]
     required_approvals: int
     watch_interval_s: float
-    statsd_address: str
-    statsd_port: int
+    statsd_target: str
 
 
 def load_operator_settings(path: Path) -> Result[OperatorSettings, list[SettingsError]]:
@@ -109,7 +108,7 @@
         return Err(errors)
     problems = check_section(document.value, OPERATOR_SECTION) or _check_keys(document.value)
     if problems:
-        return Err([_locate(problem, document) for problem in problems])
+        return Err([_locate(problem, document, path.name) for problem in problems])
     return Ok(_build(document.value, path.parent))
 
 
@@ -124,13 +123,13 @@
     return [Problem(("required_approvals",), problem, remedy)]
 
 
-def _locate(problem: Problem, document: ParsedDocument) -> SettingsError:
+def _locate(problem: Problem, document: ParsedDocument, file: str) -> SettingsError:
     path: SettingPath = problem.path
     while path not in document.positions:
         path = path[:-1]
     line = document.positions[path].line
     setting = format_path(problem.path)
-    return SettingsError(document.file, line, setting, problem.problem, problem.remedy)
+    return SettingsError(file, line, setting, problem.problem, problem.remedy)
 
 
 def _build(value: dict[str, Any], parent: Path) -> OperatorSettings:
@@ -142,6 +141,5 @@
         approver_keys=value["approver_keys"],
         required_approvals=value["required_approvals"],
         watch_interval_s=interval_ms / MS_PER_S,
-        statsd_address=value.get("statsd_address", ""),
-        statsd_port=value.get("statsd_port", DEFAULT_STATSD_PORT),
+        statsd_target=value.get("statsd_target", ""),
     )
--- a/tests/settings_cases.py
+++ b/tests/settings_cases.py
@@ -1,6 +1,8 @@
 """Settings, keys and envelopes that several tests use."""
 
 import copy
+import json
+from pathlib import Path
 from typing import Any
 
 from amaranthbend.core.envelope import (
@@ -55,3 +57,24 @@
         sign_envelope(envelope, key) for key in (KEYS[:2] if keys is None else keys)
     ]
     return envelope._replace(signatures=tuple(signatures))
+
+
+def write_folder(folder: Path, merged: dict[str, Any] | None = None) -> None:
+    """Write valid settings as one file for each top-level key."""
+    merged = make_merged() if merged is None else merged
+    for index, (name, value) in enumerate(merged.items()):
+        path = folder / f"{index}0-{name}.jsonc"
+        path.write_text(f"// {name}\n" + json.dumps({name: value}))
+
+
+def write_operator_settings(path: Path, platform_url: str, folder: str = "settings") -> None:
+    """Write operator settings with the two approvers of `APPROVER_KEYS`."""
+    settings = {
+        "deployment": "eeslikoda",
+        "folder": folder,
+        "platform_url": platform_url,
+        "approver_keys": APPROVER_KEYS,
+        "required_approvals": 2,
+        "watch_interval_ms": 100,
+    }
+    path.write_text(json.dumps(settings))
--- a/tests/test_merging.py
+++ b/tests/test_merging.py
@@ -14,7 +14,8 @@
 def merge(*texts: str) -> MergedSettings | list[SettingsError]:
     """Return the merge of the valid base and further files, or the errors."""
     files = [json.dumps(MERGED), *texts]
-    documents = [parse_document(text, f"{i}0.jsonc") for i, text in enumerate(files)]
+    names = [f"{i}0.jsonc" for i in range(len(files))]
+    documents = {name: parse_document(text, name) for name, text in zip(names, files, strict=True)}
     result = merge_documents(documents)
     return result.ok_value if result.is_ok() else result.err_value  # type: ignore[union-attr]
 
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,174 @@
+"""Tests of the operators' program against the platform stand-in."""
+
+import json
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from enum import StrEnum
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from amaranthbend.core.outcomes import OutcomeReason, RetryReason
+from amaranthbend.core.versions import RejectionReason
+from amaranthbend.settings.approvals import save_key
+from amaranthbend.settings.defaults import render_reference
+from amaranthbend.settings.folder import check_folder, read_folder
+from amaranthbend.settings.operator_settings import load_operator_settings
+from amaranthbend.settings.policies import build_policy
+from amaranthbend.settings.publishing import PublishStatus
+from standins.http import call
+from standins.processes import ManagedProcess, pick_endpoint, pick_network, wait_until
+
+from .settings_cases import KEYS, write_folder, write_operator_settings
+
+ROOT = Path(__file__).parent.parent
+MODULE = "amaranthbend.programs.operator"
+
+
+class Site:
+    """A platform stand-in, a folder and the operator settings."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.folder = path / "settings"
+        self.folder.mkdir()
+        write_folder(self.folder)
+        self.endpoint = endpoint = pick_endpoint(f"{pick_network()}.1")
+        write_operator_settings(path / "operator.jsonc", f"http://{endpoint}")
+        for key in KEYS:
+            save_key(key, path / key.key_id).unwrap()
+        arguments = [f"--port={endpoint.port}", f"--address={endpoint.address}"]
+        self.platform = ManagedProcess("platform", "standins.platform", arguments, path)
+
+    def run(self, command: str, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run one command of the operators' program."""
+        line = [sys.executable, "-m", MODULE, command, f"--settings={self.path}/operator.jsonc"]
+        return subprocess.run(
+            [*line, *arguments],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            stdin=subprocess.DEVNULL,
+            check=False,
+        )
+
+    def approve(self) -> None:
+        """Approve the present folder with both keys."""
+        for key in KEYS[:2]:
+            done = self.run("approve", f"--key={self.path}/{key.key_id}", "--yes")
+            assert done.returncode == 0, done.stderr
+
+    def read_stored(self) -> Any:
+        """Return the envelope on the platform, None if there is none."""
+        answer = call(self.endpoint, "/objects/settings/eeslikoda")
+        return answer.load_json()["value"] if answer.status == 200 else None
+
+    def set_faults(self, **faults: Any) -> bool:
+        """Switch faults of the platform; return whether it responds."""
+        body = json.dumps(faults).encode()
+        return call(self.endpoint, "/_faults", "PUT", body).status == 200
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    """Return a running site."""
+    site = Site(tmp_path)
+    site.platform.start()
+    try:
+        wait_until(site.set_faults, 15, "platform stand-in")
+        yield site
+    finally:
+        site.platform.clean_up()
+
+
+def test_change_from_check_to_status(site: Site) -> None:
+    """Guards against a step of the operators' work that fails in the real program."""
+    assert "valid: 1 services, 1 routes" in site.run("check").stdout
+    shown = site.run("diff").stdout
+    assert "route profiles (service adopt-desk), added:" in shown
+    refused = site.run("publish")
+    assert refused.returncode == 1
+    assert "too_few_approvals" in refused.stderr
+    assert site.read_stored() is None
+    site.approve()
+    names = sorted(path.name for path in site.folder.glob("*.approval.json"))
+    assert names == ["000001-legal-0.approval.json", "000001-legal-1.approval.json"]
+    site.set_faults(lose_responses=1, lose_kind="settings")
+    published = site.run("publish")
+    assert (published.returncode, "status=published" in published.stderr) == (0, True)
+    assert site.read_stored()["serial"] == 1
+    (site.folder / "90-change.jsonc").write_text('{"routes": {"profiles": {"deadline_ms": 900}}}')
+    shown = site.run("diff").stdout
+    assert "routes.profiles.deadline_ms: 2500 -> 900 (90-change.jsonc:1)" in shown
+    status = site.run("status").stdout
+    assert "platform: serial=1" in status
+    assert "folder: differs, approvals=0 required=2" in status
+
+
+@pytest.mark.parametrize(
+    ("arguments", "message"),
+    [
+        (["--key={path}/legal-2", "--yes"], "not in approver_keys"),
+        (["--key={path}/legal-0"], "--yes"),
+        (["--key={path}/legal-0", "--yes", "--rnew"], "Could not consume arg"),
+        (["--key={path}/none", "--yes"], "check the path"),
+    ],
+)
+def test_refused_approvals_write_nothing(site: Site, arguments: list[str], message: str) -> None:
+    """Guards against an approval by mistake, such as by a misspelt flag."""
+    done = site.run("approve", *(text.format(path=site.path) for text in arguments))
+    assert done.returncode != 0
+    assert message in done.stderr
+    assert not list(site.folder.glob("*.approval.json"))
+
+
+def test_watch_publishes_after_an_outage_and_stops_on_sigterm(site: Site) -> None:
+    """Guards against a watch that gives up in an outage or does not stop."""
+    site.approve()
+    site.set_faults(outage="unavailable")
+    arguments = ["publish", f"--settings={site.path}/operator.jsonc", "--watch"]
+    watch = ManagedProcess("watch", MODULE, arguments, site.path)
+    watch.start()
+    try:
+        wait_until(
+            lambda: "status=platform_unavailable" in watch.read_output(), 20, "outage report"
+        )
+        assert watch.read_output().count("event=publish ") == 1
+        site.set_faults(outage="none")
+        wait_until(lambda: site.read_stored() is not None, 40, "publication")
+        watch.send_signal(signal.SIGTERM)
+        assert watch.wait() == 0
+    finally:
+        watch.clean_up()
+
+
+@pytest.mark.parametrize("deployment", ["eeslikoda", "ihuriro"])
+def test_examples_are_valid(deployment: str) -> None:
+    """Guards against an example that an operator cannot start from."""
+    settings = load_operator_settings(ROOT / "examples" / deployment / "operator.jsonc").unwrap()
+    checked = check_folder(read_folder(settings.folder).unwrap(), deployment).unwrap()
+    assert build_policy(checked.merged.value).deployment == deployment
+
+
+def test_reference_page_is_up_to_date() -> None:
+    """Guards against a page that names another key, range or default than the program."""
+    assert render_reference() in (ROOT / "docs" / "settings.md").read_text()
+
+
+@pytest.mark.parametrize("reasons", [OutcomeReason, RetryReason, RejectionReason, PublishStatus])
+def test_guide_explains_every_reason(reasons: type[StrEnum]) -> None:
+    """Guards against a reason that an operator meets and cannot look up."""
+    text = (ROOT / "docs" / "operators.md").read_text()
+    assert [reason for reason in reasons if f"`{reason}`" not in text] == []
+
+
+def test_serving_modules_do_not_import_the_parser() -> None:
+    """Guards against the memory of lark in every entry and control process."""
+    code = (
+        "import sys, amaranthbend.settings.acceptance; "
+        "sys.exit(any(name.split('.')[0] == 'lark' for name in sys.modules))"
+    )
+    assert subprocess.run([sys.executable, "-c", code], check=False, timeout=60).returncode == 0
