Feed settings and members from control to entry processes

Cause: entry processes need settings, members and departures that survive a restart of the control process during a platform outage.

Change: control link keeps its subscription; grpcio raises CancelledError in read() when sending a report fails, which ended the link without an error. Only a cancelled task now ends it. Ruled out: cancellation from the server (the channel was healthy).

Before: the link stopped silently.

--- a/amaranthbend/adapters/control_link.py
+++ b/amaranthbend/adapters/control_link.py
@@ -133,7 +133,7 @@
             call = control_pb2_grpc.FeedStub(channel).Subscribe(self._make_reports())  # type: ignore[no-untyped-call]
             try:
                 while True:
-                    update = await asyncio.wait_for(call.read(), SILENCE_S)
+                    update = await _read(call)
                     if update is grpc.aio.EOF:
                         return
                     self.connected = True
@@ -212,3 +212,16 @@
             self._callbacks.on_probe_share(share.share, left_s)
             return
         self._callbacks.on_probe_share(0.0, 0.0)
+
+
+async def _read(call: Any) -> Any:
+    """Return the next update, or the end-of-stream mark."""
+    try:
+        return await asyncio.wait_for(call.read(), SILENCE_S)
+    except asyncio.CancelledError:
+        # grpcio also raises this when the call failed on this side, for example in the
+        # sending of a report; only a cancelled task may end the link.
+        task = asyncio.current_task()
+        if task is not None and task.cancelling():
+            raise
+        return grpc.aio.EOF
--- /dev/null
+++ b/tests/test_control_link.py
@@ -0,0 +1,88 @@
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+from amaranthbend.adapters.control_link import ControlLink, LinkCallbacks
+from amaranthbend.core.departures import Departure
+from amaranthbend.core.envelope import (
+    ManifestEntry,
+    SettingsEnvelope,
+    compute_digest,
+    dump_envelope,
+)
+from amaranthbend.rpc.messages import MembersByService
+from standins.control_hosts import ControlHosts, run_control_hosts
+from standins.processes import Endpoint
+
+
+def make_envelope(serial: int) -> SettingsEnvelope:
+    """Return an envelope."""
+    manifest = (ManifestEntry("a.jsonc", "0" * 64),)
+    merged = {"deployment": "eeslikoda", "serial": serial}
+    digest = compute_digest(manifest, merged)
+    return SettingsEnvelope("eeslikoda", serial, "", digest, manifest, merged, ())
+
+
+class Receiver:
+    """Stands for the entry process."""
+
+    def __init__(self, target: Endpoint) -> None:
+        self.envelope: SettingsEnvelope | None = None
+        self.members: MembersByService = {}
+        self.departures: list[Departure] = []
+        self.shares: list[tuple[float, float]] = []
+        callbacks = LinkCallbacks(
+            self.take_settings,
+            self.take_members,
+            self.departures.extend,
+            lambda share, valid_for_s: self.shares.append((share, valid_for_s)),
+        )
+        self.link = ControlLink(str(target), "entry-0", callbacks, lambda: self.envelope)
+
+    def take_settings(self, envelope: SettingsEnvelope) -> None:
+        """Put an envelope in force."""
+        self.envelope = envelope
+
+    def take_members(self, members: MembersByService) -> None:
+        """Put members in force."""
+        self.members = members
+
+    async def wait_for(self, condition: Callable[[], object], timeout_s: float = 10.0) -> None:
+        """Wait until the condition holds."""
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+
+def publish(hosts: ControlHosts, serial: int) -> None:
+    """Store an envelope on the platform."""
+    hosts.put_object("settings", "eeslikoda", dump_envelope(make_envelope(serial)))
+
+
+async def follow_restart(hosts: ControlHosts) -> None:
+    """Publish, restart control in an outage, and check what each side holds."""
+    receiver = Receiver(hosts.target(0))
+    running = asyncio.create_task(receiver.link.run())
+    await receiver.wait_for(lambda: receiver.envelope and receiver.members)
+    assert receiver.envelope == make_envelope(1)
+    assert [m.upstream for m in receiver.members["adopt-desk"]] == ["desk-0", "desk-1", "desk-2"]
+    publish(hosts, 2)
+    await receiver.wait_for(lambda: receiver.envelope == make_envelope(2))
+
+    hosts.set_faults(outage="unavailable")
+    hosts.processes[0].kill()
+    await asyncio.to_thread(hosts.start)
+    text = "event=settings_accepted source=entry:entry-0 serial=2"
+    await asyncio.to_thread(hosts.wait_for_log, 0, text)
+    receiver.link.report_departures([Departure("adopt-desk", "desk-0", 1)])
+    await receiver.wait_for(lambda: receiver.departures)
+    assert receiver.members
+    running.cancel()
+
+
+def test_restart_without_platform(tmp_path: Path) -> None:
+    """Guards against settings or members lost when control restarts during an outage."""
+    with run_control_hosts(tmp_path, 1) as hosts:
+        publish(hosts, 1)
+        hosts.start()
+        asyncio.run(follow_restart(hosts))
