Add lease and claim state machines with their controllers

Ruled out: clearing an unresolved renewal when a read shows the old version; the delayed write can still take effect, and a later renewal would then be trusted for too long. The earliest unresolved start is kept until a newer version is seen.

--- /dev/null
+++ b/amaranthbend/adapters/claims.py
@@ -0,0 +1,207 @@
+"""Claims on idempotency keys, kept as platform objects, for the entry process."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from absl import logging
+from result import Err, Ok, Result
+
+from ..core.backoff import TokenBucket
+from ..core.claims import (
+    CLAIMS_KIND,
+    ClaimGranted,
+    ClaimMachine,
+    ClaimRefused,
+    CreateClaim,
+    CreateFailure,
+    name_claim,
+)
+from ..core.outcomes import OutcomeReason
+from .platform import Counters, PlatformCallError, PlatformClient, PlatformErrorKind, StoredObject
+
+__all__ = ["Claim", "ClaimRefusal", "ClaimRegistry"]
+
+# The platform answers in milliseconds; a slower one counts as out.
+CALL_TIMEOUT_S = 0.5
+ACQUIRE_TIMEOUT_S = 1.5
+REMOVE_ATTEMPTS = 3
+REMOVE_PAUSE_S = 0.5
+# Removals that may be under way; more are left to the sweeper.
+MAX_REMOVALS = 64
+TOKEN_BYTES = 16
+
+CREATE_FAILURES = {
+    PlatformErrorKind.CONFLICT: CreateFailure.CONFLICT,
+    PlatformErrorKind.RATE_LIMITED: CreateFailure.RATE_LIMITED,
+    PlatformErrorKind.LOST_RESPONSE: CreateFailure.LOST_RESPONSE,
+}
+MESSAGES = {
+    OutcomeReason.DUPLICATE_REQUEST: (
+        "a request with this idempotency key was already accepted; ask the service for its result"
+    ),
+    OutcomeReason.CLAIM_RATE: "the claim rate of this host is used up; repeat with the same key",
+    OutcomeReason.CLAIM_UNAVAILABLE: (
+        "the platform that records claims is unavailable; repeat with the same key"
+    ),
+}
+
+
+class Claim(NamedTuple):
+    """A granted claim."""
+
+    name: str
+    token: str
+    version: int
+
+
+class ClaimRefusal(NamedTuple):
+    """Why a request must not be sent; "not run" except for `duplicate_request`."""
+
+    reason: OutcomeReason
+    message: str
+
+
+class ClaimRegistry:
+    """Acquires and releases claims within the process's share of the write rate.
+
+    Parameters
+    ----------
+    platform : PlatformClient
+        Client of the platform; its own limit must exceed the claim rate.
+    counters : Counters
+        Receives `claims.granted`, `claims.refused.<reason>` and others.
+    writes_per_s : float
+        The process's share of the claim writes of the deployment.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        counters: Counters,
+        writes_per_s: float,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._platform = platform
+        self._counters = counters
+        self._clock = clock
+        self._bucket = TokenBucket(writes_per_s, compute_burst(writes_per_s), clock())
+        self._removals: set[asyncio.Task[None]] = set()
+
+    def set_rate(self, writes_per_s: float, now: float) -> None:
+        """Change the share of the write rate."""
+        self._bucket.set_rate(writes_per_s, compute_burst(writes_per_s), now)
+
+    async def acquire(
+        self, service: str, key: str, now: float, timeout_s: float = ACQUIRE_TIMEOUT_S
+    ) -> Result[Claim, ClaimRefusal]:
+        """Acquire the claim on a key, before the request is sent.
+
+        Parameters
+        ----------
+        service : str
+            Service that would run the request.
+        key : str
+            Idempotency key of the caller.
+        now : float
+            Monotonic time in seconds.
+        timeout_s : float
+            Time after which the request is refused.
+
+        Returns
+        -------
+        Result
+            The claim, or why the request must not be sent.
+        """
+        name = name_claim(service, key)
+        machine = ClaimMachine(secrets.token_hex(TOKEN_BYTES), now + timeout_s)
+        token = machine.token
+        while True:
+            step = machine.plan(self._clock())
+            if isinstance(step, ClaimGranted):
+                self._counters.incr("claims.granted")
+                return Ok(Claim(name, token, step.version))
+            if isinstance(step, ClaimRefused):
+                return Err(self._refuse(name, token, step))
+            if isinstance(step, CreateClaim):
+                await self._create(machine, name, service)
+                continue
+            await self._read(machine, name)
+
+    async def release(self, claim: Claim) -> None:
+        """Remove the claim of a request that is proved "not run", so that it can be repeated."""
+        for _ in range(REMOVE_ATTEMPTS):
+            if self._bucket.take(self._clock()):
+                answer = await self._platform.delete(
+                    CLAIMS_KIND, claim.name, claim.version, CALL_TIMEOUT_S
+                )
+                if is_gone(answer):
+                    self._counters.incr("claims.released")
+                    return
+            await asyncio.sleep(REMOVE_PAUSE_S)
+        self._counters.incr("claims.release_failed")
+        logging.warning("event=claim_release_failed claim=%s", claim.name)
+
+    async def close(self) -> None:
+        """Wait for removals under way; each is bounded."""
+        if self._removals:
+            await asyncio.wait(self._removals)
+
+    async def _create(self, machine: ClaimMachine, name: str, service: str) -> None:
+        if not self._bucket.take(self._clock()):
+            machine.create_failed(CreateFailure.RATE_LIMITED)
+            return
+        value = {"holder": machine.token, "service": service}
+        answer = await self._platform.create(CLAIMS_KIND, name, value, CALL_TIMEOUT_S)
+        if isinstance(answer, Ok):
+            machine.create_done(answer.ok_value)
+            return
+        failure = CREATE_FAILURES.get(answer.err_value.kind, CreateFailure.UNAVAILABLE)
+        self._counters.incr(f"claims.create_failed.{failure}")
+        machine.create_failed(failure)
+
+    async def _read(self, machine: ClaimMachine, name: str) -> None:
+        answer = await self._platform.get(CLAIMS_KIND, name, CALL_TIMEOUT_S)
+        if isinstance(answer, Ok):
+            machine.read_done(read_token(answer.ok_value), answer.ok_value.version)
+            return
+        if answer.err_value.kind is PlatformErrorKind.NOT_FOUND:
+            machine.read_absent()
+            return
+        machine.read_failed()
+
+    def _refuse(self, name: str, token: str, refused: ClaimRefused) -> ClaimRefusal:
+        self._counters.incr(f"claims.refused.{refused.reason}")
+        if refused.may_remain and len(self._removals) < MAX_REMOVALS:
+            task = asyncio.create_task(self._remove_own(name, token))
+            self._removals.add(task)
+            task.add_done_callback(self._removals.discard)
+        return ClaimRefusal(refused.reason, MESSAGES[refused.reason])
+
+    async def _remove_own(self, name: str, token: str) -> None:
+        """Remove a claim of a request that was never sent, if it took effect after all."""
+        answer = await self._platform.get(CLAIMS_KIND, name, CALL_TIMEOUT_S)
+        if isinstance(answer, Err) or read_token(answer.ok_value) != token:
+            return
+        await self.release(Claim(name, token, answer.ok_value.version))
+
+
+def compute_burst(writes_per_s: float) -> float:
+    """Return the burst for a rate: half a second's worth, and at least one write."""
+    return max(1.0, writes_per_s / 2)
+
+
+def read_token(stored: StoredObject) -> str:
+    """Return the holder token of a stored claim, empty if it is malformed."""
+    value = stored.value
+    return str(value.get("holder", "")) if isinstance(value, dict) else ""
+
+
+def is_gone(answer: Result[None, PlatformCallError]) -> bool:
+    """Return whether the claim no longer exists under the version that was to be removed."""
+    gone = (PlatformErrorKind.NOT_FOUND, PlatformErrorKind.CONFLICT)
+    return isinstance(answer, Ok) or answer.err_value.kind in gone
--- a/amaranthbend/adapters/platform.py
+++ b/amaranthbend/adapters/platform.py
@@ -1,6 +1,8 @@
 """Client of the platform: object API and host list."""
 
+import asyncio
 import json
+import random
 import time
 from collections.abc import Callable
 from enum import StrEnum
@@ -35,6 +37,8 @@
 # processes each then stay below the platform's 2,000 reads and several hundred writes.
 CALLS_PER_S = 20.0
 CALLS_BURST = 20.0
+# Spread of the calls that waited for the end of an outage.
+RECOVERY_JITTER_S = 0.5
 
 
 class PlatformErrorKind(StrEnum):
@@ -207,6 +211,24 @@
         self._counters = counters
         self._clock = clock
         self._bucket = TokenBucket(calls_per_s, burst, clock())
+        self._recovered = asyncio.Event()
+        self._recovered.set()
+
+    async def pause(self, delay_s: float) -> None:
+        """Wait after a failed call, but not much longer than until another call succeeds.
+
+        One caller's success ends the outage for the whole process, whose other
+        callers may have drawn delays of up to 30 s.
+        """
+        if self._recovered.is_set():
+            # The platform works but refused the call, for example above its rate limit.
+            await asyncio.sleep(delay_s)
+            return
+        try:
+            await asyncio.wait_for(self._recovered.wait(), delay_s)
+        except TimeoutError:
+            return
+        await asyncio.sleep(min(delay_s, random.uniform(0, RECOVERY_JITTER_S)))
 
     async def get(
         self, kind: str, name: str, timeout_s: float = DEFAULT_TIMEOUT_S
@@ -297,10 +319,14 @@
             decompress_response=True,
         )
         try:
-            return Ok(await self._http_client.fetch(request))
+            response = await self._http_client.fetch(request)
+            self._recovered.set()
+            return Ok(response)
         except (HTTPError, OSError) as error:
             kind = classify_error(error, is_write=method != "GET")
             self._counters.incr(f"platform.error.{kind}")
+            if kind in OUTAGE_KINDS:
+                self._recovered.clear()
             return Err(PlatformCallError(kind, f"{method} {path}", str(error)))
 
 
@@ -311,6 +337,8 @@
     429: PlatformErrorKind.RATE_LIMITED,
     503: PlatformErrorKind.UNAVAILABLE,
 }
+# Kinds that end with the outage; a refusal proves that the platform works.
+OUTAGE_KINDS = (PlatformErrorKind.UNAVAILABLE, PlatformErrorKind.LOST_RESPONSE)
 # Errors of libcurl that precede the sending: unresolved name, failed connection.
 CURL_UNSENT_ERRORS = {6, 7}
 # Messages of tornado's simple client for timeouts that precede the sending.
--- /dev/null
+++ b/amaranthbend/controllers/fleet_status.py
@@ -0,0 +1,166 @@
+"""Status of the fleet, written to the platform by one host at a time."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from absl import logging
+from result import Err, Ok
+
+from ..adapters.platform import Counters, PlatformClient, PlatformErrorKind
+from ..core.leases import Fence
+from .host_state import HostState
+from .lease_keeper import LeaseKeeper
+
+__all__ = ["FleetStatus", "HostReport", "HostReports"]
+
+STATUS_KIND = "status"
+LOOK_INTERVAL_S = 2.0
+# A status without change is written this often, so that its readers see that it is alive.
+REFRESH_S = 30.0
+# A host that was not heard of for this long leaves the status.
+FORGET_S = 60.0
+
+
+class HostReport(NamedTuple):
+    """Serials in force on one host.
+
+    Parameters
+    ----------
+    serial : int
+        Serial of the control process.
+    entry_serial : int
+        Lowest serial of the entry processes, 0 without any.
+    entry_processes : int
+        Number of connected entry processes.
+    """
+
+    serial: int
+    entry_serial: int
+    entry_processes: int
+
+
+class HostReports:
+    """Latest report of each host."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._reports: dict[str, tuple[HostReport, float]] = {}
+
+    def take(self, host_id: str, report: HostReport) -> None:
+        """Keep a report."""
+        self._reports[host_id] = (report, self._clock())
+
+    def describe(self) -> dict[str, dict[str, int]]:
+        """Return the reports for the status, without hosts not heard of for long."""
+        now = self._clock()
+        self._reports = {
+            host_id: entry for host_id, entry in self._reports.items() if now - entry[1] < FORGET_S
+        }
+        return {host_id: entry[0]._asdict() for host_id, entry in sorted(self._reports.items())}
+
+
+class FleetStatus:
+    """Writes `status/<deployment>` while this host holds the lease.
+
+    Parameters
+    ----------
+    platform : PlatformClient
+        Client of the platform.
+    keeper : LeaseKeeper
+        Keeper of the lease.
+    state : HostState
+        State of this host.
+    reports : HostReports
+        Reports of the hosts, this one included.
+    deployment : str
+        Name of the deployment.
+    counters : Counters
+        Sink for counters.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        keeper: LeaseKeeper,
+        state: HostState,
+        reports: HostReports,
+        deployment: str,
+        counters: Counters,
+        clock: Callable[[], float],
+    ) -> None:
+        self._platform = platform
+        self._keeper = keeper
+        self._state = state
+        self._reports = reports
+        self._deployment = deployment
+        self._counters = counters
+        self._clock = clock
+        self._fence = Fence()
+        self._written: dict[str, Any] = {}
+        self._written_at = float("-inf")
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+        while True:
+            await self.update()
+            await asyncio.sleep(LOOK_INTERVAL_S)
+
+    async def update(self) -> bool:
+        """Write the status if this host holds the lease and it is due; return whether it was."""
+        epoch = self._keeper.get_epoch()
+        if epoch is None or not await self._read(epoch):
+            return False
+        status = self._describe(epoch)
+        if status == self._written and self._clock() - self._written_at < REFRESH_S:
+            return False
+        return await self._write(status)
+
+    def _describe(self, epoch: int) -> dict[str, Any]:
+        return {
+            "epoch": epoch,
+            "serial": self._state.serial,
+            "digest": self._state.digest,
+            "host_list_revision": self._state.host_list_revision,
+            "hosts": self._reports.describe(),
+        }
+
+    async def _read(self, epoch: int) -> bool:
+        if not self._fence.needs_read(epoch):
+            return True
+        answer = await self._platform.get(STATUS_KIND, self._deployment)
+        if isinstance(answer, Ok):
+            stored = answer.ok_value
+            stored_epoch = read_epoch(stored.value)
+            accepted = self._fence.read_done(epoch, stored.version, stored_epoch)
+        elif answer.err_value.kind is PlatformErrorKind.NOT_FOUND:
+            accepted = self._fence.read_done(epoch, None, 0)
+        else:
+            return False
+        if not accepted:
+            self._counters.incr("leases.fenced")
+            logging.warning("event=fleet_status_fenced epoch=%d", epoch)
+            self._keeper.drop()
+        return accepted
+
+    async def _write(self, status: dict[str, Any]) -> bool:
+        version = self._fence.version
+        if version is None:
+            answer = await self._platform.create(STATUS_KIND, self._deployment, status)
+        else:
+            answer = await self._platform.replace(STATUS_KIND, self._deployment, status, version)
+        if isinstance(answer, Err):
+            self._fence.write_failed()
+            return False
+        self._fence.write_done(answer.ok_value)
+        self._written = status
+        self._written_at = self._clock()
+        return True
+
+
+def read_epoch(value: Any) -> int:
+    """Return the epoch of a stored status, 0 if it is malformed."""
+    epoch = value.get("epoch") if isinstance(value, dict) else None
+    return epoch if isinstance(epoch, int) else 0
--- a/amaranthbend/controllers/host_watch.py
+++ b/amaranthbend/controllers/host_watch.py
@@ -4,7 +4,7 @@
 import random
 
 from absl import logging
-from result import Err
+from result import Err, Ok
 
 from ..adapters.platform import PlatformClient
 from ..core.backoff import Backoff
@@ -40,17 +40,20 @@
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            await asyncio.sleep(await self.poll())
-
-    async def poll(self) -> float:
-        """Fetch the list once and return the delay in seconds until the next poll."""
+            answer = await self._platform.fetch_hosts()
+            if isinstance(answer, Err):
+                delay_s = self._backoff.next_delay()
+                logging.warning(
+                    'event=host_list_failed delay_s=%.2f error="%s"', delay_s, answer.err_value
+                )
+                await self._platform.pause(delay_s)
+                continue
+            self._backoff.reset()
+            self._state.offer_host_list(answer.ok_value)
+            await asyncio.sleep(POLL_S * self._rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER))
+
+    async def fetch_once(self) -> None:
+        """Fetch the list once, for the start."""
         answer = await self._platform.fetch_hosts()
-        if isinstance(answer, Err):
-            delay_s = self._backoff.next_delay()
-            logging.warning(
-                'event=host_list_failed delay_s=%.2f error="%s"', delay_s, answer.err_value
-            )
-            return delay_s
-        self._backoff.reset()
-        self._state.offer_host_list(answer.ok_value)
-        return POLL_S * self._rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
+        if isinstance(answer, Ok):
+            self._state.offer_host_list(answer.ok_value)
--- /dev/null
+++ b/amaranthbend/controllers/lease_keeper.py
@@ -0,0 +1,196 @@
+"""Acquisition and renewal of leases on the platform."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from absl import logging
+from result import Ok, Result
+
+from ..adapters.platform import (
+    Counters,
+    PlatformCallError,
+    PlatformClient,
+    PlatformErrorKind,
+    StoredObject,
+)
+from ..core.backoff import Backoff
+from ..core.leases import (
+    LeaseMachine,
+    LeaseRead,
+    LeaseRecord,
+    LeaseWait,
+    LeaseWrite,
+    dump_lease,
+    load_lease,
+)
+
+__all__ = ["LEASES_KIND", "LeaseDriver", "LeaseKeeper", "LeaseTiming"]
+
+LEASES_KIND = "leases"
+# Spread of the reads of challengers, so that they do not meet every time.
+WAIT_JITTER_S = 0.2
+
+
+class LeaseTiming(NamedTuple):
+    """Times of a lease in seconds.
+
+    Parameters
+    ----------
+    ttl_s : float
+        Time after which another process may take over. Long enough for two failed
+        renewals, short enough that the task of a dead host rests for seconds only.
+    margin_s : float
+        Part of it that the holder does not use, for clocks of different speed.
+    """
+
+    ttl_s: float = 15.0
+    margin_s: float = 2.0
+
+
+class LeaseDriver:
+    """Carries out the steps of lease machines.
+
+    Parameters
+    ----------
+    platform : PlatformClient
+        Client of the platform.
+    counters : Counters
+        Sink for counters.
+    rng : random.Random
+        Source of jitter.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        counters: Counters,
+        rng: random.Random,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.platform = platform
+        self.rng = rng
+        self.clock = clock
+        self._counters = counters
+
+    async def step(self, name: str, machine: LeaseMachine) -> bool:
+        """Carry out the next step of a machine.
+
+        Returns
+        -------
+        bool
+            False if the platform failed, so that the caller backs off.
+        """
+        now = self.clock()
+        step = machine.plan(now)
+        if isinstance(step, LeaseWait):
+            await asyncio.sleep(max(0.0, step.until - now) + self.rng.uniform(0, WAIT_JITTER_S))
+            return True
+        if isinstance(step, LeaseRead):
+            return self._take_read(machine, await self.platform.get(LEASES_KIND, name))
+        return await self.write(name, machine, step)
+
+    async def write(self, name: str, machine: LeaseMachine, step: LeaseWrite) -> bool:
+        """Carry out a write; return False if the platform failed."""
+        started_at = self.clock()
+        answer = await self._send(name, step)
+        if isinstance(answer, Ok):
+            machine.write_done(step, answer.ok_value, started_at)
+            return True
+        kind = answer.err_value.kind
+        if kind in (PlatformErrorKind.CONFLICT, PlatformErrorKind.NOT_FOUND):
+            self._counters.incr("leases.conflict")
+            machine.write_conflicted()
+            return True
+        if kind is PlatformErrorKind.LOST_RESPONSE:
+            self._counters.incr("leases.lost_response")
+            machine.write_lost(started_at)
+            return True
+        return False
+
+    async def _send(self, name: str, step: LeaseWrite) -> Result[int, PlatformCallError]:
+        value = dump_lease(step.record)
+        if step.version is None:
+            return await self.platform.create(LEASES_KIND, name, value)
+        return await self.platform.replace(LEASES_KIND, name, value, step.version)
+
+    def _take_read(
+        self, machine: LeaseMachine, answer: Result[StoredObject, PlatformCallError]
+    ) -> bool:
+        if isinstance(answer, Ok):
+            record = load_record(answer.ok_value)
+            if record is None:
+                return False
+            machine.read_done(record, answer.ok_value.version, self.clock())
+            return True
+        if answer.err_value.kind is not PlatformErrorKind.NOT_FOUND:
+            return False
+        machine.read_done(None, None, self.clock())
+        return True
+
+
+def load_record(stored: StoredObject) -> LeaseRecord | None:
+    """Return the lease of an object, None if it is malformed."""
+    try:
+        return load_lease(stored.value)
+    except ValueError as error:
+        logging.error('event=lease_malformed lease=%s error="%s"', stored.name, error)
+        return None
+
+
+class LeaseKeeper:
+    """Keeps one lease, or waits for it.
+
+    Parameters
+    ----------
+    driver : LeaseDriver
+        Carries out the steps.
+    name : str
+        Name of the lease object.
+    holder : str
+        Identifier of this process, never used again after a restart.
+    timing : LeaseTiming
+        Times.
+    """
+
+    def __init__(self, driver: LeaseDriver, name: str, holder: str, timing: LeaseTiming) -> None:
+        self._driver = driver
+        self._name = name
+        self._machine = LeaseMachine(holder, timing.ttl_s, timing.margin_s)
+        self._backoff = Backoff(driver.rng.random)
+        self._known_epoch: int | None = None
+
+    def get_epoch(self) -> int | None:
+        """Return the epoch if the lease is held now."""
+        return self._machine.get_epoch(self._driver.clock())
+
+    def drop(self) -> None:
+        """Stop trusting the lease, after a write under it was refused."""
+        self._machine.write_conflicted()
+
+    async def run(self) -> None:
+        """Keep the lease until cancelled."""
+        while True:
+            if await self._driver.step(self._name, self._machine):
+                self._backoff.reset()
+            else:
+                await self._driver.platform.pause(self._backoff.next_delay())
+            self._log_change()
+
+    async def release(self) -> None:
+        """Give the lease up, so that another host need not wait for its ttl."""
+        step = self._machine.plan_release(self._driver.clock())
+        if step is not None:
+            await self._driver.write(self._name, self._machine, step)
+
+    def _log_change(self) -> None:
+        epoch = self.get_epoch()
+        if epoch == self._known_epoch:
+            return
+        event = "lease_lost" if epoch is None else "lease_held"
+        logging.info("event=%s lease=%s epoch=%s", event, self._name, epoch or self._known_epoch)
+        self._known_epoch = epoch
--- a/amaranthbend/controllers/settings_watch.py
+++ b/amaranthbend/controllers/settings_watch.py
@@ -1,6 +1,5 @@
 """Watch on the settings of the deployment."""
 
-import asyncio
 import random
 
 from absl import logging
@@ -52,7 +51,7 @@
                 logging.warning(
                     'event=settings_watch_failed delay_s=%.2f error="%s"', delay_s, answer.err_value
                 )
-                await asyncio.sleep(delay_s)
+                await self._platform.pause(delay_s)
                 continue
             self._backoff.reset()
             self.take(answer.ok_value)
