Add peer exchange and verified settings to the control process

Cause: settings and departures must reach every host while the platform is out, and no envelope may come into force without valid approvals.

Change: Peers service with push of news to 4 random peers and a periodic exchange with 2; envelopes go through settings.acceptance. A rejected digest is remembered with its source only, since signatures are not part of the digest and another source may hold valid ones.

--- a/amaranthbend/controllers/entry_feed.py
+++ b/amaranthbend/controllers/entry_feed.py
@@ -6,15 +6,14 @@
 
 from absl import logging
 
-from ..adapters.platform import Counters
 from ..rpc import control_pb2, control_pb2_grpc
 from ..rpc.messages import (
     decode_departures,
-    decode_envelope,
     encode_departures,
     encode_envelope,
     encode_members,
 )
+from .fleet_status import HostReport
 from .host_state import HostState
 
 __all__ = ["EntryFeed", "EntrySession", "ProbeShareSource"]
@@ -57,15 +56,12 @@
     ----------
     state : HostState
         State to send.
-    counters : Counters
-        Sink for counters.
     probe_share : callable
         Gives the host's probe share.
     """
 
-    def __init__(self, state: HostState, counters: Counters, probe_share: ProbeShareSource) -> None:
+    def __init__(self, state: HostState, probe_share: ProbeShareSource) -> None:
         self._state = state
-        self._counters = counters
         self._probe_share = probe_share
         self.sessions: set[EntrySession] = set()
 
@@ -118,16 +114,12 @@
         self.sessions.add(session)
         self._state.add_departures(decode_departures(report.departures))
         if report.envelope:
-            self._take_envelope(session, report.envelope)
+            self._state.offer_settings(report.envelope, f"entry:{session.process_id}")
 
-    def _take_envelope(self, session: EntrySession, document: bytes) -> None:
-        try:
-            envelope = decode_envelope(document)
-        except ValueError as error:
-            self._counters.incr("settings.malformed")
-            logging.error('event=settings_malformed source=entry error="%s"', error)
-            return
-        self._state.offer_settings(envelope, f"entry:{session.process_id}")
+    def describe_host(self) -> HostReport:
+        """Return the serials in force on this host."""
+        serials = [session.serial for session in self.sessions]
+        return HostReport(self._state.serial, min(serials, default=0), len(serials))
 
     def make_update(self, session: EntrySession) -> Any | None:
         """Return what the entry process lacks, or None."""
--- a/amaranthbend/controllers/host_state.py
+++ b/amaranthbend/controllers/host_state.py
@@ -1,21 +1,24 @@
 """What the control process of a host holds, in memory only."""
 
 import asyncio
+import json
 import time
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
+from typing import Any
 
 from absl import logging
-from result import Err, Result
 
 from ..adapters.platform import Counters, HostList, PlatformHost
 from ..core.actions import Member, UpstreamState
 from ..core.departures import Departure, Departures
 from ..core.envelope import SettingsEnvelope
-from ..core.errors import ApprovalError
+from ..core.policy import DeploymentPolicy
+from ..core.versions import EnvelopeDecision, EnvelopeVerdict
 from ..rpc.messages import MembersByService
+from ..settings.acceptance import Approvers, accept_document
 
-__all__ = ["ENTRY_ROLE", "HostState", "SettingsVerifier"]
+__all__ = ["ENTRY_ROLE", "HostState"]
 
 ENTRY_ROLE = "entry"
 LEAVING = "leaving"
@@ -23,10 +26,8 @@
 # catches up sooner, while a platform that lost its revisions never does.
 OLDER_LISTS_IGNORED = 15
 
-# Accepts a candidate given the envelope in force, or says why not.
-SettingsVerifier = Callable[
-    [SettingsEnvelope | None, SettingsEnvelope], Result[SettingsEnvelope, ApprovalError]
-]
+# Rejected envelopes that are not fetched from peers again.
+MAX_REJECTED = 64
 
 
 class HostState:
@@ -36,8 +37,8 @@
     ----------
     host_id : str
         Identifier of this host.
-    verify : callable
-        Accepts or rejects a settings envelope.
+    approvers : Approvers
+        Whose approvals of settings count.
     counters : Counters
         Sink for counters.
     clock : callable
@@ -47,16 +48,20 @@
     def __init__(
         self,
         host_id: str,
-        verify: SettingsVerifier,
+        approvers: Approvers,
         counters: Counters,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.host_id = host_id
         self.envelope: SettingsEnvelope | None = None
+        self.policy: DeploymentPolicy | None = None
+        # Time of the platform's last host list, None without one.
+        self.host_list_heard_at: float | None = None
         self.host_list: HostList | None = None
         self.members: MembersByService = {}
         self.departures = Departures()
-        self._verify = verify
+        self._approvers = approvers
+        self._rejected: dict[tuple[str, str], None] = {}
         self._counters = counters
         self._clock = clock
         self._older_lists = 0
@@ -87,46 +92,87 @@
         finally:
             self._listeners.discard(event)
 
-    def offer_settings(self, envelope: SettingsEnvelope, source: str) -> bool:
+    def offer_settings(self, document: Any, source: str) -> bool:
         """Put an envelope in force if it is valid and newer.
 
+        Parameters
+        ----------
+        document : Any
+            Envelope as JSON bytes or as a JSON value.
+        source : str
+            Where it comes from, for the log.
+
         Returns
         -------
         bool
             Whether it came into force.
         """
-        if envelope.serial == self.serial and envelope.digest == self.digest:
+        document = parse_json(document)
+        if self.envelope is not None and self._holds(document):
             return False
-        verdict = self._verify(self.envelope, envelope)
-        if isinstance(verdict, Err):
-            self._counters.incr("settings.rejected")
-            logging.warning(
-                'event=settings_rejected source=%s serial=%d held_serial=%d error="%s"',
-                source,
-                envelope.serial,
-                self.serial,
-                verdict.err_value,
-            )
+        decision, accepted = accept_document(
+            self.envelope, document, self._approvers, self._clock()
+        )
+        if decision.verdict is EnvelopeVerdict.REJECTED:
+            self._reject(document, decision, source)
+        if accepted is None:
             return False
-        self.envelope = envelope
+        self.envelope, self.policy = accepted
         self._counters.incr("settings.accepted")
         logging.info(
             "event=settings_accepted source=%s serial=%d digest=%s",
             source,
-            envelope.serial,
-            envelope.digest,
+            self.serial,
+            self.digest,
         )
         self._notify()
         return True
 
-    def offer_host_list(self, host_list: HostList) -> bool:
+    def was_rejected(self, digest: str, source: str) -> bool:
+        """Return whether this source offered an envelope with this digest that was rejected.
+
+        Another source may hold the same settings with valid approvals.
+        """
+        return (digest, source) in self._rejected
+
+    def _holds(self, document: Any) -> bool:
+        if not isinstance(document, dict):
+            return False
+        return (document.get("serial"), document.get("digest")) == (self.serial, self.digest)
+
+    def _reject(self, document: Any, decision: EnvelopeDecision, source: str) -> None:
+        self._counters.incr(f"settings.rejected.{decision.reason}")
+        logging.warning(
+            'event=settings_rejected source=%s reason=%s held_serial=%d error="%s"',
+            source,
+            decision.reason,
+            self.serial,
+            decision.message,
+        )
+        digest = document.get("digest") if isinstance(document, dict) else None
+        if not isinstance(digest, str):
+            return
+        self._rejected[digest, source] = None
+        if len(self._rejected) > MAX_REJECTED:
+            del self._rejected[next(iter(self._rejected))]
+
+    def offer_host_list(self, host_list: HostList, source: str = "platform") -> bool:
         """Take a host list that is newer than the held one.
 
+        Parameters
+        ----------
+        host_list : HostList
+            Host list.
+        source : str
+            `platform` or `peer`.
+
         Returns
         -------
         bool
             Whether it replaced the held one.
         """
+        if source == "platform":
+            self.host_list_heard_at = self._clock()
         if self._ignores(host_list):
             return False
         self._older_lists = 0
@@ -196,6 +242,16 @@
             event.set()
 
 
+def parse_json(document: Any) -> Any:
+    """Return the JSON value of bytes, None if they are malformed; other values as they are."""
+    if not isinstance(document, bytes):
+        return document
+    try:
+        return json.loads(document)
+    except (ValueError, RecursionError):
+        return None
+
+
 def group_members(host_list: HostList) -> MembersByService:
     """Return the upstreams of each service in a host list."""
     members: dict[str, list[Member]] = {}
--- /dev/null
+++ b/amaranthbend/controllers/peer_exchange.py
@@ -0,0 +1,260 @@
+"""Exchange of settings serials and departures with the control processes of other hosts."""
+
+import asyncio
+import json
+import random
+import time
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+import grpc
+from absl import logging
+
+from ..adapters.platform import Counters, dump_host_list, load_host_list
+from ..rpc import control_pb2, control_pb2_grpc
+from ..rpc.messages import decode_departures, encode_departures, encode_envelope
+from .fleet_status import HostReport, HostReports
+from .host_state import HostState
+
+__all__ = ["PeerExchange"]
+
+EXCHANGE_INTERVAL_S = 1.0
+EXCHANGE_JITTER = 0.3
+PERIODIC_PEERS = 2
+# Peers told at once of news. Each of them tells as many again, so that a few rounds of
+# milliseconds reach every host of a deployment; the periodic exchange reaches the rest.
+NEWS_PEERS = 4
+# Gathers news that arrives together, such as a rack of upstreams that leaves.
+NEWS_PAUSE_S = 0.02
+CALL_TIMEOUT_S = 1.0
+MAX_CHANNELS = 32
+# The platform's own answer is preferred; after this long without it a peer's host list is used.
+HOST_LIST_SILENCE_S = 6.0
+
+
+class PeerExchange(control_pb2_grpc.PeersServicer):
+    """Both sides of the `Peers` service.
+
+    Parameters
+    ----------
+    state : HostState
+        State of this host.
+    reports : HostReports
+        Receives the serials of other hosts.
+    describe_self : callable
+        Gives the report of this host.
+    seeds : iterable of str
+        `address:port` of control processes to ask while the host list is unknown.
+    counters : Counters
+        Sink for counters.
+    rng : random.Random
+        Source of jitter.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        state: HostState,
+        reports: HostReports,
+        describe_self: Callable[[], HostReport],
+        seeds: Iterable[str],
+        counters: Counters,
+        rng: random.Random,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._state = state
+        self._reports = reports
+        self._describe_self = describe_self
+        self._seeds = list(seeds)
+        self._counters = counters
+        self._rng = rng
+        self._clock = clock
+        self._channels: dict[str, grpc.aio.Channel] = {}
+        self._fetching: set[tuple[str, str]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    # Server side.
+
+    async def Exchange(self, request: Any, _context: Any) -> Any:  # noqa: N802
+        """Take the state of another host and answer with the own one."""
+        self._absorb(request)
+        target = self._find_target(request.host.host_id)
+        if target is not None:
+            self._start_fetches(target, request)
+        return self.make_state(request)
+
+    async def FetchSettings(self, request: Any, _context: Any) -> Any:  # noqa: N802
+        """Return the envelope in force if it is newer than the caller's."""
+        envelope = self._state.envelope
+        if envelope is None or envelope.serial <= request.held_serial:
+            return control_pb2.SettingsResponse()
+        return control_pb2.SettingsResponse(envelope=encode_envelope(envelope))
+
+    async def FetchHostList(self, request: Any, _context: Any) -> Any:  # noqa: N802
+        """Return the host list if it is newer than the caller's."""
+        host_list = self._state.host_list
+        if host_list is None or host_list.revision <= request.held_revision:
+            return control_pb2.HostListResponse()
+        return control_pb2.HostListResponse(host_list=dump_host_list(host_list))
+
+    # Client side.
+
+    async def run(self) -> None:
+        """Exchange until cancelled."""
+        await asyncio.gather(self._run_periodic(), self._run_news())
+
+    async def collect(self) -> None:
+        """Ask seeds and known peers for their settings and host list, for the start."""
+        targets = self._choose_targets(MAX_CHANNELS)
+        await asyncio.gather(*(self._collect_from(target) for target in targets))
+
+    async def close(self) -> None:
+        """Close the connections."""
+        for task in self._tasks:
+            task.cancel()
+        for channel in self._channels.values():
+            await channel.close()
+
+    async def _run_periodic(self) -> None:
+        while True:
+            jitter = self._rng.uniform(1 - EXCHANGE_JITTER, 1 + EXCHANGE_JITTER)
+            await asyncio.sleep(EXCHANGE_INTERVAL_S * jitter)
+            await self._exchange_with(self._choose_targets(PERIODIC_PEERS))
+
+    async def _run_news(self) -> None:
+        told = (self._state.serial, self._state.departures.sequence)
+        with self._state.listen() as changed:
+            while True:
+                await changed.wait()
+                changed.clear()
+                known = (self._state.serial, self._state.departures.sequence)
+                if known == told:
+                    continue
+                told = known
+                self._counters.incr("peers.news")
+                self._spawn(self._exchange_with(self._choose_targets(NEWS_PEERS)))
+                await asyncio.sleep(NEWS_PAUSE_S)
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _choose_targets(self, count: int) -> list[str]:
+        peers = [f"{host.address}:{host.control_port}" for host in self._state.list_peers()]
+        targets = peers or self._seeds
+        return self._rng.sample(targets, min(count, len(targets)))
+
+    def _find_target(self, host_id: str) -> str | None:
+        for host in self._state.list_peers():
+            if host.id == host_id:
+                return f"{host.address}:{host.control_port}"
+        return None
+
+    async def _exchange_with(self, targets: list[str]) -> None:
+        await asyncio.gather(*(self._exchange(target) for target in targets))
+
+    async def _exchange(self, target: str) -> None:
+        answer = await self._call(target, "Exchange", self.make_state(None))
+        if answer is None:
+            return
+        self._absorb(answer)
+        self._start_fetches(target, answer)
+
+    async def _collect_from(self, target: str) -> None:
+        await asyncio.gather(self._fetch_settings(target), self._fetch_host_list(target))
+
+    def make_state(self, request: Any | None) -> Any:
+        """Return the state to send; all departures if the caller's differ from the own ones."""
+        report = self._describe_self()
+        departures = self._state.departures
+        departures_hash = departures.compute_hash()
+        message = control_pb2.PeerState(
+            digest=self._state.digest,
+            host_list_revision=self._state.host_list_revision,
+            departures=encode_departures(departures.list_recent(self._clock())),
+            departures_hash=departures_hash,
+        )
+        message.host.host_id = self._state.host_id
+        message.host.serial = report.serial
+        message.host.entry_serial = report.entry_serial
+        message.host.entry_processes = report.entry_processes
+        if request is not None and self._lacks_departures(request, departures_hash):
+            message.departures.extend(encode_departures(departures.list_relevant()))
+        return message
+
+    def _lacks_departures(self, request: Any, departures_hash: int) -> bool:
+        # Hosts with different host lists consider different departures relevant.
+        same_list = request.host_list_revision == self._state.host_list_revision
+        return same_list and bool(request.departures_hash != departures_hash)
+
+    def _absorb(self, message: Any) -> None:
+        host = message.host
+        report = HostReport(host.serial, host.entry_serial, host.entry_processes)
+        self._reports.take(host.host_id, report)
+        self._state.add_departures(decode_departures(message.departures))
+
+    def _start_fetches(self, target: str, message: Any) -> None:
+        is_newer = message.host.serial > self._state.serial
+        if is_newer and not self._state.was_rejected(message.digest, f"peer:{target}"):
+            self._start_fetch(self._fetch_settings, target)
+        if message.host_list_revision > self._state.host_list_revision and self._lacks_platform():
+            self._start_fetch(self._fetch_host_list, target)
+
+    def _start_fetch(self, fetch: Callable[[str], Awaitable[None]], target: str) -> None:
+        """Start a fetch unless the same one is under way."""
+        key = (fetch.__name__, target)
+        if key in self._fetching:
+            return
+        self._fetching.add(key)
+        self._spawn(self._finish_fetch(fetch, target))
+
+    async def _finish_fetch(self, fetch: Callable[[str], Awaitable[None]], target: str) -> None:
+        try:
+            await fetch(target)
+        finally:
+            self._fetching.discard((fetch.__name__, target))
+
+    def _lacks_platform(self) -> bool:
+        heard_at = self._state.host_list_heard_at
+        return heard_at is None or self._clock() - heard_at > HOST_LIST_SILENCE_S
+
+    async def _fetch_settings(self, target: str) -> None:
+        request = control_pb2.SettingsRequest(held_serial=self._state.serial)
+        answer = await self._call(target, "FetchSettings", request)
+        if answer is not None and answer.envelope:
+            self._state.offer_settings(answer.envelope, f"peer:{target}")
+
+    async def _fetch_host_list(self, target: str) -> None:
+        request = control_pb2.HostListRequest(held_revision=self._state.host_list_revision)
+        answer = await self._call(target, "FetchHostList", request)
+        if answer is None or not answer.host_list:
+            return
+        try:
+            host_list = load_host_list(json.loads(answer.host_list))
+        except ValueError as error:
+            logging.error('event=host_list_malformed source=%s error="%s"', target, error)
+            return
+        self._state.offer_host_list(host_list, "peer")
+
+    async def _call(self, target: str, method: str, request: Any) -> Any | None:
+        """Call a peer; return None if it does not answer in time."""
+        self._counters.incr(f"peers.{method}")
+        stub = control_pb2_grpc.PeersStub(self._open_channel(target))  # type: ignore[no-untyped-call]
+        try:
+            return await getattr(stub, method)(request, timeout=CALL_TIMEOUT_S)
+        except grpc.aio.AioRpcError as error:
+            self._counters.incr(f"peers.failed.{error.code().name.lower()}")
+            return None
+
+    def _open_channel(self, target: str) -> grpc.aio.Channel:
+        channel = self._channels.pop(target, None)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(target)
+        # Reinsertion keeps the least recently used connection first.
+        self._channels[target] = channel
+        if len(self._channels) > MAX_CHANNELS:
+            oldest = next(iter(self._channels))
+            self._spawn(self._channels.pop(oldest).close())
+        return channel
--- a/amaranthbend/controllers/settings_watch.py
+++ b/amaranthbend/controllers/settings_watch.py
@@ -7,7 +7,6 @@
 
 from ..adapters.platform import ObjectChanges, PlatformCallError, PlatformClient
 from ..core.backoff import Backoff
-from ..core.envelope import load_envelope
 from .host_state import HostState
 
 __all__ = ["SettingsWatch"]
@@ -76,12 +75,7 @@
         for stored in changes.objects:
             if stored.name != self._deployment:
                 continue
-            try:
-                envelope = load_envelope(stored.value)
-            except ValueError as error:
-                logging.error('event=settings_malformed version=%d error="%s"', stored[1], error)
-                continue
-            self._state.offer_settings(envelope, "platform")
+            self._state.offer_settings(stored.value, "platform")
 
     async def _fetch(self) -> Result[ObjectChanges, PlatformCallError]:
         if self._revision is None:
--- a/amaranthbend/programs/control.py
+++ b/amaranthbend/programs/control.py
@@ -3,31 +3,41 @@
 import asyncio
 import json
 import random
+import secrets
 import signal
+import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, NamedTuple
 
 import fire
 import grpc
 from absl import logging
-from result import Ok, Result
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from ..adapters.platform import PlatformClient
-from ..controllers.entry_feed import EntryFeed, ShareValidity
+from ..controllers.claim_sweeper import ClaimSweeper
+from ..controllers.entry_feed import EntryFeed
+from ..controllers.fleet_status import FleetStatus, HostReports
 from ..controllers.host_state import HostState
 from ..controllers.host_watch import HostWatch
+from ..controllers.lease_keeper import LeaseDriver, LeaseKeeper, LeaseTiming
+from ..controllers.peer_exchange import PeerExchange
+from ..controllers.probe_shares import ProbeShareKeeper
 from ..controllers.settings_watch import SettingsWatch
-from ..core.envelope import SettingsEnvelope
-from ..core.errors import ApprovalError
 from ..rpc import control_pb2_grpc
+from ..settings.acceptance import Approvers
 
-__all__ = ["ControlProcess", "ControlSettings", "main"]
+__all__ = ["ControlProcess", "main"]
 
-# Calls at the same time: two long polls, leases, sweeps and status.
+# Calls at the same time: the watch, leases, sweeps and status. Calls above it would wait
+# in the client's queue.
 PLATFORM_CLIENTS = 32
+# A fresh host takes the highest serial heard of within this time.
+COLLECT_S = 1.0
 STOP_GRACE_S = 1.0
+RELEASE_S = 2.0
+TOKEN_BYTES = 8
 
 
 class ControlSettings(NamedTuple):
@@ -38,6 +48,9 @@
     control_address: str
     control_port: int
     platform_url: str
+    approver_keys: dict[str, str]
+    required_approvals: int
+    peers: list[str]
 
 
 class LogCounters:
@@ -51,54 +64,155 @@
         self.values[stat] = self.values.get(stat, 0) + count
 
 
-def accept_newer(
-    held: SettingsEnvelope | None, offered: SettingsEnvelope
-) -> Result[SettingsEnvelope, ApprovalError]:
-    """Accept a higher serial."""
-    if held is not None and offered.serial <= held.serial:
-        from result import Err
-
-        return Err(ApprovalError(f"serial {offered.serial} is not above {held.serial}"))
-    return Ok(offered)
-
-
 class ControlProcess:
-    """Builds the parts of the control process and runs them until it is told to stop."""
+    """Builds the parts of the control process and runs them until it is told to stop.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Process settings.
+    """
 
     def __init__(self, settings: ControlSettings) -> None:
-        rng = random.Random()
         self._settings = settings
         self._counters = LogCounters()
+        self._rng = random.Random()
         client = SimpleAsyncHTTPClient(force_instance=True, max_clients=PLATFORM_CLIENTS)
         self.platform = PlatformClient(settings.platform_url, client, self._counters)
-        self.state = HostState(settings.host_id, accept_newer, self._counters, time.monotonic)
-        self.settings_watch = SettingsWatch(self.platform, self.state, settings.deployment, rng)
-        self.host_watch = HostWatch(self.platform, self.state, rng)
-        self.feed = EntryFeed(self.state, self._counters, lambda: ShareValidity(0.0, 0.0))
-
-    async def run(self, stopped: asyncio.Event) -> None:
-        """Serve until the event is set."""
+        approvers = Approvers(
+            settings.deployment, settings.approver_keys, settings.required_approvals
+        )
+        self.state = HostState(settings.host_id, approvers, self._counters)
+        self._build_watches()
+        self._build_leases()
+        self._build_services()
+
+    def _build_watches(self) -> None:
+        deployment = self._settings.deployment
+        self._settings_watch = SettingsWatch(self.platform, self.state, deployment, self._rng)
+        self._host_watch = HostWatch(self.platform, self.state, self._rng)
+        self._reports = HostReports(time.monotonic)
+
+    def _build_leases(self) -> None:
+        # A restarted process is another holder: it knows nothing of earlier writes.
+        holder = f"{self._settings.host_id}.{secrets.token_hex(TOKEN_BYTES)}"
+        timing = LeaseTiming()
+        driver = LeaseDriver(self.platform, self._counters, self._rng)
+        sweeper_lease = LeaseKeeper(driver, "claim-sweeper", holder, timing)
+        status_lease = LeaseKeeper(driver, "fleet-status", holder, timing)
+        self._leases = [sweeper_lease, status_lease]
+        self._shares = ProbeShareKeeper(driver, holder, timing, self._count_shares)
+        self._sweeper = ClaimSweeper(
+            self.platform, sweeper_lease, self._counters, self._get_retention, time.monotonic
+        )
+        self._status = FleetStatus(
+            self.platform,
+            status_lease,
+            self.state,
+            self._reports,
+            self._settings.deployment,
+            self._counters,
+            time.monotonic,
+        )
+
+    def _build_services(self) -> None:
+        self.feed = EntryFeed(self.state, self._shares.get_share)
+        self.peers = PeerExchange(
+            self.state,
+            self._reports,
+            self.feed.describe_host,
+            self._settings.peers,
+            self._counters,
+            self._rng,
+        )
+
+    def _count_shares(self) -> int:
+        return 0 if self.state.policy is None else self.state.policy.entry_hosts_max
+
+    def _get_retention(self) -> float | None:
+        return None if self.state.policy is None else self.state.policy.claim_retention_s
+
+    async def run(self, stopped: asyncio.Event) -> bool:
+        """Serve until the event is set, then stop gracefully.
+
+        Returns
+        -------
+        bool
+            False if a part of the process failed.
+        """
+        await self._collect()
         server = grpc.aio.server()
         control_pb2_grpc.add_FeedServicer_to_server(self.feed, server)  # type: ignore[no-untyped-call]
+        control_pb2_grpc.add_PeersServicer_to_server(self.peers, server)  # type: ignore[no-untyped-call]
         server.add_insecure_port(f"{self._settings.control_address}:{self._settings.control_port}")
         await server.start()
-        logging.info("event=control_started port=%d", self._settings.control_port)
-        loops: list[Callable[[], Awaitable[None]]] = [self.settings_watch.run, self.host_watch.run]
-        tasks = [asyncio.ensure_future(run()) for run in loops]
-        await stopped.wait()
+        logging.info(
+            "event=control_started port=%d serial=%d",
+            self._settings.control_port,
+            self.state.serial,
+        )
+        tasks = [asyncio.ensure_future(run()) for run in self._list_loops()]
+        waiting = asyncio.ensure_future(stopped.wait())
+        await asyncio.wait([waiting, *tasks], return_when=asyncio.FIRST_COMPLETED)
+        waiting.cancel()
+        has_failed = any(task.done() for task in tasks)
+        await self._stop(server, tasks)
+        return not has_failed
+
+    def _list_loops(self) -> list[Callable[[], Awaitable[None]]]:
+        loops: list[Callable[[], Awaitable[None]]] = [
+            self._settings_watch.run,
+            self._host_watch.run,
+            self.peers.run,
+            self._shares.run,
+            self._sweeper.run,
+            self._status.run,
+            self._report_self,
+        ]
+        return loops + [lease.run for lease in self._leases]
+
+    async def _report_self(self) -> None:
+        while True:
+            self._reports.take(self.state.host_id, self.feed.describe_host())
+            await asyncio.sleep(1.0)
+
+    async def _collect(self) -> None:
+        """Learn settings and host list from the platform and from peers, within a time limit."""
+        try:
+            async with asyncio.timeout(COLLECT_S):
+                await asyncio.gather(self._collect_from_platform(), self.peers.collect())
+        except TimeoutError:
+            logging.info("event=start_collection_timeout limit_s=%.1f", COLLECT_S)
+
+    async def _collect_from_platform(self) -> None:
+        await asyncio.gather(self._settings_watch.fetch_once(), self._host_watch.fetch_once())
+        # The host list names peers that the process settings do not.
+        await self.peers.collect()
+
+    async def _stop(self, server: Any, tasks: Sequence[asyncio.Future[None]]) -> None:
         for task in tasks:
+            if task.done() and not task.cancelled() and task.exception() is not None:
+                logging.error("event=loop_failed", exc_info=task.exception())
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        releases = [lease.release() for lease in self._leases]
+        try:
+            async with asyncio.timeout(RELEASE_S):
+                await asyncio.gather(*releases, self._shares.release())
+        except TimeoutError:
+            logging.warning("event=lease_release_timeout limit_s=%.1f", RELEASE_S)
         await server.stop(STOP_GRACE_S)
+        await self.peers.close()
         logging.info("event=control_stopped")
 
 
-async def serve(settings: ControlSettings) -> None:
-    """Run until SIGTERM or SIGINT."""
+async def serve(settings: ControlSettings) -> bool:
+    """Run until SIGTERM or SIGINT; return False if a part of the process failed."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
     loop.add_signal_handler(signal.SIGINT, stopped.set)
-    await ControlProcess(settings).run(stopped)
+    return await ControlProcess(settings).run(stopped)
 
 
 def run(settings: str) -> None:
@@ -111,7 +225,8 @@
     """
     with open(settings) as stream:
         document: dict[str, Any] = json.load(stream)
-    asyncio.run(serve(ControlSettings(**document)))
+    if not asyncio.run(serve(ControlSettings(**document))):
+        sys.exit(1)
 
 
 def main() -> None:
--- a/standins/control_hosts.py
+++ b/standins/control_hosts.py
@@ -6,17 +6,40 @@
 from pathlib import Path
 from typing import Any
 
+from amaranthbend.core.envelope import (
+    ManifestEntry,
+    SettingsEnvelope,
+    compute_digest,
+    dump_envelope,
+)
+from amaranthbend.settings.approvals import create_key, sign_envelope
+
 from .http import call_json
 from .processes import Endpoint, ManagedProcess, pick_endpoint, pick_network, wait_until
 
-__all__ = ["ControlHosts", "run_control_hosts"]
+__all__ = ["ControlHosts", "make_envelope", "run_control_hosts"]
 
 DEPLOYMENT = "eeslikoda"
 START_TIMEOUT_S = 20.0
 SERVICE = "adopt-desk"
+APPROVER = create_key("legal").unwrap()
+MERGED: dict[str, Any] = {
+    "deployment": DEPLOYMENT,
+    "services": {SERVICE: {"slots_per_upstream": 6}},
+    "routes": {"all": {"path_prefix": "/", "methods": ["GET", "POST"], "service": SERVICE}},
+}
 UPSTREAM_PORT = 9000
 
 
+def make_envelope(serial: int, **changes: Any) -> SettingsEnvelope:
+    """Return an approved envelope; other top-level settings may be given."""
+    manifest = (ManifestEntry("10-base.jsonc", f"{serial:064x}"),)
+    merged = {**MERGED, **changes}
+    digest = compute_digest(manifest, merged)
+    envelope = SettingsEnvelope(DEPLOYMENT, serial, "", digest, manifest, merged, ())
+    return envelope._replace(signatures=(sign_envelope(envelope, APPROVER),))
+
+
 class ControlHosts:
     """A platform and the control processes of some hosts, each host with its own address.
 
@@ -82,6 +105,9 @@
             "control_address": endpoint.address,
             "control_port": endpoint.port,
             "platform_url": f"http://{self.platform_endpoint}",
+            "approver_keys": {APPROVER.key_id: APPROVER.public_key},
+            "required_approvals": 1,
+            "peers": [str(peer) for peer in self.endpoints if peer != endpoint],
         }
 
     def start_platform(self) -> None:
@@ -115,6 +141,10 @@
         """Write an object without a condition."""
         call_json(self.platform_endpoint, f"/objects/{kind}/{name}", "PUT", value)
 
+    def publish(self, envelope: SettingsEnvelope) -> None:
+        """Store an envelope on the platform."""
+        self.put_object("settings", DEPLOYMENT, dump_envelope(envelope))
+
     def set_faults(self, **faults: Any) -> None:
         """Change the faults of the platform."""
         call_json(self.platform_endpoint, "/_faults", "PUT", faults)
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -4,25 +4,12 @@
 
 from amaranthbend.adapters.control_link import ControlLink, LinkCallbacks
 from amaranthbend.core.departures import Departure
-from amaranthbend.core.envelope import (
-    ManifestEntry,
-    SettingsEnvelope,
-    compute_digest,
-    dump_envelope,
-)
+from amaranthbend.core.envelope import SettingsEnvelope
 from amaranthbend.rpc.messages import MembersByService
-from standins.control_hosts import ControlHosts, run_control_hosts
+from standins.control_hosts import ControlHosts, make_envelope, run_control_hosts
 from standins.processes import Endpoint
 
 
-def make_envelope(serial: int) -> SettingsEnvelope:
-    """Return an envelope."""
-    manifest = (ManifestEntry("a.jsonc", "0" * 64),)
-    merged = {"deployment": "eeslikoda", "serial": serial}
-    digest = compute_digest(manifest, merged)
-    return SettingsEnvelope("eeslikoda", serial, "", digest, manifest, merged, ())
-
-
 class Receiver:
     """Stands for the entry process."""
 
@@ -54,20 +41,16 @@
                 await asyncio.sleep(0.01)
 
 
-def publish(hosts: ControlHosts, serial: int) -> None:
-    """Store an envelope on the platform."""
-    hosts.put_object("settings", "eeslikoda", dump_envelope(make_envelope(serial)))
-
-
 async def follow_restart(hosts: ControlHosts) -> None:
     """Publish, restart control in an outage, and check what each side holds."""
     receiver = Receiver(hosts.target(0))
     running = asyncio.create_task(receiver.link.run())
     await receiver.wait_for(lambda: receiver.envelope and receiver.members)
-    assert receiver.envelope == make_envelope(1)
+    assert receiver.envelope is not None and receiver.envelope.serial == 1
     assert [m.upstream for m in receiver.members["adopt-desk"]] == ["desk-0", "desk-1", "desk-2"]
-    publish(hosts, 2)
-    await receiver.wait_for(lambda: receiver.envelope == make_envelope(2))
+    second = make_envelope(2)
+    hosts.publish(second)
+    await receiver.wait_for(lambda: receiver.envelope == second)
 
     hosts.set_faults(outage="unavailable")
     hosts.processes[0].kill()
@@ -83,6 +66,6 @@
 def test_restart_without_platform(tmp_path: Path) -> None:
     """Guards against settings or members lost when control restarts during an outage."""
     with run_control_hosts(tmp_path, 1) as hosts:
-        publish(hosts, 1)
+        hosts.publish(make_envelope(1))
         hosts.start()
         asyncio.run(follow_restart(hosts))
