Add local deployment and demonstration

The demo and the failure tests need a whole deployment: platform, upstreams, hosts with control and entry processes, and an operator.

--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of the whole system on loopback: `python -m demo`."""
