--- a/amaranthbend/controllers/settings_watch.py
+++ b/amaranthbend/controllers/settings_watch.py
@@ -1,6 +1,5 @@
 """Watch on the settings of the deployment."""
 
-import asyncio
 import random
 
 from absl import logging
@@ -8,7 +7,6 @@
 
 from ..adapters.platform import ObjectChanges, PlatformCallError, PlatformClient
 from ..core.backoff import Backoff
-from ..core.envelope import load_envelope
 from .host_state import HostState
 
 __all__ = ["SettingsWatch"]
@@ -52,7 +50,7 @@
                 logging.warning(
                     'event=settings_watch_failed delay_s=%.2f error="%s"', delay_s, answer.err_value
                 )
-                await asyncio.sleep(delay_s)
+                await self._platform.pause(delay_s)
                 continue
             self._backoff.reset()
             self.take(answer.ok_value)
@@ -77,12 +75,7 @@
         for stored in changes.objects:
             if stored.name != self._deployment:
                 continue
-            try:
-                envelope = load_envelope(stored.value)
-            except ValueError as error:
-                logging.error('event=settings_malformed version=%d error="%s"', stored[1], error)
-                continue
-            self._state.offer_settings(envelope, "platform")
+            self._state.offer_settings(stored.value, "platform")
 
     async def _fetch(self) -> Result[ObjectChanges, PlatformCallError]:
         if self._revision is None:
