Add entry process that passes requests through a filter chain

Cause: callers had nothing to connect to; the decision core had no driver. Change: tornado server with message delegates, curl client without a queue, head and run filters, dispatch of the core's actions, statsd counters, logs, administration API and process settings.

--- /dev/null
+++ b/amaranthbend/adapters/admin.py
@@ -0,0 +1,72 @@
+"""Read-only administration API of both server programs."""
+
+import json
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+__all__ = ["AdminSources", "make_admin_server"]
+
+UNAVAILABLE = 503
+
+
+class AdminSources(NamedTuple):
+    """Where the administration API finds what it shows.
+
+    Parameters
+    ----------
+    get_unreadiness : callable
+        Gives why the process is not ready, empty if it is.
+    get_config : callable
+        Gives serial and digest in force.
+    get_upstreams : callable
+        Gives what is known of each upstream, by service.
+    get_counters : callable
+        Gives the counters.
+    """
+
+    get_unreadiness: Callable[[], str]
+    get_config: Callable[[], dict[str, Any]]
+    get_upstreams: Callable[[], dict[str, Any]]
+    get_counters: Callable[[], dict[str, Any]]
+
+
+class _JsonHandler(RequestHandler):
+    def initialize(self, source: Callable[[], dict[str, Any]]) -> None:
+        self._source = source
+
+    def get(self) -> None:
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(self._source(), sort_keys=True, indent=1) + "\n")
+
+
+class _ReadyHandler(RequestHandler):
+    def initialize(self, source: Callable[[], str]) -> None:
+        self._source = source
+
+    def get(self) -> None:
+        problem = self._source()
+        if problem:
+            self.set_status(UNAVAILABLE)
+        self.set_header("Content-Type", "text/plain")
+        self.finish((problem or "ready") + "\n")
+
+
+def make_admin_server(sources: AdminSources) -> HTTPServer:
+    """Return a server that still has to listen.
+
+    Parameters
+    ----------
+    sources : AdminSources
+        Where the API finds what it shows.
+    """
+    handlers: list[Any] = [
+        ("/livez", _ReadyHandler, {"source": lambda: ""}),
+        ("/readyz", _ReadyHandler, {"source": sources.get_unreadiness}),
+        ("/configz", _JsonHandler, {"source": sources.get_config}),
+        ("/upstreamz", _JsonHandler, {"source": sources.get_upstreams}),
+        ("/counterz", _JsonHandler, {"source": sources.get_counters}),
+    ]
+    return HTTPServer(Application(handlers, log_function=lambda _handler: None))
--- /dev/null
+++ b/amaranthbend/adapters/caller.py
@@ -0,0 +1,311 @@
+"""Caller's side of the entry process: one request and its response."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol, cast
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine, ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+from ..core.outcomes import Outcome, OutcomeReason
+from ..core.policy import RoutePolicy
+from ..filters.refusals import Refusal, make_failure, make_refusal, render_refusal
+from .body import RequestBody
+from .headers import STATUS_WITHOUT_BODY, ResponseHead, list_connection_options
+
+if TYPE_CHECKING:
+    from .caller_server import CallerStream
+
+__all__ = ["CallerRequest", "RequestHandler"]
+
+LAST_CHUNK = b"0\r\n\r\n"
+# Bodies above this size are refused without waiting for their end.
+DISCARDED_BODY_BYTES = 64 * 1024
+
+
+class RequestHandler(Protocol):
+    """What happens to requests; implemented by the filter chain."""
+
+    held_body_bytes: int
+    is_draining: bool
+
+    def check(self, request: "CallerRequest") -> Refusal | None:
+        """Check the head of a request."""
+
+    def run(self, request: "CallerRequest") -> None:
+        """Run a request whose body is complete or will be streamed."""
+
+    def abandon(self, request: "CallerRequest") -> None:
+        """Stop a request whose caller went away."""
+
+    def count_end(self, request: "CallerRequest", outcome: Outcome, reason: str) -> None:
+        """Count how a request ended."""
+
+
+class CallerRequest(HTTPMessageDelegate):
+    """One request and its response; the filters add what they find out.
+
+    Parameters
+    ----------
+    handler : RequestHandler
+        What to do with the request.
+    connection : HTTP1Connection
+        Connection, for this request only.
+    """
+
+    method = ""
+    target = ""
+    path = ""
+    host = ""
+    headers: HTTPHeaders
+    body: RequestBody | None = None
+    route: RoutePolicy | None = None
+    deadline = 0.0
+    is_idempotent = False
+    idempotency_key = ""
+    request_id = 0
+    claim: object = None
+    dispatch: object = None
+
+    def __init__(self, handler: RequestHandler, connection: HTTP1Connection) -> None:
+        self.connection = connection
+        self.arrived_at = 0.0
+        self.last_progress = 0.0
+        self.is_sent = False
+        self.has_begun = False
+        self.has_ended = False
+        self.on_writable: Callable[[], None] | None = None
+        self._handler = handler
+        self._refusal: Refusal | None = None
+        self.is_running = False
+        self._closes = False
+        self._version = "HTTP/1.1"
+        self._chunks_output = False
+        self._out: list[bytes] = []
+        self._is_blocked = False
+
+    @property
+    def is_http_1_1(self) -> bool:
+        """Whether the caller understands chunks."""
+        return self._version == "HTTP/1.1"
+
+    # Request.
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Check the head; called by tornado."""
+        line = cast(RequestStartLine, start_line)
+        self.method, self.target, self._version = line.method, line.path, line.version
+        self.headers = headers
+        self.arrived_at = self.last_progress = time.monotonic()
+        options = list_connection_options(headers.get_list("Connection"))
+        self._closes = not self.is_http_1_1 or "close" in options
+        if headers.get("Expect", "").lower() == "100-continue":
+            # tornado compares case-sensitively; callers would wait for nothing.
+            headers["Expect"] = "100-continue"
+        self._refusal = self._handler.check(self)
+        body = self.body
+        length = body.length if body is not None else 0
+        if self._refusal is not None:
+            if self._refusal.closes or length is None or length > DISCARDED_BODY_BYTES:
+                self._closes = True
+                self.refuse(self._refusal)
+            return
+        if length is not None and length > self._handler.held_body_bytes:
+            self._start_streaming()
+
+    def data_received(self, chunk: bytes) -> "asyncio.Future[None] | None":
+        """Take a part of the body; called by tornado."""
+        body = self.body
+        if self.has_ended or self._refusal is not None or body is None or self.route is None:
+            return None
+        self.last_progress = time.monotonic()
+        if body.size + len(chunk) > self.route.max_body_bytes:
+            self._refuse_long_body()
+            return None
+        room = body.append(chunk)
+        if not body.streamed and body.size > self._handler.held_body_bytes:
+            self._start_streaming()
+        return room
+
+    def finish(self) -> None:
+        """Run the request, now complete; called by tornado."""
+        if self.has_ended:
+            return
+        self.connection.set_close_callback(self.on_connection_close)
+        if self._refusal is not None:
+            self.refuse(self._refusal)
+            return
+        if self.body is not None:
+            self.body.end()
+        if not self.is_running:
+            self.is_running = True
+            self._handler.run(self)
+
+    def on_connection_close(self) -> None:
+        """Cancel the request; called by tornado."""
+        if self.body is not None:
+            self.body.release()
+        if self.has_ended or not self.method:
+            return
+        self.has_ended = True
+        if self.is_running:
+            self._handler.abandon(self)
+        outcome = Outcome.UNKNOWN if self.is_sent else Outcome.NOT_RUN
+        self._handler.count_end(self, outcome, OutcomeReason.CALLER_GONE)
+
+    def _start_streaming(self) -> None:
+        assert self.body is not None
+        self.body.streamed = True
+        self.is_running = True
+        self._handler.run(self)
+
+    def _refuse_long_body(self) -> None:
+        self._closes = True
+        if self.is_sent:
+            # A part of the request has reached an upstream.
+            self.refuse(make_failure(OutcomeReason.BODY_TOO_LARGE))
+        else:
+            self.refuse(make_refusal(OutcomeReason.BODY_TOO_LARGE))
+        if self.is_running:
+            self._handler.abandon(self)
+
+    def reject_malformed(self, reason: OutcomeReason) -> bytes:
+        """Return the response to input that is not HTTP; the connection is closed after it."""
+        if self.has_ended:
+            return b""
+        self.has_ended = True
+        if self.body is not None:
+            self.body.release()
+        if self.is_running:
+            self._handler.abandon(self)
+        refusal = make_failure(reason) if self.is_sent else make_refusal(reason)
+        self._handler.count_end(self, refusal.outcome, reason)
+        if self.has_begun:
+            return b""
+        return render_refusal(refusal, closes=True, has_body=self.method != "HEAD")
+
+    # Response.
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Respond without an upstream's answer."""
+        if self.has_ended:
+            return
+        if self.has_begun:
+            self.cut_off(refusal.reason)
+            return
+        self._closes = self._closes or refusal.closes or self._handler.is_draining
+        has_body = self.method != "HEAD"
+        self._out.clear()
+        self._out.append(render_refusal(refusal, closes=self._closes, has_body=has_body))
+        self._handler.count_end(self, refusal.outcome, refusal.reason)
+        self._end()
+
+    def begin(self, head: ResponseHead) -> None:
+        """Start to pass on an upstream's response, of which nothing was sent yet."""
+        self._out.clear()
+        self._chunks_output = False
+        self._closes = self._closes or self._handler.is_draining
+        lines = [b"HTTP/1.1 %d %s" % (head.status, head.reason)]
+        lines += [name + b": " + value for name, value in head.fields]
+        lines.append(b"X-Request-Outcome: answered")
+        lines += self._choose_framing(head)
+        if self._closes:
+            lines.append(b"Connection: close")
+        lines.append(b"\r\n")
+        self._out.append(b"\r\n".join(lines))
+
+    def _choose_framing(self, head: ResponseHead) -> list[bytes]:
+        if head.status in STATUS_WITHOUT_BODY or self.method == "HEAD":
+            if head.length is None or head.status == 204:
+                return []
+            return [b"Content-Length: %d" % head.length]
+        if head.length is not None:
+            return [b"Content-Length: %d" % head.length]
+        if head.chunked and self.is_http_1_1:
+            self._chunks_output = True
+            return [b"Transfer-Encoding: chunked"]
+        # Only the end of the connection shows the end of the body.
+        self._closes = True
+        return []
+
+    def append(self, data: bytes) -> None:
+        """Add bytes of the body; `flush` or `complete` sends them."""
+        if not data:
+            return
+        if self._chunks_output:
+            self._out.append(b"%x\r\n%b\r\n" % (len(data), data))
+        else:
+            self._out.append(data)
+
+    def flush(self) -> bool:
+        """Send what was added; return whether the caller takes more at once."""
+        if self.has_ended:
+            return False
+        self.has_begun = True
+        data = b"".join(self._out)
+        self._out.clear()
+        try:
+            written = self.connection.stream.write(data)
+        except StreamClosedError:
+            return False
+        if written.done():
+            self.last_progress = time.monotonic()
+            return True
+        self._is_blocked = True
+        written.add_done_callback(self._on_written)
+        return False
+
+    def _on_written(self, _written: object) -> None:
+        self.last_progress = time.monotonic()
+        self._is_blocked = False
+        if self.on_writable is not None and not self.has_ended:
+            self.on_writable()
+
+    def complete(self) -> None:
+        """End an upstream's response properly."""
+        if self.has_ended:
+            return
+        if self._chunks_output:
+            self._out.append(LAST_CHUNK)
+        self._handler.count_end(self, Outcome.ANSWERED, "")
+        self._end()
+
+    def cut_off(self, reason: OutcomeReason) -> None:
+        """End a response that has begun so that it cannot look complete."""
+        if self.has_ended:
+            return
+        self.has_ended = True
+        self._handler.count_end(self, Outcome.UNKNOWN, reason)
+        if self.body is not None:
+            self.body.release()
+        stream = cast("CallerStream", self.connection.stream)
+        stream.reset()
+        self.connection.close()
+
+    def _end(self) -> None:
+        self.has_ended = True
+        self.last_progress = time.monotonic()
+        self.on_writable = None
+        body = self.body
+        if body is not None:
+            body.release()
+            if not body.ended:
+                self._closes = True
+        data = b"".join(self._out)
+        self._out.clear()
+        connection = self.connection
+        if connection.stream.closed():
+            return
+        if not self._closes:
+            connection.write(data)
+            connection.finish()
+            return
+        stream = cast("CallerStream", connection.stream)
+        stream.lingers = body is not None and not body.ended
+        stream.write(data).add_done_callback(lambda _written: connection.close())
--- /dev/null
+++ b/amaranthbend/adapters/headers.py
@@ -0,0 +1,136 @@
+"""Header fields that end at one hop, and the framing of messages."""
+
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+__all__ = ["ResponseHead", "decode_response_head", "encode_lines", "list_connection_options"]
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Only the entry process itself may tell a caller how its request ended.
+OWN_RESPONSE_FIELDS = frozenset({"x-request-outcome", "x-outcome-reason"})
+DROPPED_FROM_RESPONSE = HOP_BY_HOP | OWN_RESPONSE_FIELDS
+STATUS_WITHOUT_BODY = frozenset({204, 304})
+FIRST_FINAL_STATUS = 200
+
+
+class ResponseHead(NamedTuple):
+    """Start line and end-to-end header fields of an upstream's response.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    reason : bytes
+        Reason phrase.
+    fields : tuple of (bytes, bytes)
+        End-to-end fields in their order, repeated ones included.
+    length : int or None
+        Length of the body, None if only the end of the stream or of the last chunk shows it.
+    chunked : bool
+        Whether the body is sent in chunks.
+    report : str
+        Value of `X-Load-Report`, empty without one.
+    not_run : str
+        Value of `X-Not-Run`, empty without one.
+    """
+
+    status: int
+    reason: bytes
+    fields: tuple[tuple[bytes, bytes], ...]
+    length: int | None
+    chunked: bool
+    report: str
+    not_run: str
+
+
+def list_connection_options(values: Iterable[str]) -> frozenset[str]:
+    """Return the lower-case options of `Connection` fields."""
+    options: set[str] = set()
+    for value in values:
+        options.update(option.strip().lower() for option in value.split(","))
+    options.discard("")
+    return frozenset(options)
+
+
+def encode_lines(fields: Iterable[tuple[str, str]]) -> list[bytes]:
+    """Return header lines in the form that libcurl takes."""
+    lines: list[bytes] = []
+    for name, value in fields:
+        # libcurl removes a field given as "name:" and sends an empty one given as "name;".
+        lines.append((f"{name}: {value}" if value else f"{name};").encode("latin1"))
+    return lines
+
+
+def decode_response_head(lines: Sequence[bytes]) -> ResponseHead:
+    """Return the head of a response.
+
+    Parameters
+    ----------
+    lines : sequence of bytes
+        Start line and header lines of one final response, as received.
+
+    Raises
+    ------
+    ValueError
+        If the head is malformed or its framing is ambiguous.
+    """
+    version, status, reason = _split_start_line(lines[0])
+    fields: list[tuple[bytes, bytes, str]] = []
+    for line in lines[1:]:
+        name, separator, value = line.partition(b":")
+        if not separator or not name or name != name.strip():
+            raise ValueError(f"malformed header line {line!r}")
+        fields.append((name, value.strip(), name.decode("latin1").lower()))
+    values: dict[str, list[str]] = {}
+    for _name, value, key in fields:
+        values.setdefault(key, []).append(value.decode("latin1"))
+    length = _read_length(values.get("content-length", ()))
+    chunked = _read_chunked(values.get("transfer-encoding", ()), version)
+    if chunked and length is not None:
+        raise ValueError("Content-Length together with Transfer-Encoding")
+    dropped = DROPPED_FROM_RESPONSE | {"content-length"}
+    if "connection" in values:
+        dropped |= list_connection_options(values["connection"])
+    kept = tuple((name, value) for name, value, key in fields if key not in dropped)
+    report = values.get("x-load-report", ("",))[-1]
+    not_run = values.get("x-not-run", ("",))[-1]
+    return ResponseHead(status, reason, kept, length, chunked, report, not_run)
+
+
+def _split_start_line(line: bytes) -> tuple[bytes, int, bytes]:
+    version, _, rest = line.partition(b" ")
+    code, _, reason = rest.partition(b" ")
+    if version not in (b"HTTP/1.1", b"HTTP/1.0") or len(code) != 3 or not code.isdigit():
+        raise ValueError(f"malformed start line {line!r}")
+    status = int(code)
+    if status < FIRST_FINAL_STATUS:
+        raise ValueError(f"status {status} cannot end a request")
+    return version, status, reason.strip()
+
+
+def _read_length(values: Sequence[str]) -> int | None:
+    if not values:
+        return None
+    if len(values) > 1 or not (values[0].isascii() and values[0].isdigit()):
+        raise ValueError(f"conflicting or malformed Content-Length {values!r}")
+    return int(values[0])
+
+
+def _read_chunked(values: Sequence[str], version: bytes) -> bool:
+    if not values:
+        return False
+    if version != b"HTTP/1.1" or len(values) > 1 or values[0].lower() != "chunked":
+        raise ValueError(f"unsupported Transfer-Encoding {values!r}")
+    return True
--- /dev/null
+++ b/amaranthbend/filters/dispatch.py
@@ -0,0 +1,129 @@
+"""Last filter: hands requests to the dispatcher of their service."""
+
+import random
+from collections.abc import Iterable
+from typing import Any
+
+from ..adapters.caller import CallerRequest
+from ..adapters.logs import log_event
+from ..adapters.metrics import Counters
+from ..adapters.upstream import UpstreamClient
+from ..core.actions import Member
+from ..core.departures import Departure
+from ..core.dispatching import Dispatcher
+from ..core.outcomes import Outcome, OutcomeReason
+from ..core.policy import DeploymentPolicy
+from .refusals import Refusal, make_refusal
+from .services import DispatchSettings, ServiceDispatch
+
+__all__ = ["DispatchFilter"]
+
+
+class DispatchFilter:
+    """Hands requests to the dispatcher of their service.
+
+    Parameters
+    ----------
+    client : UpstreamClient
+        Calls upstreams.
+    counters : Counters
+        Where retries and probes are counted.
+    settings : DispatchSettings
+        Process settings.
+    """
+
+    def __init__(
+        self, client: UpstreamClient, counters: Counters, settings: DispatchSettings
+    ) -> None:
+        self.services: dict[str, ServiceDispatch] = {}
+        self._client = client
+        self._counters = counters
+        self._settings = settings
+        self._members: dict[str, tuple[Member, ...]] = {}
+        self._share = 0.0
+        self._last_id = 0
+
+    def set_policy(self, policy: DeploymentPolicy, now: float) -> None:
+        """Put other settings in force; requests of services that are gone still finish."""
+        for name in list(self.services):
+            if name not in policy.services:
+                del self.services[name]
+        for name, service_policy in policy.services.items():
+            service = self.services.get(name)
+            if service is not None:
+                service.apply(service.dispatcher.set_policy(service_policy, now))
+                continue
+            processes = policy.entry_hosts_max * self._settings.entry_processes
+            dispatcher = Dispatcher(
+                service_policy,
+                policy.probing,
+                self._settings.data_centre,
+                random.getrandbits(32),
+                processes=processes,
+            )
+            service = ServiceDispatch(dispatcher, self._client, self._counters, self._settings)
+            self.services[name] = service
+            service.set_members(self._members.get(name, ()), now)
+            service.apply(dispatcher.set_probe_share(self._share, now))
+            log_event("service_added", service=name)
+
+    def set_members(self, members: dict[str, tuple[Member, ...]], now: float) -> None:
+        """Replace the members of all services."""
+        self._members = members
+        for name, service in self.services.items():
+            service.set_members(members.get(name, ()), now)
+
+    def note_departures(self, departures: Iterable[Departure], now: float) -> None:
+        """Take departures that other processes have seen."""
+        for departure in departures:
+            service = self.services.get(departure.service)
+            if service is not None:
+                actions = service.dispatcher.depart(departure.upstream, departure.incarnation, now)
+                service.apply(actions)
+
+    def set_probe_share(self, share: float, now: float) -> None:
+        """Set this process's part of the probe budget."""
+        self._share = share / self._settings.entry_processes
+        for service in self.services.values():
+            service.apply(service.dispatcher.set_probe_share(self._share, now))
+
+    def run(self, request: CallerRequest, now: float) -> Refusal | None:
+        """Hand a request to its dispatcher."""
+        assert request.route is not None
+        service = self.services.get(request.route.service)
+        if service is None:
+            return make_refusal(OutcomeReason.NO_UPSTREAM)
+        self._last_id += 1
+        request.request_id = self._last_id
+        request.dispatch = service
+        service.submit(request, now)
+        return None
+
+    def abandon(self, request: CallerRequest, now: float) -> None:
+        """Stop a request whose caller went away."""
+        if isinstance(request.dispatch, ServiceDispatch):
+            request.dispatch.abandon(request, now)
+
+    def end(self, request: CallerRequest, outcome: Outcome) -> None:
+        """Do nothing; the dispatcher knows the end already."""
+
+    def cut_stalled(self, now: float) -> None:
+        """End the streams that made no progress for too long."""
+        for service in self.services.values():
+            service.cut_stalled(now)
+
+    def snapshot(self, now: float) -> dict[str, Any]:
+        """Return what is known of each upstream, by service."""
+        views: dict[str, Any] = {}
+        for name, service in self.services.items():
+            views[name] = [
+                {
+                    **view.member._asdict(),
+                    "in_flight": view.in_flight,
+                    "report": view.report._asdict() if view.report is not None else None,
+                    "report_age_s": view.report_age_s,
+                    "ejected": view.ejected,
+                }
+                for view in service.dispatcher.snapshot(now)
+            ]
+        return views
--- /dev/null
+++ b/amaranthbend/filters/refusals.py
@@ -0,0 +1,106 @@
+"""Responses that the entry process itself gives."""
+
+from http import HTTPStatus
+from typing import NamedTuple
+
+from ..core.outcomes import Outcome, OutcomeReason
+
+__all__ = ["Refusal", "make_failure", "make_refusal", "render_refusal"]
+
+BAD_INPUT_STATUS = {
+    OutcomeReason.NO_ROUTE: HTTPStatus.NOT_FOUND,
+    OutcomeReason.MALFORMED_REQUEST: HTTPStatus.BAD_REQUEST,
+    OutcomeReason.CONFLICTING_LENGTH: HTTPStatus.BAD_REQUEST,
+    OutcomeReason.HEADERS_TOO_LARGE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    OutcomeReason.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    OutcomeReason.METHOD_NOT_ALLOWED: HTTPStatus.METHOD_NOT_ALLOWED,
+    OutcomeReason.BAD_DEADLINE: HTTPStatus.BAD_REQUEST,
+    OutcomeReason.BAD_IDEMPOTENCY_KEY: HTTPStatus.BAD_REQUEST,
+}
+UNKNOWN_STATUS = {
+    OutcomeReason.DUPLICATE_REQUEST: HTTPStatus.CONFLICT,
+    OutcomeReason.TIMEOUT: HTTPStatus.GATEWAY_TIMEOUT,
+    OutcomeReason.QUEUE_TIMEOUT: HTTPStatus.GATEWAY_TIMEOUT,
+    OutcomeReason.STALLED_STREAM: HTTPStatus.GATEWAY_TIMEOUT,
+}
+DEFAULT_RETRY_AFTER_S = 1.0
+
+
+class Refusal(NamedTuple):
+    """A response without an upstream's answer.
+
+    Parameters
+    ----------
+    status : HTTPStatus
+        Status of the response.
+    outcome : Outcome
+        Whether the request was not run, or whether that is unknown.
+    reason : OutcomeReason
+        Why.
+    retry_after_s : float
+        Time after which to try again; 0 if the same request would be refused again.
+    allow : tuple of str
+        Methods that would be accepted, for `METHOD_NOT_ALLOWED`.
+    closes : bool
+        Whether the connection cannot be used again, for example because the
+        end of the request is not known.
+    """
+
+    status: HTTPStatus
+    outcome: Outcome
+    reason: OutcomeReason
+    retry_after_s: float = 0.0
+    allow: tuple[str, ...] = ()
+    closes: bool = False
+
+
+def make_refusal(
+    reason: OutcomeReason,
+    retry_after_s: float = DEFAULT_RETRY_AFTER_S,
+    *,
+    allow: tuple[str, ...] = (),
+    closes: bool = False,
+) -> Refusal:
+    """Return the refusal of a request that was not run."""
+    status = BAD_INPUT_STATUS.get(reason)
+    if status is not None:
+        return Refusal(status, Outcome.NOT_RUN, reason, 0.0, allow, closes)
+    unavailable = HTTPStatus.SERVICE_UNAVAILABLE
+    return Refusal(unavailable, Outcome.NOT_RUN, reason, retry_after_s, closes=closes)
+
+
+def make_failure(reason: OutcomeReason, *, closes: bool = False) -> Refusal:
+    """Return the response to a request of which nobody knows whether it ran."""
+    status = UNKNOWN_STATUS.get(reason, HTTPStatus.BAD_GATEWAY)
+    return Refusal(status, Outcome.UNKNOWN, reason, closes=closes)
+
+
+def render_refusal(refusal: Refusal, *, closes: bool, has_body: bool) -> bytes:
+    """Return the whole response.
+
+    Parameters
+    ----------
+    refusal : Refusal
+        What to tell the caller.
+    closes : bool
+        Whether the connection is closed after it.
+    has_body : bool
+        Whether a body may follow; not so in response to HEAD.
+    """
+    body = f"{refusal.outcome}: {refusal.reason}\n".encode()
+    lines = [
+        f"HTTP/1.1 {refusal.status.value} {refusal.status.phrase}",
+        f"X-Request-Outcome: {refusal.outcome}",
+        f"X-Outcome-Reason: {refusal.reason}",
+        "Content-Type: text/plain",
+        f"Content-Length: {len(body)}",
+    ]
+    if refusal.retry_after_s > 0:
+        # The field takes whole seconds only.
+        lines.append(f"Retry-After: {max(1, round(refusal.retry_after_s))}")
+    if refusal.allow:
+        lines.append(f"Allow: {', '.join(refusal.allow)}")
+    if closes:
+        lines.append("Connection: close")
+    head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+    return head + body if has_body else head
--- /dev/null
+++ b/amaranthbend/filters/routes.py
@@ -0,0 +1,44 @@
+"""Choice of the route."""
+
+from ..adapters.caller import CallerRequest
+from ..core.outcomes import OutcomeReason
+from ..core.policy import DeploymentPolicy, RoutePolicy
+from .refusals import Refusal, make_refusal
+
+__all__ = ["RouteMatch"]
+
+
+class RouteMatch:
+    """Chooses the route with the longest prefix whose methods match."""
+
+    def __init__(self) -> None:
+        self._routes: tuple[RoutePolicy, ...] | None = None
+
+    def set_policy(self, policy: DeploymentPolicy) -> None:
+        """Use other routes from now on."""
+        routes = sorted(policy.routes, key=lambda route: len(route.path_prefix), reverse=True)
+        self._routes = tuple(routes)
+
+    def check(self, request: CallerRequest, now: float) -> Refusal | None:  # noqa: ARG002
+        """Set the route of a request, and check its announced length."""
+        if self._routes is None:
+            return make_refusal(OutcomeReason.NO_CONFIGURATION)
+        allowed: set[str] = set()
+        for route in self._routes:
+            if not request.path.startswith(route.path_prefix):
+                continue
+            if request.method in route.methods:
+                request.route = route
+                return _check_length(request, route)
+            allowed.update(route.methods)
+        if allowed:
+            allow = tuple(sorted(allowed))
+            return make_refusal(OutcomeReason.METHOD_NOT_ALLOWED, allow=allow)
+        return make_refusal(OutcomeReason.NO_ROUTE)
+
+
+def _check_length(request: CallerRequest, route: RoutePolicy) -> Refusal | None:
+    body = request.body
+    if body is None or body.length is None or body.length <= route.max_body_bytes:
+        return None
+    return make_refusal(OutcomeReason.BODY_TOO_LARGE)
--- /dev/null
+++ b/amaranthbend/filters/services.py
@@ -0,0 +1,278 @@
+"""Drives the dispatcher of one service and carries out its actions."""
+
+import asyncio
+import random
+import time
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from ..adapters.caller import CallerRequest
+from ..adapters.calls import CallEnd, EndKind, UpstreamCall, UpstreamRequest
+from ..adapters.headers import ResponseHead
+from ..adapters.metrics import Counters
+from ..adapters.upstream import UpstreamClient
+from ..core.actions import (
+    Action,
+    AttemptResult,
+    Cancel,
+    Complete,
+    LoadReport,
+    Member,
+    Probe,
+    Refuse,
+    RequestInfo,
+    Send,
+)
+from ..core.dispatching import Dispatcher
+from ..core.outcomes import Outcome, OutcomeReason
+from .attempts import Attempt, build_upstream_request, parse_load_report
+from .refusals import make_failure, make_refusal
+
+__all__ = ["DispatchSettings", "ServiceDispatch"]
+
+# Retry-After is spread, so that refused callers do not return together.
+RETRY_AFTER_SPREAD = 2.0
+PROBE_TIMEOUT_S = 0.25
+# Estimate of the bytes of a probe and its response, headers included.
+PROBE_BYTES = 400
+MIN_TICK_S = 0.001
+
+
+class DispatchSettings(NamedTuple):
+    """Process settings that the dispatch filter uses.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of this process.
+    entry_processes : int
+        Entry processes on this host.
+    connect_timeout_s : float
+        Longest time to connect to an upstream.
+    stall_timeout_s : float
+        Time without progress after which a stream is cut off.
+    """
+
+    data_centre: str
+    entry_processes: int
+    connect_timeout_s: float
+    stall_timeout_s: float
+
+
+class Running(NamedTuple):
+    """A request that the dispatcher holds, and its attempts that have not ended."""
+
+    request: CallerRequest
+    attempts: dict[int, Attempt]
+
+
+class ProbeCall:
+    """A probe; takes the report from the response's header or its body."""
+
+    def __init__(self, service: "ServiceDispatch", upstream: str) -> None:
+        self._service = service
+        self._upstream = upstream
+        self._report: LoadReport | None = None
+
+    def deliver(self, head: ResponseHead | None, data: bytes, end: CallEnd | None) -> bool:  # noqa: ARG002
+        """Take a part of the response; called by the upstream client."""
+        if head is not None and head.report:
+            self._report = parse_load_report(head.report)
+        if end is not None:
+            complete = end.kind is EndKind.COMPLETE
+            self._service.end_probe(self._upstream, self._report if complete else None)
+        return True
+
+
+class ServiceDispatch:
+    """Drives the dispatcher of one service.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Decides.
+    client : UpstreamClient
+        Calls upstreams.
+    counters : Counters
+        Where retries and probes are counted.
+    settings : DispatchSettings
+        Process settings.
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        client: UpstreamClient,
+        counters: Counters,
+        settings: DispatchSettings,
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.members: dict[str, Member] = {}
+        self.running: dict[int, Running] = {}
+        self._client = client
+        self._counters = counters
+        self._settings = settings
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0
+
+    def submit(self, request: CallerRequest, now: float) -> None:
+        """Hand a request to the dispatcher."""
+        route = request.route
+        assert route is not None
+        info = RequestInfo(
+            request.request_id,
+            route.name,
+            request.is_idempotent,
+            route.work_class,
+            request.deadline,
+            route.priority,
+            request.body is None or not request.body.streamed,
+        )
+        self.running[request.request_id] = Running(request, {})
+        self.apply(self.dispatcher.submit(info, now))
+
+    def abandon(self, request: CallerRequest, now: float) -> None:
+        """Stop a request whose caller went away."""
+        if request.request_id in self.running:
+            self.apply(self.dispatcher.abandon(request.request_id, now))
+
+    def set_members(self, members: tuple[Member, ...], now: float) -> None:
+        """Replace the members of the service."""
+        self.members = {member.upstream: member for member in members}
+        self.apply(self.dispatcher.set_members(members, now))
+
+    def apply(self, actions: Iterable[Action]) -> None:
+        """Carry out actions, then set the timer."""
+        for action in actions:
+            self._apply_one(action)
+        self._set_timer()
+
+    def _apply_one(self, action: Action) -> None:
+        if isinstance(action, Send):
+            self._send(action)
+        elif isinstance(action, Complete):
+            self._complete(action)
+        elif isinstance(action, Refuse):
+            self._refuse(action)
+        elif isinstance(action, Cancel):
+            self._cancel(action)
+        else:
+            self._probe(action)
+
+    def _send(self, action: Send) -> None:
+        running = self.running[action.request_id]
+        request = running.request
+        if action.retry_reason is not None:
+            self._counters.incr(f"retry.{action.retry_reason}")
+        attempt = Attempt(self, request, action.attempt, action.upstream)
+        running.attempts[action.attempt] = attempt
+        message = build_upstream_request(
+            request,
+            self.members[action.upstream].address,
+            action.timeout_s,
+            self._settings.connect_timeout_s,
+        )
+        request.is_sent = True
+        attempt.call = self._client.start(message, attempt)
+        loop = asyncio.get_running_loop()
+        attempt.timer = loop.call_later(action.timeout_s, attempt.fail, OutcomeReason.TIMEOUT)
+
+    def _complete(self, action: Complete) -> None:
+        request = self.running.pop(action.request_id).request
+        if action.outcome is Outcome.ANSWERED:
+            request.complete()
+            return
+        reason = action.reason or OutcomeReason.UPSTREAM_FAILED
+        if request.has_begun:
+            request.cut_off(reason)
+        elif action.outcome is Outcome.NOT_RUN:
+            request.refuse(make_refusal(reason))
+        else:
+            request.refuse(make_failure(reason))
+
+    def _refuse(self, action: Refuse) -> None:
+        request = self.running.pop(action.request_id).request
+        request.is_sent = False
+        delay_s = action.retry_after_s * random.uniform(1.0, RETRY_AFTER_SPREAD)
+        request.refuse(make_refusal(action.reason, delay_s))
+
+    def _cancel(self, action: Cancel) -> None:
+        running = self.running.get(action.request_id)
+        attempt = running.attempts.get(action.attempt) if running is not None else None
+        if attempt is not None:
+            attempt.cancel()
+
+    def _probe(self, action: Probe) -> None:
+        member = self.members.get(action.upstream)
+        self._counters.incr("probe.sent")
+        if member is None:
+            self.end_probe(action.upstream, None)
+            return
+        lines = [b"User-Agent:", b"Accept:"]
+        message = UpstreamRequest(
+            member.address, "GET", b"/load", lines, None, None, None, True, PROBE_TIMEOUT_S
+        )
+        call = self._client.start(message, ProbeCall(self, action.upstream))
+        loop = asyncio.get_running_loop()
+        loop.call_later(PROBE_TIMEOUT_S, self._expire_probe, action.upstream, call)
+
+    def _expire_probe(self, upstream: str, call: UpstreamCall) -> None:
+        if call.has_ended:
+            return
+        call.abort()
+        self.end_probe(upstream, None)
+
+    def end_probe(self, upstream: str, report: LoadReport | None) -> None:
+        """Take the result of a probe."""
+        now = time.monotonic()
+        if report is not None:
+            self.apply(self.dispatcher.report(upstream, report, now))
+            return
+        self._counters.incr("probe.failed")
+        self.apply(self.dispatcher.probe_failed(upstream, now))
+
+    def note_report(self, upstream: str, report: LoadReport) -> None:
+        """Take a load report from a response."""
+        self.apply(self.dispatcher.report(upstream, report, time.monotonic()))
+
+    def accept_answer(self, attempt: Attempt) -> bool:
+        """Return whether this attempt's response goes to the caller: the first one does."""
+        running = self.running.get(attempt.request.request_id)
+        return running is not None and attempt.number == max(running.attempts)
+
+    def finish_attempt(self, attempt: Attempt, result: AttemptResult) -> None:
+        """Take the result of an attempt."""
+        request_id = attempt.request.request_id
+        running = self.running.get(request_id)
+        if running is not None:
+            running.attempts.pop(attempt.number, None)
+        now = time.monotonic()
+        self.apply(self.dispatcher.finish(request_id, attempt.number, result, now))
+
+    def _set_timer(self) -> None:
+        """Keep one timer, which may ring early but never late."""
+        now = time.monotonic()
+        due = self.dispatcher.next_tick(now)
+        if due is None:
+            return
+        if self._timer is not None:
+            if self._timer_at <= due:
+                return
+            self._timer.cancel()
+        self._timer_at = due
+        delay_s = max(MIN_TICK_S, due - now)
+        self._timer = asyncio.get_running_loop().call_later(delay_s, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self.apply(self.dispatcher.tick(time.monotonic()))
+
+    def cut_stalled(self, now: float) -> None:
+        """End the streams that made no progress for too long."""
+        oldest = now - self._settings.stall_timeout_s
+        for running in list(self.running.values()):
+            if not running.request.has_begun or running.request.last_progress > oldest:
+                continue
+            for attempt in list(running.attempts.values()):
+                if attempt.call is not None and attempt.call.last_progress <= oldest:
+                    attempt.fail(OutcomeReason.STALLED_STREAM)
--- /dev/null
+++ b/amaranthbend/programs/entry.py
@@ -0,0 +1,281 @@
+"""Entry process: serves callers through a chain of filters."""
+
+import asyncio
+import signal
+import sys
+import time
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+import fire
+import uvloop
+from absl import logging
+
+from ..adapters.admin import AdminSources, make_admin_server
+from ..adapters.caller_server import CallerServer
+from ..adapters.control_link import ControlLink, LinkCallbacks
+from ..adapters.logs import log_event
+from ..adapters.metrics import Counters
+from ..adapters.upstream import UpstreamClient
+from ..core.departures import Departure
+from ..core.envelope import SettingsEnvelope
+from ..core.errors import SettingsError
+from ..core.versions import EnvelopeVerdict
+from ..filters.chain import FilterChain
+from ..filters.checks import InputChecks
+from ..filters.claim import ClaimFilter, ClaimKeeper, UnavailableClaims
+from ..filters.dispatch import DispatchFilter
+from ..filters.idempotency import IdempotencyAndDeadline
+from ..filters.routes import RouteMatch
+from ..filters.services import DispatchSettings
+from ..rpc.messages import MembersByService
+from ..settings.acceptance import Approvers, accept_envelope
+from ..settings.process import EntrySettings, load_process_settings
+
+__all__ = ["EntryProcess", "main"]
+
+FLUSH_INTERVAL_S = 1.0
+# Departures have to reach all processes within 3 s; this is the first step of several.
+DEPARTURE_INTERVAL_S = 0.2
+STOP_POLL_S = 0.02
+BACKLOG = 1024
+EXIT_BAD_SETTINGS = 2
+
+
+class EntryProcess:
+    """Builds the parts of the entry process, and takes settings and members.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Process settings.
+    claims : ClaimKeeper or None
+        Keeper of claims; None refuses requests that need one.
+    """
+
+    def __init__(self, settings: EntrySettings, claims: ClaimKeeper | None = None) -> None:
+        self.settings = settings
+        self.counters = Counters(settings.statsd_target)
+        self.client = UpstreamClient(force_instance=True)
+        dispatch_settings = DispatchSettings(
+            settings.data_centre,
+            settings.entry_processes,
+            settings.connect_timeout_s,
+            settings.stall_timeout_s,
+        )
+        self.dispatch = DispatchFilter(self.client, self.counters, dispatch_settings)
+        self.routes = RouteMatch()
+        self.chain = FilterChain(
+            (InputChecks(), self.routes, IdempotencyAndDeadline()),
+            (ClaimFilter(claims or UnavailableClaims()), self.dispatch),
+            self.counters,
+            settings.held_body_bytes,
+        )
+        self.server = CallerServer(self.chain, settings.max_header_bytes)
+        self.admin = make_admin_server(
+            AdminSources(
+                self.get_unreadiness, self.get_config, self.get_upstreams, self.counters.list_all
+            )
+        )
+        self.envelope: SettingsEnvelope | None = None
+        self._approvers = Approvers(
+            settings.deployment, settings.approver_keys, settings.required_approvals
+        )
+        self._has_members = False
+        self._share_expiry: asyncio.TimerHandle | None = None
+        self._known_departures: set[Departure] = set()
+
+    def get_callbacks(self) -> LinkCallbacks:
+        """Return what the control link calls."""
+        return LinkCallbacks(
+            self.on_settings, self.on_members, self.on_departures, self.on_probe_share
+        )
+
+    def on_settings(self, envelope: SettingsEnvelope) -> None:
+        """Verify an envelope, and put it in force if it is newer."""
+        now = time.monotonic()
+        decision, accepted = accept_envelope(self.envelope, envelope, self._approvers, now)
+        if accepted is None:
+            if decision.verdict is EnvelopeVerdict.REJECTED:
+                self.counters.incr(f"settings.{decision.reason}")
+                log_event("settings_rejected", serial=envelope.serial, error=decision.message)
+            return
+        self.envelope = accepted.envelope
+        self.routes.set_policy(accepted.policy)
+        self.dispatch.set_policy(accepted.policy, now)
+        self.counters.incr("settings.accepted")
+        log_event("settings_in_force", serial=envelope.serial, digest=envelope.digest)
+
+    def on_members(self, members: MembersByService) -> None:
+        """Take the members of all services."""
+        self._has_members = True
+        self.dispatch.set_members(members, time.monotonic())
+
+    def on_departures(self, departures: tuple[Departure, ...]) -> None:
+        """Take departures that other processes have seen."""
+        self._known_departures.update(departures)
+        self.dispatch.note_departures(departures, time.monotonic())
+
+    def on_probe_share(self, share: float, valid_for_s: float) -> None:
+        """Take the host's part of the probe budget; it ends unless it is renewed."""
+        if self._share_expiry is not None:
+            self._share_expiry.cancel()
+            self._share_expiry = None
+        now = time.monotonic()
+        if valid_for_s <= 0:
+            share = 0.0
+        self.dispatch.set_probe_share(share, now)
+        if share > 0:
+            loop = asyncio.get_running_loop()
+            self._share_expiry = loop.call_later(
+                valid_for_s, lambda: self.dispatch.set_probe_share(0.0, time.monotonic())
+            )
+
+    def take_new_departures(self) -> list[Departure]:
+        """Return the departures that this process has seen since the last call."""
+        news: list[Departure] = []
+        for name, service in self.dispatch.services.items():
+            for seen in service.dispatcher.list_departures():
+                departure = Departure(name, seen.upstream, seen.incarnation)
+                if departure not in self._known_departures:
+                    news.append(departure)
+        self._known_departures.update(news)
+        return news
+
+    def get_unreadiness(self) -> str:
+        """Return why the process should get no requests, empty if it should."""
+        if self.chain.is_draining:
+            return "shutting down"
+        if self.envelope is None:
+            return "no settings in force"
+        if not self._has_members:
+            return "no host list"
+        return ""
+
+    def get_config(self) -> dict[str, Any]:
+        """Return serial and digest in force."""
+        if self.envelope is None:
+            return {"serial": 0, "digest": ""}
+        return {"serial": self.envelope.serial, "digest": self.envelope.digest}
+
+    def get_upstreams(self) -> dict[str, Any]:
+        """Return what is known of each upstream."""
+        return self.dispatch.snapshot(time.monotonic())
+
+    def listen(self) -> None:
+        """Start to accept connections."""
+        settings = self.settings
+        self.server.listen(
+            settings.port, settings.address, backlog=BACKLOG, reuse_port=settings.reuse_port
+        )
+        self.admin.listen(settings.admin_port, settings.admin_address)
+        log_event("entry_started", address=settings.address, port=settings.port)
+
+    async def sweep(self) -> None:
+        """Cut off stalled streams and send counters, until cancelled."""
+        interval_s = min(FLUSH_INTERVAL_S, self.settings.stall_timeout_s / 4)
+        while True:
+            await asyncio.sleep(interval_s)
+            now = time.monotonic()
+            self.dispatch.cut_stalled(now)
+            self.server.close_stalled(now - self.settings.stall_timeout_s)
+            self.counters.flush()
+
+    async def shut_down(self) -> None:
+        """Finish what is in flight, however long it takes as long as it makes progress."""
+        self.chain.is_draining = True
+        log_event("entry_draining", connections=self.server.count_connections())
+        await asyncio.sleep(self.settings.balancer_lag_s)
+        self.server.stop()
+        while self.server.count_connections() > 0:
+            # A connection may have been busy the last time.
+            self.server.close_idle()
+            await asyncio.sleep(STOP_POLL_S)
+        await self.server.finish_drains()
+        self.counters.flush()
+        log_event("entry_stopped")
+
+
+class Link(Protocol):
+    """Source of settings and members."""
+
+    async def run(self) -> None:
+        """Feed the callbacks until cancelled."""
+
+    def report_departures(self, departures: Iterable[Departure]) -> None:
+        """Tell others of upstreams that this process saw leave."""
+
+
+def make_control_link(process: EntryProcess) -> Link:
+    """Return the link to the control process of the host."""
+    return ControlLink(
+        process.settings.control_target,
+        process.settings.process_id,
+        process.get_callbacks(),
+        lambda: process.envelope,
+    )
+
+
+async def report_departures(process: EntryProcess, link: Link) -> None:
+    """Tell the control process of departures, until cancelled."""
+    while True:
+        await asyncio.sleep(DEPARTURE_INTERVAL_S)
+        link.report_departures(process.take_new_departures())
+
+
+async def serve(
+    settings: EntrySettings, make_link: Callable[[EntryProcess], Link] = make_control_link
+) -> None:
+    """Serve until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Process settings.
+    make_link : callable
+        Makes the source of settings and members.
+    """
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    process = EntryProcess(settings)
+    link = make_link(process)
+    process.listen()
+    tasks = [
+        asyncio.ensure_future(link.run()),
+        asyncio.ensure_future(report_departures(process, link)),
+        asyncio.ensure_future(process.sweep()),
+    ]
+    await stopped.wait()
+    await process.shut_down()
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def run(settings: str) -> None:
+    """Run an entry process.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the process settings file, JSON with comments.
+    """
+    try:
+        loaded = load_process_settings(settings, EntrySettings)
+    except SettingsError as error:
+        log_event("settings_invalid", error=error)
+        sys.exit(EXIT_BAD_SETTINGS)
+    uvloop.run(serve(loaded))
+
+
+def main() -> None:
+    """Run from the command line."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    fire.Fire(run)
+
+
+if __name__ == "__main__":
+    main()
