--- a/amaranthbend/adapters/calls.py
+++ b/amaranthbend/adapters/calls.py
@@ -195,7 +195,7 @@
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._on_body)
         curl.setopt(pycurl.PREREQFUNCTION, self._on_send)
-        if not request.idempotent:
+        if not request.idempotent and self._client.guards_resend:
             curl.setopt(pycurl.FRESH_CONNECT, 1)
         self._prepare_body(curl)
 
@@ -325,7 +325,9 @@
         if error is not None:
             return self._describe_error(error)
         if self._head is None:
-            return CallEnd(EndKind.FAILED, OutcomeReason.MALFORMED_ANSWER, "no final response")
+            # libcurl takes a connection that closes inside the header lines for a response.
+            message = "the connection closed inside the header lines"
+            return CallEnd(EndKind.FAILED, OutcomeReason.TRUNCATED_ANSWER, message)
         if self._closed_with_excess():
             message = "bytes after the end of the response"
             return CallEnd(EndKind.FAILED, OutcomeReason.MALFORMED_ANSWER, message)
--- a/amaranthbend/adapters/upstream.py
+++ b/amaranthbend/adapters/upstream.py
@@ -31,7 +31,7 @@
     Parameters
     ----------
     guards_resend : bool
-        Whether a second send of one call is aborted; only a test turns it off.
+        Whether libcurl is kept from sending a request twice; only a test turns it off.
     """
 
     guards_resend: bool
