Stop trusting a lease whose release succeeded

Cause: LeaseMachine.write_done trusted every successful write, including the one that gives the lease up.

Ruled out: stale reads and lost responses; the failing example uses neither.

Change: a write is trusted only if its record names this holder.

--- a/amaranthbend/core/leases.py
+++ b/amaranthbend/core/leases.py
@@ -194,7 +194,8 @@
         self._newest_version = max(self._newest_version, version)
         self._renewed_at = started_at
         self._unresolved_at = None
-        self._is_trusted = True
+        # Giving the lease up is a write as well.
+        self._is_trusted = written.record.holder == self._holder
 
     def write_conflicted(self) -> None:
         """Take the refusal of a write because of its version."""
