--- a/amaranthbend/filters/claim.py
+++ b/amaranthbend/filters/claim.py
@@ -4,9 +4,10 @@
 from collections.abc import Awaitable
 from typing import Any, Protocol
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from ..adapters.caller import CallerRequest
+from ..adapters.claims import ACQUIRE_TIMEOUT_S, ClaimRefusal
 from ..core.outcomes import Outcome, OutcomeReason
 from ..core.policy import ClaimRule
 from .refusals import Refusal, make_failure, make_refusal
@@ -15,25 +16,40 @@
 
 
 class ClaimKeeper(Protocol):
-    """Acquires and releases claims on idempotency keys."""
+    """Acquires and releases claims on idempotency keys; `ClaimRegistry` is the real one."""
 
-    async def acquire(self, service: str, key: str) -> Result[Any, OutcomeReason]:
-        """Return the claim, or why there is none. Waits a bounded time."""
+    async def acquire(
+        self, service: str, key: str, now: float, timeout_s: float
+    ) -> Result[Any, ClaimRefusal]:
+        """Return the claim, or why the request must not be sent, within the timeout."""
 
     async def release(self, claim: Any) -> None:
         """Give up a claim whose request was not run. Waits a bounded time."""
 
+    def set_rate(self, writes_per_s: float, now: float) -> None:
+        """Change this process's share of the write rate."""
 
-class UnavailableClaims:
-    """Keeper of a process without a platform client."""
 
-    async def acquire(self, service: str, key: str) -> Result[Any, OutcomeReason]:  # noqa: ARG002
+class UnavailableClaims:
+    """Keeper of a process without a platform."""
+
+    async def acquire(
+        self,
+        service: str,  # noqa: ARG002
+        key: str,  # noqa: ARG002
+        now: float,  # noqa: ARG002
+        timeout_s: float,  # noqa: ARG002
+    ) -> Result[Any, ClaimRefusal]:
         """Return that claims are unavailable."""
-        return Err(OutcomeReason.CLAIM_UNAVAILABLE)
+        message = "set platform_url in the process settings"
+        return Err(ClaimRefusal(OutcomeReason.CLAIM_UNAVAILABLE, message))
 
     async def release(self, claim: Any) -> None:
         """Do nothing, since there are no claims."""
 
+    def set_rate(self, writes_per_s: float, now: float) -> None:
+        """Do nothing, since there are no claims."""
+
 
 class ClaimFilter:
     """Acquires the claim that a route requires; releases it if the request was not run."""
@@ -42,22 +58,25 @@
         self._keeper = keeper
         self._releases: set[asyncio.Task[None]] = set()
 
-    def run(self, request: CallerRequest, now: float) -> Awaitable[Refusal | None] | None:  # noqa: ARG002
+    def run(self, request: CallerRequest, now: float) -> Awaitable[Refusal | None] | None:
         """Acquire the claim if the route requires one."""
         route = request.route
         assert route is not None
         if route.claim is not ClaimRule.REQUIRED:
             return None
-        return self._acquire(request, route.service)
+        return self._acquire(request, route.service, now)
 
-    async def _acquire(self, request: CallerRequest, service: str) -> Refusal | None:
-        result = await self._keeper.acquire(service, request.idempotency_key)
-        if not isinstance(result, Err):
+    async def _acquire(self, request: CallerRequest, service: str, now: float) -> Refusal | None:
+        timeout_s = min(ACQUIRE_TIMEOUT_S, max(0.0, request.deadline - now))
+        key = request.idempotency_key
+        result = await self._keeper.acquire(service, key, now, timeout_s)
+        if isinstance(result, Ok):
             request.claim = result.ok_value
             return None
-        if result.err_value is OutcomeReason.DUPLICATE_REQUEST:
-            return make_failure(result.err_value)
-        return make_refusal(result.err_value)
+        reason = result.err_value.reason
+        if reason is OutcomeReason.DUPLICATE_REQUEST:
+            return make_failure(reason)
+        return make_refusal(reason)
 
     def abandon(self, request: CallerRequest, now: float) -> None:
         """Do nothing; `end` follows."""
--- a/amaranthbend/programs/entry.py
+++ b/amaranthbend/programs/entry.py
@@ -10,12 +10,15 @@
 import fire
 import uvloop
 from absl import logging
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from ..adapters.admin import AdminSources, make_admin_server
 from ..adapters.caller_server import CallerServer
+from ..adapters.claims import ClaimRegistry
 from ..adapters.control_link import ControlLink, LinkCallbacks
 from ..adapters.logs import log_event
 from ..adapters.metrics import Counters
+from ..adapters.platform import PlatformClient
 from ..adapters.upstream import UpstreamClient
 from ..core.departures import Departure
 from ..core.envelope import SettingsEnvelope
@@ -39,9 +42,25 @@
 DEPARTURE_INTERVAL_S = 0.2
 STOP_POLL_S = 0.02
 BACKLOG = 1024
+PLATFORM_CLIENTS = 32
+# Has to exceed the process's share of the claim writes, which is the real limit.
+PLATFORM_CALLS_PER_S = 200.0
+# Replaced by the share in the settings as soon as there are any.
+FIRST_CLAIM_RATE = 1.0
 EXIT_BAD_SETTINGS = 2
 
 
+def make_claim_keeper(settings: EntrySettings, counters: Counters) -> ClaimKeeper:
+    """Return the keeper of claims; it grants nothing before settings are in force."""
+    if not settings.platform_url:
+        return UnavailableClaims()
+    client = SimpleAsyncHTTPClient(force_instance=True, max_clients=PLATFORM_CLIENTS)
+    platform = PlatformClient(
+        settings.platform_url, client, counters, PLATFORM_CALLS_PER_S, PLATFORM_CALLS_PER_S
+    )
+    return ClaimRegistry(platform, counters, FIRST_CLAIM_RATE)
+
+
 class EntryProcess:
     """Builds the parts of the entry process, and takes settings and members.
 
@@ -50,7 +69,7 @@
     settings : EntrySettings
         Process settings.
     claims : ClaimKeeper or None
-        Keeper of claims; None refuses requests that need one.
+        Keeper of claims in place of the one that the settings ask for.
     """
 
     def __init__(self, settings: EntrySettings, claims: ClaimKeeper | None = None) -> None:
@@ -64,10 +83,11 @@
             settings.stall_timeout_s,
         )
         self.dispatch = DispatchFilter(self.client, self.counters, dispatch_settings)
+        self.claims = claims or make_claim_keeper(settings, self.counters)
         self.routes = RouteMatch()
         self.chain = FilterChain(
             (InputChecks(), self.routes, IdempotencyAndDeadline()),
-            (ClaimFilter(claims or UnavailableClaims()), self.dispatch),
+            (ClaimFilter(self.claims), self.dispatch),
             self.counters,
             settings.held_body_bytes,
         )
@@ -103,6 +123,8 @@
         self.envelope = accepted.envelope
         self.routes.set_policy(accepted.policy)
         self.dispatch.set_policy(accepted.policy, now)
+        shares = accepted.policy.entry_hosts_max * self.settings.entry_processes
+        self.claims.set_rate(accepted.policy.claim_writes_per_s / shares, now)
         self.counters.incr("settings.accepted")
         log_event("settings_in_force", serial=envelope.serial, digest=envelope.digest)
 
--- a/amaranthbend/settings/process.py
+++ b/amaranthbend/settings/process.py
@@ -91,11 +91,11 @@
     except (OSError, UnicodeDecodeError) as error:
         remedy = "pass the path of a readable file with --settings"
         raise SettingsError(file, 0, "", str(error), remedy) from error
-    return _convert(parse_document(text, file), kind)
+    return _convert(parse_document(text, file), file, kind)
 
 
-def _convert(document: ParsedDocument, kind: type[T]) -> T:
-    file, value = document.file, document.value
+def _convert(document: ParsedDocument, file: str, kind: type[T]) -> T:
+    value = document.value
     types_by_name = get_type_hints(kind)
     names = ", ".join(types_by_name)
     for name, setting in value.items():
--- /dev/null
+++ b/tests/entry_runner.py
@@ -0,0 +1,29 @@
+"""Runs a real entry process with fixed settings and members: `entry_runner FILE ADDRESS...`."""
+
+import sys
+
+import uvloop
+from absl import logging
+
+from amaranthbend.programs.entry import EntryProcess, Link, serve
+from amaranthbend.settings.process import EntrySettings, load_process_settings
+from tests.entry_cases import MERGED, StaticLink
+from tests.settings_cases import APPROVER_KEYS, make_envelope
+
+
+def main() -> None:
+    """Run until SIGTERM."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    # The keys of the test cases differ from process to process.
+    settings = load_process_settings(sys.argv[1], EntrySettings)
+    settings = settings._replace(approver_keys=APPROVER_KEYS)
+
+    def make_link(process: EntryProcess) -> Link:
+        return StaticLink(process.get_callbacks(), make_envelope(merged=MERGED), sys.argv[2:])
+
+    uvloop.run(serve(settings, make_link))
+
+
+if __name__ == "__main__":
+    main()
