--- a/amaranthbend/adapters/claims.py
+++ b/amaranthbend/adapters/claims.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from absl import logging
 from result import Err, Ok, Result
 
 from ..core.backoff import TokenBucket
@@ -20,6 +19,7 @@
     name_claim,
 )
 from ..core.outcomes import OutcomeReason
+from .logs import log_event
 from .platform import Counters, PlatformCallError, PlatformClient, PlatformErrorKind, StoredObject
 
 __all__ = ["Claim", "ClaimRefusal", "ClaimRegistry"]
@@ -144,7 +144,7 @@
                     return
             await asyncio.sleep(REMOVE_PAUSE_S)
         self._counters.incr("claims.release_failed")
-        logging.warning("event=claim_release_failed claim=%s", claim.name)
+        log_event("claim_release_failed", claim=claim.name)
 
     async def close(self) -> None:
         """Wait for removals under way; each is bounded."""
@@ -184,6 +184,8 @@
 
     async def _remove_own(self, name: str, token: str) -> None:
         """Remove a claim of a request that was never sent, if it took effect after all."""
+        # The creation may still be under way.
+        await asyncio.sleep(REMOVE_PAUSE_S)
         answer = await self._platform.get(CLAIMS_KIND, name, CALL_TIMEOUT_S)
         if isinstance(answer, Err) or read_token(answer.ok_value) != token:
             return
--- a/amaranthbend/adapters/control_link.py
+++ b/amaranthbend/adapters/control_link.py
@@ -8,7 +8,6 @@
 from typing import Any, NamedTuple
 
 import grpc
-from absl import logging
 
 from ..core.backoff import Backoff
 from ..core.departures import Departure
@@ -22,6 +21,7 @@
     encode_departures,
     encode_envelope,
 )
+from .logs import log_event
 
 __all__ = ["ControlLink", "LinkCallbacks"]
 
@@ -122,7 +122,7 @@
                 await self._subscribe()
             except (grpc.aio.AioRpcError, TimeoutError, ValueError) as error:
                 code = error.code() if isinstance(error, grpc.aio.AioRpcError) else repr(error)
-                logging.warning("event=control_link_lost target=%s error=%s", self._target, code)
+                log_event("control_link_lost", target=self._target, error=code)
             self.connected = False
             await asyncio.sleep(self._backoff.next_delay())
 
@@ -191,7 +191,7 @@
         try:
             envelope = decode_envelope(document)
         except ValueError as error:
-            logging.error('event=settings_malformed source=control error="%s"', error)
+            log_event("settings_malformed", source="control", error=error)
             return
         self._callbacks.on_settings(envelope)
         # The next report tells the control process what is now in force.
--- a/amaranthbend/controllers/claim_sweeper.py
+++ b/amaranthbend/controllers/claim_sweeper.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from absl import logging
 from result import Err, Ok
 
+from ..adapters.logs import log_event
 from ..adapters.platform import (
     Counters,
     ObjectChanges,
@@ -174,5 +174,5 @@
         marks = [Mark(int(version), float(age_s)) for version, age_s in value["marks"]]
         return int(value["epoch"]), marks
     except (KeyError, TypeError, ValueError) as error:
-        logging.error('event=sweep_marks_malformed error="%r"', error)
+        log_event("sweep_marks_malformed", error=repr(error))
         return 0, []
--- a/amaranthbend/controllers/entry_feed.py
+++ b/amaranthbend/controllers/entry_feed.py
@@ -4,8 +4,7 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any, NamedTuple
 
-from absl import logging
-
+from ..adapters.logs import log_event
 from ..rpc import control_pb2, control_pb2_grpc
 from ..rpc.messages import (
     decode_departures,
@@ -86,7 +85,7 @@
             finally:
                 reader.cancel()
                 self.sessions.discard(session)
-                logging.info("event=entry_disconnected process_id=%s", session.process_id)
+                log_event("entry_disconnected", process_id=session.process_id)
 
     async def _read(
         self, session: EntrySession, reports: AsyncIterator[Any], changed: asyncio.Event
@@ -102,9 +101,7 @@
     def take_report(self, session: EntrySession, report: Any) -> None:
         """Record a report of an entry process."""
         if not session.process_id:
-            logging.info(
-                "event=entry_connected process_id=%s serial=%d", report.process_id, report.serial
-            )
+            log_event("entry_connected", process_id=report.process_id, serial=report.serial)
         session.process_id = report.process_id
         session.serial = report.serial
         session.digest = report.digest
--- a/amaranthbend/controllers/fleet_status.py
+++ b/amaranthbend/controllers/fleet_status.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from absl import logging
 from result import Err, Ok
 
+from ..adapters.logs import log_event
 from ..adapters.platform import Counters, PlatformClient, PlatformErrorKind
 from ..core.leases import Fence
 from .host_state import HostState
@@ -141,7 +141,7 @@
             return False
         if not accepted:
             self._counters.incr("leases.fenced")
-            logging.warning("event=fleet_status_fenced epoch=%d", epoch)
+            log_event("fleet_status_fenced", epoch=epoch)
             self._keeper.drop()
         return accepted
 
--- a/amaranthbend/controllers/host_state.py
+++ b/amaranthbend/controllers/host_state.py
@@ -7,8 +7,7 @@
 from contextlib import contextmanager
 from typing import Any
 
-from absl import logging
-
+from ..adapters.logs import log_event
 from ..adapters.platform import Counters, HostList, PlatformHost
 from ..core.actions import Member, UpstreamState
 from ..core.departures import Departure, Departures
@@ -119,12 +118,7 @@
             return False
         self.envelope, self.policy = accepted
         self._counters.incr("settings.accepted")
-        logging.info(
-            "event=settings_accepted source=%s serial=%d digest=%s",
-            source,
-            self.serial,
-            self.digest,
-        )
+        log_event("settings_accepted", source=source, serial=self.serial, digest=self.digest)
         self._notify()
         return True
 
@@ -142,12 +136,12 @@
 
     def _reject(self, document: Any, decision: EnvelopeDecision, source: str) -> None:
         self._counters.incr(f"settings.rejected.{decision.reason}")
-        logging.warning(
-            'event=settings_rejected source=%s reason=%s held_serial=%d error="%s"',
-            source,
-            decision.reason,
-            self.serial,
-            decision.message,
+        log_event(
+            "settings_rejected",
+            source=source,
+            reason=decision.reason,
+            held_serial=self.serial,
+            error=decision.message,
         )
         digest = document.get("digest") if isinstance(document, dict) else None
         if not isinstance(digest, str):
@@ -194,9 +188,7 @@
         news = [departure for departure in departures if self.departures.add(departure, now)]
         for departure in news:
             self._counters.incr("departures.learned")
-            logging.info(
-                "event=upstream_departed service=%s upstream=%s incarnation=%d", *departure
-            )
+            log_event("upstream_departed", **departure._asdict())
         if news:
             self._notify()
         return bool(news)
--- a/amaranthbend/controllers/host_watch.py
+++ b/amaranthbend/controllers/host_watch.py
@@ -3,9 +3,9 @@
 import asyncio
 import random
 
-from absl import logging
 from result import Err, Ok
 
+from ..adapters.logs import log_event
 from ..adapters.platform import PlatformClient
 from ..core.backoff import Backoff
 from .host_state import HostState
@@ -43,9 +43,7 @@
             answer = await self._platform.fetch_hosts()
             if isinstance(answer, Err):
                 delay_s = self._backoff.next_delay()
-                logging.warning(
-                    'event=host_list_failed delay_s=%.2f error="%s"', delay_s, answer.err_value
-                )
+                log_event("host_list_failed", delay_s=round(delay_s, 2), error=answer.err_value)
                 await self._platform.pause(delay_s)
                 continue
             self._backoff.reset()
--- a/amaranthbend/controllers/lease_keeper.py
+++ b/amaranthbend/controllers/lease_keeper.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from absl import logging
 from result import Ok, Result
 
+from ..adapters.logs import log_event
 from ..adapters.platform import (
     Counters,
     PlatformCallError,
@@ -138,7 +138,7 @@
     try:
         return load_lease(stored.value)
     except ValueError as error:
-        logging.error('event=lease_malformed lease=%s error="%s"', stored.name, error)
+        log_event("lease_malformed", lease=stored.name, error=error)
         return None
 
 
@@ -192,5 +192,5 @@
         if epoch == self._known_epoch:
             return
         event = "lease_lost" if epoch is None else "lease_held"
-        logging.info("event=%s lease=%s epoch=%s", event, self._name, epoch or self._known_epoch)
+        log_event(event, lease=self._name, epoch=epoch or self._known_epoch)
         self._known_epoch = epoch
--- a/amaranthbend/controllers/peer_exchange.py
+++ b/amaranthbend/controllers/peer_exchange.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 import grpc
-from absl import logging
 
+from ..adapters.logs import log_event
 from ..adapters.platform import Counters, dump_host_list, load_host_list
 from ..rpc import control_pb2, control_pb2_grpc
 from ..rpc.messages import decode_departures, encode_departures, encode_envelope
@@ -234,7 +234,7 @@
         try:
             host_list = load_host_list(json.loads(answer.host_list))
         except ValueError as error:
-            logging.error('event=host_list_malformed source=%s error="%s"', target, error)
+            log_event("host_list_malformed", source=target, error=error)
             return
         self._state.offer_host_list(host_list, "peer")
 
--- a/amaranthbend/controllers/probe_shares.py
+++ b/amaranthbend/controllers/probe_shares.py
@@ -4,9 +4,9 @@
 from collections import deque
 from collections.abc import Callable
 
-from absl import logging
 from result import Err
 
+from ..adapters.logs import log_event
 from ..core.backoff import Backoff
 from ..core.leases import LeaseMachine, LeaseWrite
 from .entry_feed import ShareValidity
@@ -101,7 +101,7 @@
         machine = self._machines[self._held]
         succeeded = await self._driver.step(f"{NAME_PREFIX}{self._held}", machine)
         if machine.get_epoch(self._driver.clock()) is None:
-            logging.info("event=probe_share_lost share=%d", self._held)
+            log_event("probe_share_lost", share=self._held)
             self._held = None
         return succeeded
 
@@ -135,7 +135,7 @@
         machine = self._machines[number]
         succeeded = await self._driver.write(f"{NAME_PREFIX}{number}", machine, free[number])
         if machine.get_epoch(self._driver.clock()) is not None:
-            logging.info("event=probe_share_held share=%d", number)
+            log_event("probe_share_held", share=number)
             self._held = number
             return True
         # Several hosts that start together choose the same share now and then.
--- a/amaranthbend/controllers/settings_watch.py
+++ b/amaranthbend/controllers/settings_watch.py
@@ -2,9 +2,9 @@
 
 import random
 
-from absl import logging
 from result import Err, Result
 
+from ..adapters.logs import log_event
 from ..adapters.platform import ObjectChanges, PlatformCallError, PlatformClient
 from ..core.backoff import Backoff
 from .host_state import HostState
@@ -47,8 +47,8 @@
             answer = await self._fetch()
             if isinstance(answer, Err):
                 delay_s = self._backoff.next_delay()
-                logging.warning(
-                    'event=settings_watch_failed delay_s=%.2f error="%s"', delay_s, answer.err_value
+                log_event(
+                    "settings_watch_failed", delay_s=round(delay_s, 2), error=answer.err_value
                 )
                 await self._platform.pause(delay_s)
                 continue
--- a/amaranthbend/programs/control.py
+++ b/amaranthbend/programs/control.py
@@ -1,7 +1,6 @@
 """Control process: one on each entry host, between the platform, its peers and the host."""
 
 import asyncio
-import json
 import random
 import secrets
 import signal
@@ -15,6 +14,9 @@
 from absl import logging
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
+from ..adapters.admin import AdminSources, make_admin_server
+from ..adapters.logs import log_event
+from ..adapters.metrics import Counters
 from ..adapters.platform import PlatformClient
 from ..controllers.claim_sweeper import ClaimSweeper
 from ..controllers.entry_feed import EntryFeed
@@ -25,8 +27,10 @@
 from ..controllers.peer_exchange import PeerExchange
 from ..controllers.probe_shares import ProbeShareKeeper
 from ..controllers.settings_watch import SettingsWatch
+from ..core.errors import SettingsError
 from ..rpc import control_pb2_grpc
 from ..settings.acceptance import Approvers
+from ..settings.process import load_process_settings
 
 __all__ = ["ControlProcess", "main"]
 
@@ -38,30 +42,44 @@
 STOP_GRACE_S = 1.0
 RELEASE_S = 2.0
 TOKEN_BYTES = 8
+EXIT_FAILED = 1
+EXIT_BAD_SETTINGS = 2
 
 
 class ControlSettings(NamedTuple):
-    """Process settings that the control process uses."""
+    """Settings of a control process.
+
+    Parameters
+    ----------
+    deployment, host_id : str
+        Where the process runs; `host_id` is the one in the host list.
+    control_address, control_port : str, int
+        Where entry processes and other hosts connect.
+    admin_address, admin_port : str, int
+        Where the administration API listens.
+    platform_url : str
+        Base URL of the platform.
+    approver_keys : dict of str to str
+        Public keys of the approvers as hexadecimal text, by key id.
+    peers : dict of str to str
+        `address:port` of control processes to ask while the host list is unknown, by host id.
+    statsd_target : str
+        `address:port` of the statsd server, empty to send nothing.
+    required_approvals : int
+        Least number of approvals of a change.
+    """
 
     deployment: str
     host_id: str
     control_address: str
     control_port: int
+    admin_address: str
+    admin_port: int
     platform_url: str
     approver_keys: dict[str, str]
-    required_approvals: int
-    peers: list[str]
-
-
-class LogCounters:
-    """Counters kept in memory."""
-
-    def __init__(self) -> None:
-        self.values: dict[str, int] = {}
-
-    def incr(self, stat: str, count: int = 1) -> None:
-        """Add to a counter."""
-        self.values[stat] = self.values.get(stat, 0) + count
+    peers: dict[str, str] = {}
+    statsd_target: str = ""
+    required_approvals: int = 2
 
 
 class ControlProcess:
@@ -75,7 +93,8 @@
 
     def __init__(self, settings: ControlSettings) -> None:
         self._settings = settings
-        self._counters = LogCounters()
+        self._is_stopping = False
+        self._counters = Counters(settings.statsd_target, "amaranthbend.control")
         self._rng = random.Random()
         client = SimpleAsyncHTTPClient(force_instance=True, max_clients=PLATFORM_CLIENTS)
         self.platform = PlatformClient(settings.platform_url, client, self._counters)
@@ -121,11 +140,15 @@
             self.state,
             self._reports,
             self.feed.describe_host,
-            self._settings.peers,
+            self._list_seeds(),
             self._counters,
             self._rng,
         )
 
+    def _list_seeds(self) -> list[str]:
+        peers = self._settings.peers
+        return [target for host_id, target in peers.items() if host_id != self._settings.host_id]
+
     def _count_shares(self) -> int:
         return 0 if self.state.policy is None else self.state.policy.entry_hosts_max
 
@@ -146,11 +169,9 @@
         control_pb2_grpc.add_PeersServicer_to_server(self.peers, server)  # type: ignore[no-untyped-call]
         server.add_insecure_port(f"{self._settings.control_address}:{self._settings.control_port}")
         await server.start()
-        logging.info(
-            "event=control_started port=%d serial=%d",
-            self._settings.control_port,
-            self.state.serial,
-        )
+        self._admin = make_admin_server(self._make_admin_sources())
+        self._admin.listen(self._settings.admin_port, self._settings.admin_address)
+        log_event("control_started", port=self._settings.control_port, serial=self.state.serial)
         tasks = [asyncio.ensure_future(run()) for run in self._list_loops()]
         waiting = asyncio.ensure_future(stopped.wait())
         await asyncio.wait([waiting, *tasks], return_when=asyncio.FIRST_COMPLETED)
@@ -159,6 +180,31 @@
         await self._stop(server, tasks)
         return not has_failed
 
+    def _make_admin_sources(self) -> AdminSources:
+        return AdminSources(
+            self._get_unreadiness,
+            lambda: {"serial": self.state.serial, "digest": self.state.digest},
+            self._describe_upstreams,
+            self._counters.list_all,
+        )
+
+    def _get_unreadiness(self) -> str:
+        if self._is_stopping:
+            return "stopping"
+        if self.state.envelope is None:
+            return "no settings: none valid on the platform, on peers or in entry processes"
+        return "" if self.state.host_list is not None else "no host list"
+
+    def _describe_upstreams(self) -> dict[str, Any]:
+        departed = self.state.departures.has_left
+        return {
+            service: [
+                {**member._asdict(), "departed": departed(service, member[0], member.incarnation)}
+                for member in members
+            ]
+            for service, members in self.state.members.items()
+        }
+
     def _list_loops(self) -> list[Callable[[], Awaitable[None]]]:
         loops: list[Callable[[], Awaitable[None]]] = [
             self._settings_watch.run,
@@ -167,12 +213,13 @@
             self._shares.run,
             self._sweeper.run,
             self._status.run,
-            self._report_self,
+            self._run_upkeep,
         ]
         return loops + [lease.run for lease in self._leases]
 
-    async def _report_self(self) -> None:
+    async def _run_upkeep(self) -> None:
         while True:
+            self._counters.flush()
             self._reports.take(self.state.host_id, self.feed.describe_host())
             await asyncio.sleep(1.0)
 
@@ -182,7 +229,7 @@
             async with asyncio.timeout(COLLECT_S):
                 await asyncio.gather(self._collect_from_platform(), self.peers.collect())
         except TimeoutError:
-            logging.info("event=start_collection_timeout limit_s=%.1f", COLLECT_S)
+            log_event("start_collection_timeout", limit_s=COLLECT_S)
 
     async def _collect_from_platform(self) -> None:
         await asyncio.gather(self._settings_watch.fetch_once(), self._host_watch.fetch_once())
@@ -190,9 +237,10 @@
         await self.peers.collect()
 
     async def _stop(self, server: Any, tasks: Sequence[asyncio.Future[None]]) -> None:
+        self._is_stopping = True
         for task in tasks:
             if task.done() and not task.cancelled() and task.exception() is not None:
-                logging.error("event=loop_failed", exc_info=task.exception())
+                log_event("loop_failed", error=repr(task.exception()))
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         releases = [lease.release() for lease in self._leases]
@@ -200,10 +248,12 @@
             async with asyncio.timeout(RELEASE_S):
                 await asyncio.gather(*releases, self._shares.release())
         except TimeoutError:
-            logging.warning("event=lease_release_timeout limit_s=%.1f", RELEASE_S)
+            log_event("lease_release_timeout", limit_s=RELEASE_S)
         await server.stop(STOP_GRACE_S)
+        self._admin.stop()
         await self.peers.close()
-        logging.info("event=control_stopped")
+        self._counters.flush()
+        log_event("control_stopped")
 
 
 async def serve(settings: ControlSettings) -> bool:
@@ -221,12 +271,15 @@
     Parameters
     ----------
     settings : str
-        Path of the process settings file.
+        Path of the process settings file, JSON with comments.
     """
-    with open(settings) as stream:
-        document: dict[str, Any] = json.load(stream)
-    if not asyncio.run(serve(ControlSettings(**document))):
-        sys.exit(1)
+    try:
+        loaded = load_process_settings(settings, ControlSettings)
+    except SettingsError as error:
+        log_event("settings_invalid", error=error)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if not asyncio.run(serve(loaded)):
+        sys.exit(EXIT_FAILED)
 
 
 def main() -> None:
--- a/standins/control_hosts.py
+++ b/standins/control_hosts.py
@@ -58,6 +58,7 @@
         self._network = pick_network()
         self.platform_endpoint = pick_endpoint(f"{self._network}.250")
         self.endpoints = [pick_endpoint(f"{self._network}.{n + 1}") for n in range(count)]
+        self.admin_endpoints = [pick_endpoint(endpoint.address) for endpoint in self.endpoints]
         self.hosts = [self._describe_entry(n) for n in range(count)]
         self.hosts += [self._describe_upstream(n) for n in range(upstreams)]
         arguments = [f"--port={self.platform_endpoint.port}"]
@@ -107,7 +108,9 @@
             "platform_url": f"http://{self.platform_endpoint}",
             "approver_keys": {APPROVER.key_id: APPROVER.public_key},
             "required_approvals": 1,
-            "peers": [str(peer) for peer in self.endpoints if peer != endpoint],
+            "peers": {f"host-{n}": str(peer) for n, peer in enumerate(self.endpoints)},
+            "admin_address": endpoint.address,
+            "admin_port": self.admin_endpoints[number].port,
         }
 
     def start_platform(self) -> None:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -226,6 +226,49 @@
     assert machine.plan(109.9) == LeaseRead()
 
 
+def hold_lease(machine: LeaseMachine) -> LeaseWrite:
+    """Acquire the lease at time 0 as version 1, and return its renewal."""
+    machine.read_done(None, None, 0.0)
+    write = machine.plan(0.0)
+    assert isinstance(write, LeaseWrite)
+    machine.write_done(write, 1, 0.0)
+    return LeaseWrite(write.record, 1)
+
+
+def test_stale_read_after_lost_renewal() -> None:
+    """Guards against an old version that passes for the renewal whose answer was lost."""
+    machine = LeaseMachine("a", TTL_S, MARGIN_S)
+    renewal = hold_lease(machine)
+    machine.write_done(renewal, 2, 5.0)
+    machine.write_lost(8.0)
+    machine.read_done(renewal.record, 1, 8.5)
+    assert machine.get_epoch(13.9) == 1
+    assert machine.get_epoch(14.0) is None
+
+
+def test_earliest_lost_renewal_counts() -> None:
+    """Guards against trust from the second of two lost renewals when the first took effect."""
+    machine = LeaseMachine("a", TTL_S, MARGIN_S)
+    renewal = hold_lease(machine)
+    machine.write_lost(4.0)
+    machine.read_done(renewal.record, 1, 5.0)
+    machine.write_lost(6.0)
+    machine.read_done(renewal.record, 2, 7.0)
+    assert machine.get_epoch(12.9) == 1
+    assert machine.get_epoch(13.0) is None
+
+
+def test_fence_refuses_later_epoch() -> None:
+    """Guards against a resumed holder that adopts the version of its successor."""
+    fence = Fence()
+    assert fence.read_done(1, 7, 1)
+    assert not fence.needs_read(1)
+    assert fence.needs_read(2)
+    fence.write_failed()
+    assert not fence.read_done(1, 8, 2)
+    assert fence.needs_read(1)
+
+
 @pytest.mark.parametrize("value", [None, {}, {"holder": "a", "epoch": 1, "ttl_s": 0}])
 def test_malformed_lease(value: object) -> None:
     """Guards against a malformed object that reads as a free lease."""
