Recognise a probe share whose creation was not answered

Cause: after a lost response the share keeper listed the leases again, saw its own record and looked for a free share only, so it never used the one it held. Found while writing the test of lost responses.

Change: a machine that trusts its lease after the list is taken as held.

--- a/amaranthbend/controllers/probe_shares.py
+++ b/amaranthbend/controllers/probe_shares.py
@@ -121,6 +121,10 @@
             if entry is not None and record is None:
                 continue
             machine.read_done(record, None if entry is None else entry.version, now)
+            if machine.get_epoch(now) is not None:
+                # A write whose response was lost took effect.
+                self._hold(number)
+                return True
             step = machine.plan(now)
             if isinstance(step, LeaseWrite):
                 free[number] = step
@@ -135,9 +139,12 @@
         machine = self._machines[number]
         succeeded = await self._driver.write(f"{NAME_PREFIX}{number}", machine, free[number])
         if machine.get_epoch(self._driver.clock()) is not None:
-            log_event("probe_share_held", share=number)
-            self._held = number
+            self._hold(number)
             return True
         # Several hosts that start together choose the same share now and then.
         await asyncio.sleep(self._driver.rng.uniform(0, 0.2))
         return succeeded
+
+    def _hold(self, number: int) -> None:
+        log_event("probe_share_held", share=number)
+        self._held = number
--- /dev/null
+++ b/tests/test_departures.py
@@ -0,0 +1,66 @@
+from amaranthbend.core.backoff import Backoff, TokenBucket
+from amaranthbend.core.departures import MAX_DEPARTURES, RETENTION_S, Departure, Departures
+
+LEFT = Departure("desk", "u1", 4)
+
+
+def test_only_a_higher_incarnation_returns() -> None:
+    """Guards against a departed upstream that an old message brings back."""
+    departures = Departures()
+    assert departures.add(LEFT, 0.0)
+    assert not departures.add(LEFT, 1.0)
+    assert not departures.add(LEFT._replace(incarnation=3), 1.0)
+    assert departures.has_left("desk", "u1", 4)
+    assert not departures.has_left("desk", "u1", 5)
+    assert departures.list_after(0) == [LEFT]
+    assert departures.list_after(departures.sequence) == []
+
+
+def test_hosts_with_equal_knowledge_have_equal_hashes() -> None:
+    """Guards against full exchanges every second because of departures that no longer matter."""
+    first, second = Departures(), Departures()
+    first.add(Departure("desk", "gone", 1), 0.0)
+    for departures in (first, second):
+        departures.add(LEFT, 0.0)
+        departures.set_present({("desk", "u1"): 4}, 1.0)
+    assert first.compute_hash() == second.compute_hash()
+    second.set_present({("desk", "u1"): 5}, 1.0)
+    assert first.compute_hash() != second.compute_hash()
+
+
+def test_memory_is_bounded() -> None:
+    """Guards against departures that pile up for upstreams that never return."""
+    departures = Departures()
+    for number in range(MAX_DEPARTURES + 5):
+        departures.add(Departure("desk", f"u{number}", 1), 0.0)
+    assert len(departures.list_after(0)) == MAX_DEPARTURES
+    departures.set_present({("desk", "u9"): 1}, RETENTION_S)
+    assert departures.list_after(0) == [Departure("desk", "u9", 1)]
+
+
+def test_backoff_limits() -> None:
+    """Guards against retries without jitter, too soon or never."""
+    highest, lowest = Backoff(lambda: 1.0), Backoff(lambda: 0.0)
+    assert [highest.next_delay() for _ in range(9)] == [
+        0.2,
+        0.4,
+        0.8,
+        1.6,
+        3.2,
+        6.4,
+        12.8,
+        25.6,
+        30,
+    ]
+    assert [lowest.next_delay() for _ in range(3)] == [0.0, 0.0, 0.0]
+    highest.reset()
+    assert highest.next_delay() == 0.2
+
+
+def test_token_bucket() -> None:
+    """Guards against a burst after a pause or after a clock that stepped back."""
+    bucket = TokenBucket(2.0, 3.0, 100.0)
+    assert [bucket.take(100.0) for _ in range(4)] == [True, True, True, False]
+    assert [bucket.take(100.5), bucket.take(100.5)] == [True, False]
+    assert not bucket.take(50.0)
+    assert [bucket.take(1000.0) for _ in range(4)] == [True, True, True, False]
