--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -102,8 +102,8 @@
         for upstream in self.upstreams:
             wait_for_answer(upstream.endpoint, "/_stats")
         wait_for_answer(self.platform_endpoint, "/_stats")
-        for number in range(self.plan.hosts):
-            self.hosts.append(Host(number, f"{self._network}.{FIRST_HOST_NUMBER + number}"))
+        for _ in range(self.plan.hosts):
+            self.add_host()
         self.publish_hosts()
 
     def start_platform(self) -> None:
@@ -122,6 +122,13 @@
         self.upstreams.append(upstream)
         return upstream
 
+    def add_host(self) -> Host:
+        """Add an entry host, without processes yet."""
+        number = len(self.hosts)
+        host = Host(number, f"{self._network}.{FIRST_HOST_NUMBER + number}")
+        self.hosts.append(host)
+        return host
+
     def get_upstreams(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service."""
         return [upstream for upstream in self.upstreams if upstream.service == service]
