Show the output of processes that end early in the demo

A demo that only times out does not say which program failed. It now prints the end of each process's output, and waits fail as soon as an entry process has ended.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -72,9 +72,16 @@
 def main() -> int:
     """Run in a temporary folder; return the exit code."""
     with tempfile.TemporaryDirectory(prefix="amaranthbend-demo-") as name:
-        deployment = Deployment(Path(name), PLAN, SETTINGS)
-        with deployment:
+        return run_in(Path(name))
+
+
+def run_in(folder: Path) -> int:
+    """Run in a folder; return the exit code, and print what the processes said if it is not 0."""
+    succeeded = False
+    with Deployment(folder, PLAN, SETTINGS) as deployment:
+        try:
             succeeded = run(deployment)
+        finally:
             if not succeeded:
                 print_outputs(deployment)
     return 0 if succeeded else 1
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -1,7 +1,7 @@
 """A whole deployment on loopback: platform, upstreams, entry hosts and an operator."""
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -244,6 +244,7 @@
         """Wait until every entry process has a serial in force."""
 
         def is_in_force() -> bool:
+            check_running([entry.process for entry in self.entries])
             return all(
                 host.get_serial(e.admin) >= serial for host in self.hosts for e in host.entries
             )
@@ -265,12 +266,18 @@
         return codes
 
 
+def check_running(processes: Iterable[ManagedProcess]) -> None:
+    """Raise an error that quotes the output of a process that has ended."""
+    for process in processes:
+        if not process.is_running():
+            raise RuntimeError(f"{process.name} ended: {process.read_output()[-2000:]}")
+
+
 def wait_for_answer(endpoint: Endpoint, path: str, process: ManagedProcess | None = None) -> None:
     """Wait until a path answers 200; fail at once if the process has ended."""
 
     def is_answered() -> bool:
-        if process is not None and not process.is_running():
-            raise RuntimeError(f"{process.name} ended: {process.read_output()[-2000:]}")
+        check_running([] if process is None else [process])
         return call(endpoint, path, timeout_s=2.0).status == 200
 
     wait_until(is_answered, START_TIMEOUT_S, f"http://{endpoint}{path}")
