Fix crash of the entry process during a graceful shutdown

A stream that the caller has closed stays listed until the server is told of it; looking for unread input on it raised AttributeError on its missing socket and ended the process with code 1. tests/test_system_shutdown.py showed it in 1 of 2 cases. A closed stream now counts as without input.

--- a/amaranthbend/adapters/caller_server.py
+++ b/amaranthbend/adapters/caller_server.py
@@ -94,6 +94,9 @@
         """Return whether a part of the next request has arrived."""
         if self._read_buffer_size > 0:
             return True
+        # A closed stream stays listed until the server is told of it.
+        if self.closed():
+            return False
         try:
             return bool(self.socket.recv(1, socket.MSG_PEEK))
         except OSError:
