--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -181,7 +181,6 @@
         """Return the process settings that control and entry processes share."""
         return {
             "deployment": self.name,
-            "data_centre": host.data_centre,
             "host_id": host.id,
             "platform_url": f"http://{self.platform_endpoint}",
             "approver_keys": self.approver_keys,
@@ -192,6 +191,9 @@
         """Return the process settings of a control process."""
         return {
             **self.compose_common_settings(host),
+            "peers": {
+                peer.id: str(peer.control_endpoint) for peer in self.hosts if peer is not host
+            },
             "control_address": host.address,
             "control_port": host.control_endpoint.port,
             "admin_address": host.address,
@@ -203,6 +205,7 @@
         """Return the process settings of an entry process."""
         return {
             **self.compose_common_settings(host),
+            "data_centre": host.data_centre,
             "process_id": entry.process.name,
             "address": entry.endpoint.address,
             "port": entry.endpoint.port,
