--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -1,7 +1,7 @@
 """A whole deployment on loopback: platform, upstreams, entry hosts and an operator."""
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -102,8 +102,8 @@
         for upstream in self.upstreams:
             wait_for_answer(upstream.endpoint, "/_stats")
         wait_for_answer(self.platform_endpoint, "/_stats")
-        for number in range(self.plan.hosts):
-            self.hosts.append(Host(number, f"{self._network}.{FIRST_HOST_NUMBER + number}"))
+        for _ in range(self.plan.hosts):
+            self.add_host()
         self.publish_hosts()
 
     def start_platform(self) -> None:
@@ -122,6 +122,13 @@
         self.upstreams.append(upstream)
         return upstream
 
+    def add_host(self) -> Host:
+        """Add an entry host, without processes yet."""
+        number = len(self.hosts)
+        host = Host(number, f"{self._network}.{FIRST_HOST_NUMBER + number}")
+        self.hosts.append(host)
+        return host
+
     def get_upstreams(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service."""
         return [upstream for upstream in self.upstreams if upstream.service == service]
@@ -174,7 +181,6 @@
         """Return the process settings that control and entry processes share."""
         return {
             "deployment": self.name,
-            "data_centre": host.data_centre,
             "host_id": host.id,
             "platform_url": f"http://{self.platform_endpoint}",
             "approver_keys": self.approver_keys,
@@ -185,6 +191,9 @@
         """Return the process settings of a control process."""
         return {
             **self.compose_common_settings(host),
+            "peers": {
+                peer.id: str(peer.control_endpoint) for peer in self.hosts if peer is not host
+            },
             "control_address": host.address,
             "control_port": host.control_endpoint.port,
             "admin_address": host.address,
@@ -196,6 +205,7 @@
         """Return the process settings of an entry process."""
         return {
             **self.compose_common_settings(host),
+            "data_centre": host.data_centre,
             "process_id": entry.process.name,
             "address": entry.endpoint.address,
             "port": entry.endpoint.port,
@@ -237,6 +247,7 @@
         """Wait until every entry process has a serial in force."""
 
         def is_in_force() -> bool:
+            check_running([entry.process for entry in self.entries])
             return all(
                 host.get_serial(e.admin) >= serial for host in self.hosts for e in host.entries
             )
@@ -258,12 +269,18 @@
         return codes
 
 
+def check_running(processes: Iterable[ManagedProcess]) -> None:
+    """Raise an error that quotes the output of a process that has ended."""
+    for process in processes:
+        if not process.is_running():
+            raise RuntimeError(f"{process.name} ended: {process.read_output()[-2000:]}")
+
+
 def wait_for_answer(endpoint: Endpoint, path: str, process: ManagedProcess | None = None) -> None:
     """Wait until a path answers 200; fail at once if the process has ended."""
 
     def is_answered() -> bool:
-        if process is not None and not process.is_running():
-            raise RuntimeError(f"{process.name} ended: {process.read_output()[-2000:]}")
+        check_running([] if process is None else [process])
         return call(endpoint, path, timeout_s=2.0).status == 200
 
     wait_until(is_answered, START_TIMEOUT_S, f"http://{endpoint}{path}")
