--- a/amaranthbend/programs/operator.py
+++ b/amaranthbend/programs/operator.py
@@ -9,14 +9,15 @@
 from typing import Any, NoReturn, TypeVar
 
 import fire
-import statsd
 from absl import logging
 from result import Err, Result
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-from ..adapters.platform import Counters, PlatformClient
+from ..adapters.logs import log_event
+from ..adapters.metrics import Counters
+from ..adapters.platform import PlatformClient
 from ..core.backoff import Backoff
-from ..core.envelope import SettingsEnvelope, dump_canonical
+from ..core.envelope import SettingsEnvelope
 from ..core.errors import SettingsError
 from ..settings.approvals import (
     ApproverKey,
@@ -28,6 +29,7 @@
     write_approval,
 )
 from ..settings.effects import describe_effect
+from ..settings.fleet import describe_fleet
 from ..settings.folder import (
     CheckedFolder,
     FolderSnapshot,
@@ -66,13 +68,6 @@
         self._run = run
 
 
-class SilentCounters:
-    """Stands for statsd where the operator settings name no address."""
-
-    def incr(self, stat: str, count: int = 1) -> None:
-        """Drop the count."""
-
-
 def keygen(key_id: str, out: str) -> Invocation:
     """Create the key file of an approver and print the public key.
 
@@ -207,7 +202,7 @@
 def _read_checked(settings: OperatorSettings) -> tuple[FolderSnapshot, CheckedFolder]:
     snapshot = _require(read_folder(settings.folder))
     for name in snapshot.ignored:
-        logging.warning("event=file_ignored file=%r valid=*.jsonc,*.approval.json", name)
+        log_event("file_ignored", file=name, valid="*.jsonc, *.approval.json")
     return snapshot, _require(check_folder(snapshot, settings.deployment))
 
 
@@ -218,14 +213,6 @@
     print(f"valid: {len(value['services'])} services, {len(value['routes'])} routes")
 
 
-def _open_counters(settings: OperatorSettings) -> Counters:
-    if not settings.statsd_target:
-        return SilentCounters()
-    address, _, port = settings.statsd_target.rpartition(":")
-    client: Counters = statsd.StatsClient(address, int(port), prefix=COUNTER_PREFIX)
-    return client
-
-
 def _open_platform(settings: OperatorSettings, counters: Counters) -> PlatformClient:
     # The simple client ignores proxies that the environment names.
     http_client = SimpleAsyncHTTPClient(force_instance=True)
@@ -239,8 +226,11 @@
     """Run calls to the platform in an event loop of their own."""
 
     async def run() -> T:
-        counters = _open_counters(settings)
-        return await use(_open_platform(settings, counters), counters)
+        counters = Counters(settings.statsd_target, COUNTER_PREFIX)
+        try:
+            return await use(_open_platform(settings, counters), counters)
+        finally:
+            counters.flush()
 
     return asyncio.run(run())
 
@@ -265,7 +255,7 @@
         return
     verified = verify_envelope(base.envelope, settings.approver_keys, settings.required_approvals)
     if isinstance(verified, Err):
-        logging.warning("event=base_not_confirmed problem=%r", str(verified.err_value))
+        log_event("base_not_confirmed", problem=verified.err_value)
 
 
 def _diff(settings: OperatorSettings) -> None:
@@ -314,6 +304,8 @@
     async def publish_snapshot(snapshot: Result[FolderSnapshot, SettingsError]) -> Publication:
         publication = await publish_folder(store, settings, snapshot, _make_backoff())
         counters.incr(f"publish.{publication.status}")
+        # A watch runs for long, and its counts are few.
+        counters.flush()
         return publication
 
     return publish_snapshot
@@ -331,10 +323,9 @@
 
 def _report(publication: Publication) -> None:
     """Log the status, and each message in a line of its own."""
-    log = logging.info if publication.status in SUCCESSES else logging.error
-    log("event=publish status=%s messages=%d", publication.status, len(publication.messages))
+    log_event("publish", status=publication.status, messages=len(publication.messages))
     for message in publication.messages:
-        log("event=publish_message text=%r", message)
+        log_event("publish_message", text=message)
 
 
 def _watch(settings: OperatorSettings) -> None:
@@ -344,7 +335,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopped.set)
 
-        logging.info("event=watch_started folder=%r", str(settings.folder))
+        log_event("watch_started", folder=settings.folder)
         await watch_folder(
             settings.folder,
             settings.watch_interval_s,
@@ -353,7 +344,7 @@
             _make_backoff(),
             stopped,
         )
-        logging.info("event=watch_stopped")
+        log_event("watch_stopped")
 
     _call(settings, run)
 
@@ -366,7 +357,9 @@
     if isinstance(report, Err):
         print(f"fleet: no report ({report.err_value})")
         return
-    print(f"fleet: {dump_canonical(report.ok_value.value)}")
+    serial = base.envelope.serial if base.envelope is not None else 0
+    for line in describe_fleet(report.ok_value.value, serial):
+        print(line)
 
 
 def _print_base(settings: OperatorSettings, base: Base) -> None:
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import Iterator
@@ -13,11 +14,13 @@
 
 from amaranthbend.core.outcomes import OutcomeReason, RetryReason
 from amaranthbend.core.versions import RejectionReason
+from amaranthbend.programs.control import ControlSettings
 from amaranthbend.settings.approvals import save_key
 from amaranthbend.settings.defaults import render_reference
 from amaranthbend.settings.folder import check_folder, read_folder
 from amaranthbend.settings.operator_settings import load_operator_settings
 from amaranthbend.settings.policies import build_policy
+from amaranthbend.settings.process import EntrySettings, load_process_settings
 from amaranthbend.settings.publishing import PublishStatus
 from standins.http import call
 from standins.processes import ManagedProcess, pick_endpoint, pick_network, wait_until
@@ -108,6 +111,35 @@
     assert "folder: differs, approvals=0 required=2" in status
 
 
+def test_each_result_of_publish_is_counted(site: Site) -> None:
+    """Guards against a refusal that no counter shows."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as statsd:
+        statsd.bind((site.endpoint.address, 0))
+        statsd.settimeout(5)
+        path = site.path / "operator.jsonc"
+        target = f"{site.endpoint.address}:{statsd.getsockname()[1]}"
+        path.write_text(json.dumps({**json.loads(path.read_text()), "statsd_target": target}))
+
+        def publish() -> str:
+            site.run("publish")
+            while True:
+                # Other commands count their calls to the platform.
+                for line in statsd.recv(65536).decode().splitlines():
+                    if ".publish." in line:
+                        return line
+
+        prefix = "amaranthbend.operator.publish."
+        assert publish() == f"{prefix}too_few_approvals:1|c"
+        site.approve()
+        assert publish() == f"{prefix}published:1|c"
+        assert publish() == f"{prefix}in_force:1|c"
+        (site.folder / "99.jsonc").write_text("{")
+        assert publish() == f"{prefix}invalid_settings:1|c"
+        (site.folder / "99.jsonc").unlink()
+        site.set_faults(outage="unavailable")
+        assert publish() == f"{prefix}platform_unavailable:1|c"
+
+
 @pytest.mark.parametrize(
     ("arguments", "message"),
     [
@@ -151,6 +183,11 @@
     settings = load_operator_settings(ROOT / "examples" / deployment / "operator.jsonc").unwrap()
     checked = check_folder(read_folder(settings.folder).unwrap(), deployment).unwrap()
     assert build_policy(checked.merged.value).deployment == deployment
+    folder = ROOT / "examples" / deployment
+    entry = load_process_settings(str(folder / "entry-1.jsonc"), EntrySettings)
+    control = load_process_settings(str(folder / "control.jsonc"), ControlSettings)
+    assert {entry.deployment, control.deployment} == {deployment}
+    assert entry.approver_keys == control.approver_keys == settings.approver_keys
 
 
 def test_reference_page_is_up_to_date() -> None:
