Test sweeper, fleet status and probe shares under changing holders

Cause: retention must survive a change of sweeper without early removal, a resumed holder must not write the status, and shares must stay within the budget while hosts disagree on their number.

--- /dev/null
+++ b/tests/test_leased_tasks.py
@@ -0,0 +1,209 @@
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
+
+import pytest
+from tornado.httpserver import HTTPServer
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from amaranthbend.adapters.metrics import Counters
+from amaranthbend.adapters.platform import PlatformClient
+from amaranthbend.controllers import probe_shares
+from amaranthbend.controllers.claim_sweeper import ClaimSweeper, Mark, compute_cut, grow_marks
+from amaranthbend.controllers.fleet_status import FleetStatus, HostReport, HostReports
+from amaranthbend.controllers.host_state import HostState
+from amaranthbend.controllers.lease_keeper import LeaseDriver, LeaseKeeper, LeaseTiming
+from amaranthbend.controllers.probe_shares import ProbeShareKeeper
+from amaranthbend.settings.acceptance import Approvers
+from standins.platform import PlatformState, make_app
+from standins.processes import pick_endpoint, pick_network
+
+TIMING = LeaseTiming(ttl_s=1.0, margin_s=0.1)
+RETENTION_S = 3600.0
+
+
+class World:
+    """Platform stand-in and a clock that tests move."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+        self.platform = PlatformState()
+        self.counters = Counters()
+        endpoint = pick_endpoint(f"{pick_network()}.1")
+        self._server = HTTPServer(make_app(self.platform))
+        self._server.listen(endpoint.port, endpoint.address)
+        http_client = SimpleAsyncHTTPClient(force_instance=True)
+        self.client = PlatformClient(f"http://{endpoint}", http_client, self.counters, 500, 500)
+
+    def stop(self) -> None:
+        """Stop the platform."""
+        self._server.stop()
+
+    def read_clock(self) -> float:
+        """Return the present time."""
+        return self.now
+
+    def make_driver(self) -> LeaseDriver:
+        """Return a driver with the moved clock."""
+        return LeaseDriver(self.client, self.counters, random.Random(1), self.read_clock)
+
+    async def hold(self, holder: str, name: str) -> LeaseKeeper:
+        """Return a keeper that holds a lease, taken over if need be."""
+        keeper = LeaseKeeper(self.make_driver(), name, holder, TIMING)
+        task = asyncio.create_task(keeper.run())
+        while keeper.get_epoch() is None:
+            await asyncio.sleep(0.01)
+            self.now += 0.05
+        task.cancel()
+        return keeper
+
+    def make_sweeper(self, keeper: LeaseKeeper) -> ClaimSweeper:
+        """Return a sweeper."""
+        return ClaimSweeper(
+            self.client, keeper, self.counters, lambda: RETENTION_S, self.read_clock
+        )
+
+    def make_status(self, keeper: LeaseKeeper, reports: HostReports) -> FleetStatus:
+        """Return a writer of the fleet status."""
+        state = HostState("host", Approvers("eeslikoda", {}, 1), self.counters, self.read_clock)
+        args = (self.client, keeper, state, reports, "eeslikoda", self.counters, self.read_clock)
+        return FleetStatus(*args)
+
+    def read(self, kind: str, name: str) -> Any:
+        """Return a stored value."""
+        change = self.platform.objects.read(kind, name)
+        return None if change is None else change.value
+
+    def count_claims(self) -> int:
+        """Return the number of claims."""
+        return self.platform.objects.count_objects().get("claims", 0)
+
+
+def run_check(check: Callable[[World], Awaitable[None]]) -> None:
+    """Run a check in an event loop of its own."""
+
+    async def run() -> None:
+        world = World()
+        async with asyncio.timeout(20):
+            await check(world)
+        world.stop()
+
+    asyncio.run(run())
+
+
+def test_claims_are_removed_after_retention_only() -> None:
+    """Guards against claims that are removed early, when a repeat would run again, or never."""
+
+    async def check(world: World) -> None:
+        await world.client.create("claims", "a.1", {"holder": "t1"})
+        keeper = await world.hold("host-0", "claim-sweeper")
+        sweeper = world.make_sweeper(keeper)
+        assert await sweeper.sweep()
+        await world.client.create("claims", "a.2", {"holder": "t2"})
+        world.now += RETENTION_S - 1
+        assert not await sweeper.sweep(), "the lease has lapsed"
+        assert world.count_claims() == 2
+
+    run_check(check)
+
+
+@pytest.mark.parametrize("elapsed_s, left", [(RETENTION_S - 100, 2), (RETENTION_S + 100, 1)])
+def test_age_of_claims_outlives_the_sweeper(elapsed_s: float, left: int) -> None:
+    """Guards against retention that starts again with each new holder, or counts its absence."""
+
+    async def check(world: World) -> None:
+        await world.client.create("claims", "a.1", {"holder": "t1"})
+        first = world.make_sweeper(await world.hold("host-0", "claim-sweeper"))
+        assert await first.sweep()
+        await world.client.create("claims", "a.2", {"holder": "t2"})
+        sweeps = world.read("sweeps", "claims")
+        # Stands for a holder that kept the lease for this long.
+        change = world.platform.objects.read("sweeps", "claims")
+        assert change is not None
+        sweeps["marks"] = [[version, elapsed_s] for version, _age in sweeps["marks"]]
+        await world.client.replace("sweeps", "claims", sweeps, change.revision)
+        world.now += 10 * RETENTION_S
+        second = world.make_sweeper(await world.hold("host-1", "claim-sweeper"))
+        assert await second.sweep()
+        assert world.count_claims() == left
+
+    run_check(check)
+
+
+def test_marks() -> None:
+    """Guards against a mark that covers claims younger than itself."""
+    marks = grow_marks(grow_marks([], 0.0, 10), 60.0, 20)
+    assert marks == [Mark(10, 60.0), Mark(20, 0.0)]
+    assert compute_cut(marks, 60.0) == 10
+    assert compute_cut(marks, 61.0) == 0
+    assert grow_marks(marks, 1.0, 20) == [Mark(10, 61.0), Mark(20, 1.0)]
+
+
+def test_status_of_a_resumed_holder_is_refused() -> None:
+    """Guards against two hosts that both write the status under different epochs."""
+
+    async def check(world: World) -> None:
+        reports = HostReports(world.read_clock)
+        first = await world.hold("host-0", "fleet-status")
+        held_at = world.now
+        first_status = world.make_status(first, reports)
+        assert await first_status.update()
+        world.now += 10.0
+        second = await world.hold("host-1", "fleet-status")
+        reports.take("host-1", HostReport(3, 2, 4))
+        assert await world.make_status(second, reports).update()
+        # The clock of the first host is set back: it believes that it still holds the lease.
+        world.now = held_at
+        assert first.get_epoch() == 1
+        assert not await first_status.update(), "conflict"
+        assert not await first_status.update(), "later epoch"
+        assert world.read("status", "eeslikoda")["epoch"] == 2
+        assert world.counters.get("leases.fenced") == 1
+        assert first.get_epoch() is None
+
+    run_check(check)
+
+
+def test_probe_shares_stay_within_the_budget(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a sum of shares above the budget, also while their number changes."""
+    monkeypatch.setattr(probe_shares, "SETTLE_S", 0.5)
+
+    async def check(world: World) -> None:
+        counts = [2] * 5
+
+        def count_of(number: int) -> Callable[[], int]:
+            return lambda: counts[number]
+
+        keepers = [
+            ProbeShareKeeper(world.make_driver(), f"host-{n}", TIMING, count_of(n))
+            for n in range(5)
+        ]
+        tasks = [asyncio.create_task(keeper.run()) for keeper in keepers]
+
+        def sum_shares() -> float:
+            return sum(keeper.get_share().share for keeper in keepers)
+
+        started_at = asyncio.get_running_loop().time()
+        changes = list(list_changes())
+        highest = 0.0
+        for step in range(250):
+            if step % 5 == 0 and step // 5 < len(changes):
+                host, count = changes[step // 5]
+                counts[host] = count
+            await asyncio.sleep(0.02)
+            world.now = 1000.0 + asyncio.get_running_loop().time() - started_at
+            highest = max(highest, sum_shares())
+        assert 0 < highest <= 1.0 + 1e-9
+        assert sum_shares() == pytest.approx(1.0), "all four shares are in use in the end"
+        for task in tasks:
+            task.cancel()
+
+    run_check(check)
+
+
+def list_changes() -> Iterator[tuple[int, int]]:
+    """Return hosts and the number of shares that their settings give, one after the other."""
+    for count in (2, 5, 3, 1, 4):
+        for host in range(5):
+            yield host, count
