--- a/standins/control_hosts.py
+++ b/standins/control_hosts.py
@@ -51,14 +51,24 @@
         Number of hosts.
     upstreams : int
         Number of upstreams in the host list.
+    uses_relays : bool
+        Whether hosts reach the platform and each other at `platform_targets` and
+        `peer_targets`, where the caller runs relays that count bytes.
     """
 
-    def __init__(self, folder: Path, count: int, upstreams: int = 3) -> None:
+    def __init__(
+        self, folder: Path, count: int, upstreams: int = 3, uses_relays: bool = False
+    ) -> None:
         self._folder = folder
         self._network = pick_network()
         self.platform_endpoint = pick_endpoint(f"{self._network}.250")
         self.endpoints = [pick_endpoint(f"{self._network}.{n + 1}") for n in range(count)]
         self.admin_endpoints = [pick_endpoint(endpoint.address) for endpoint in self.endpoints]
+        self.platform_targets = [self.platform_endpoint] * count
+        self.peer_targets = self.endpoints
+        if uses_relays:
+            self.platform_targets = [pick_endpoint(e.address) for e in self.endpoints]
+            self.peer_targets = [pick_endpoint(e.address) for e in self.endpoints]
         self.hosts = [self._describe_entry(n) for n in range(count)]
         self.hosts += [self._describe_upstream(n) for n in range(upstreams)]
         arguments = [f"--port={self.platform_endpoint.port}"]
@@ -67,7 +77,7 @@
         self.processes = [self._make_control(n) for n in range(count)]
 
     def _describe_entry(self, number: int) -> dict[str, Any]:
-        endpoint = self.endpoints[number]
+        endpoint = self.peer_targets[number]
         return {
             "id": f"host-{number}",
             "role": "entry",
@@ -105,10 +115,10 @@
             "host_id": f"host-{number}",
             "control_address": endpoint.address,
             "control_port": endpoint.port,
-            "platform_url": f"http://{self.platform_endpoint}",
+            "platform_url": f"http://{self.platform_targets[number]}",
             "approver_keys": {APPROVER.key_id: APPROVER.public_key},
             "required_approvals": 1,
-            "peers": {f"host-{n}": str(peer) for n, peer in enumerate(self.endpoints)},
+            "peers": {f"host-{n}": str(peer) for n, peer in enumerate(self.peer_targets)},
             "admin_address": endpoint.address,
             "admin_port": self.admin_endpoints[number].port,
         }
@@ -163,9 +173,11 @@
 
 
 @contextmanager
-def run_control_hosts(folder: Path, count: int, upstreams: int = 3) -> Iterator[ControlHosts]:
+def run_control_hosts(
+    folder: Path, count: int, upstreams: int = 3, uses_relays: bool = False
+) -> Iterator[ControlHosts]:
     """Give hosts whose processes end with the block; the platform is started."""
-    hosts = ControlHosts(folder, count, upstreams)
+    hosts = ControlHosts(folder, count, upstreams, uses_relays)
     try:
         hosts.start_platform()
         yield hosts
