--- a/amaranthbend/programs/control.py
+++ b/amaranthbend/programs/control.py
@@ -67,6 +67,9 @@
         `address:port` of the statsd server, empty to send nothing.
     required_approvals : int
         Least number of approvals of a change.
+    lease_ttl_s, lease_margin_s : float
+        Time after which another process may take over a lease, and the part of it that the
+        holder does not use.
     """
 
     deployment: str
@@ -80,6 +83,8 @@
     peers: dict[str, str] = {}
     statsd_target: str = ""
     required_approvals: int = 2
+    lease_ttl_s: float = LeaseTiming().ttl_s
+    lease_margin_s: float = LeaseTiming().margin_s
 
 
 class ControlProcess:
@@ -115,7 +120,7 @@
     def _build_leases(self) -> None:
         # A restarted process is another holder: it knows nothing of earlier writes.
         holder = f"{self._settings.host_id}.{secrets.token_hex(TOKEN_BYTES)}"
-        timing = LeaseTiming()
+        timing = LeaseTiming(self._settings.lease_ttl_s, self._settings.lease_margin_s)
         driver = LeaseDriver(self.platform, self._counters, self._rng)
         sweeper_lease = LeaseKeeper(driver, "claim-sweeper", holder, timing)
         status_lease = LeaseKeeper(driver, "fleet-status", holder, timing)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -233,6 +233,11 @@
                 raise RuntimeError(f"{result.args}: {result.stdout}{result.stderr}")
         return self.get_platform_serial()
 
+    def publish_settings_change(self, settings: dict[str, Any]) -> int:
+        """Change the operator's folder, approve and publish it; return the serial."""
+        self.operator.change(settings)
+        return self.publish_settings()
+
     def get_platform_serial(self) -> int:
         """Return the serial of the settings on the platform."""
         path = f"/objects/settings/{self.name}"
--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -148,6 +148,10 @@
         }
         self.settings_path.write_text(json.dumps(settings, indent=2))
 
+    def change(self, settings: dict[str, Any]) -> None:
+        """Add or replace a settings file that is merged last."""
+        (self.settings_folder / "90-change.jsonc").write_text(json.dumps(settings))
+
     def run(self, command: str, *arguments: str) -> "subprocess.CompletedProcess[str]":
         """Run one command of the operators' program."""
         module = [sys.executable, "-m", "amaranthbend.programs.operator", command]
--- a/tests/test_system_shutdown.py
+++ b/tests/test_system_shutdown.py
@@ -1,3 +1,4 @@
+import time
 from pathlib import Path
 
 import pytest
@@ -6,7 +7,7 @@
 from standins.http import call
 from standins.processes import wait_until
 
-from .harness import Background, run_deployment
+from .harness import Background, post, repeat, run_deployment
 
 PLAN = Plan(hosts=1, upstreams={"adopt-desk": 1, "archive-shelf": 1})
 SIZE = 400_000
@@ -31,3 +32,18 @@
         assert len(answer.body) == SIZE
         assert entry.process.wait(5.0) == 0
         assert archive.get_executed()[0]["end"] == "answered"
+
+
+def test_entries_serve_without_control(tmp_path: Path) -> None:
+    """Entry processes that depend on a live control process would turn its crash into an outage."""
+    with run_deployment(tmp_path, PLAN) as deployment:
+        host, entry = deployment.hosts[0], deployment.entries[0].endpoint
+        assert host.control is not None
+        host.control.kill()
+        with repeat(lambda n: call(entry, f"/profiles/{n}"), 2, 0.02) as answers:
+            time.sleep(1.5)
+        assert {answer.outcome for answer in answers} == {"answered"}
+        assert post(entry, "/adoptions", "k1").outcome == "answered"
+        deployment.start_control(host)
+        serial = deployment.publish_settings_change({"claim_writes_per_s": 100})
+        deployment.wait_serial(serial)
