--- /dev/null
+++ b/amaranthbend/programs/control.py
@@ -0,0 +1,298 @@
+"""Control process: one on each entry host, between the platform, its peers and the host."""
+
+import asyncio
+import random
+import secrets
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any, NamedTuple
+
+import fire
+import grpc
+from absl import logging
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from ..adapters.admin import AdminSources, make_admin_server
+from ..adapters.logs import log_event
+from ..adapters.metrics import Counters
+from ..adapters.platform import PlatformClient
+from ..controllers.claim_sweeper import ClaimSweeper
+from ..controllers.entry_feed import EntryFeed
+from ..controllers.fleet_status import FleetStatus, HostReports
+from ..controllers.host_state import HostState
+from ..controllers.host_watch import HostWatch
+from ..controllers.lease_keeper import LeaseDriver, LeaseKeeper, LeaseTiming
+from ..controllers.peer_exchange import PeerExchange
+from ..controllers.probe_shares import ProbeShareKeeper
+from ..controllers.settings_watch import SettingsWatch
+from ..core.errors import SettingsError
+from ..rpc import control_pb2_grpc
+from ..settings.acceptance import Approvers
+from ..settings.process import load_process_settings
+
+__all__ = ["ControlProcess", "main"]
+
+# Calls at the same time: the watch, leases, sweeps and status. Calls above it would wait
+# in the client's queue.
+PLATFORM_CLIENTS = 32
+# A fresh host takes the highest serial heard of within this time.
+COLLECT_S = 1.0
+STOP_GRACE_S = 1.0
+RELEASE_S = 2.0
+TOKEN_BYTES = 8
+EXIT_FAILED = 1
+EXIT_BAD_SETTINGS = 2
+
+
+class ControlSettings(NamedTuple):
+    """Settings of a control process.
+
+    Parameters
+    ----------
+    deployment, host_id : str
+        Where the process runs; `host_id` is the one in the host list.
+    control_address, control_port : str, int
+        Where entry processes and other hosts connect.
+    admin_address, admin_port : str, int
+        Where the administration API listens.
+    platform_url : str
+        Base URL of the platform.
+    approver_keys : dict of str to str
+        Public keys of the approvers as hexadecimal text, by key id.
+    peers : dict of str to str
+        `address:port` of control processes to ask while the host list is unknown, by host id.
+    statsd_target : str
+        `address:port` of the statsd server, empty to send nothing.
+    required_approvals : int
+        Least number of approvals of a change.
+    lease_ttl_s, lease_margin_s : float
+        Time after which another process may take over a lease, and the part of it that the
+        holder does not use.
+    """
+
+    deployment: str
+    host_id: str
+    control_address: str
+    control_port: int
+    admin_address: str
+    admin_port: int
+    platform_url: str
+    approver_keys: dict[str, str]
+    peers: dict[str, str] = {}
+    statsd_target: str = ""
+    required_approvals: int = 2
+    lease_ttl_s: float = LeaseTiming().ttl_s
+    lease_margin_s: float = LeaseTiming().margin_s
+
+
+class ControlProcess:
+    """Builds the parts of the control process and runs them until it is told to stop.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Process settings.
+    """
+
+    def __init__(self, settings: ControlSettings) -> None:
+        self._settings = settings
+        self._is_stopping = False
+        self._counters = Counters(settings.statsd_target, "amaranthbend.control")
+        self._rng = random.Random()
+        client = SimpleAsyncHTTPClient(force_instance=True, max_clients=PLATFORM_CLIENTS)
+        self.platform = PlatformClient(settings.platform_url, client, self._counters)
+        approvers = Approvers(
+            settings.deployment, settings.approver_keys, settings.required_approvals
+        )
+        self.state = HostState(settings.host_id, approvers, self._counters)
+        self._build_watches()
+        self._build_leases()
+        self._build_services()
+
+    def _build_watches(self) -> None:
+        deployment = self._settings.deployment
+        self._settings_watch = SettingsWatch(self.platform, self.state, deployment, self._rng)
+        self._host_watch = HostWatch(self.platform, self.state, self._rng)
+        self._reports = HostReports(time.monotonic)
+
+    def _build_leases(self) -> None:
+        # A restarted process is another holder: it knows nothing of earlier writes.
+        holder = f"{self._settings.host_id}.{secrets.token_hex(TOKEN_BYTES)}"
+        timing = LeaseTiming(self._settings.lease_ttl_s, self._settings.lease_margin_s)
+        driver = LeaseDriver(self.platform, self._counters, self._rng)
+        sweeper_lease = LeaseKeeper(driver, "claim-sweeper", holder, timing)
+        status_lease = LeaseKeeper(driver, "fleet-status", holder, timing)
+        self._leases = [sweeper_lease, status_lease]
+        self._shares = ProbeShareKeeper(driver, holder, timing, self._count_shares)
+        self._sweeper = ClaimSweeper(
+            self.platform, sweeper_lease, self._counters, self._get_retention, time.monotonic
+        )
+        self._status = FleetStatus(
+            self.platform,
+            status_lease,
+            self.state,
+            self._reports,
+            self._settings.deployment,
+            self._counters,
+            time.monotonic,
+        )
+
+    def _build_services(self) -> None:
+        self.feed = EntryFeed(self.state, self._shares.get_share)
+        self.peers = PeerExchange(
+            self.state,
+            self._reports,
+            self.feed.describe_host,
+            self._list_seeds(),
+            self._counters,
+            self._rng,
+        )
+
+    def _list_seeds(self) -> list[str]:
+        peers = self._settings.peers
+        return [target for host_id, target in peers.items() if host_id != self._settings.host_id]
+
+    def _count_shares(self) -> int:
+        return 0 if self.state.policy is None else self.state.policy.entry_hosts_max
+
+    def _get_retention(self) -> float | None:
+        return None if self.state.policy is None else self.state.policy.claim_retention_s
+
+    async def run(self, stopped: asyncio.Event) -> bool:
+        """Serve until the event is set, then stop gracefully.
+
+        Returns
+        -------
+        bool
+            False if a part of the process failed.
+        """
+        await self._collect()
+        server = grpc.aio.server()
+        control_pb2_grpc.add_FeedServicer_to_server(self.feed, server)  # type: ignore[no-untyped-call]
+        control_pb2_grpc.add_PeersServicer_to_server(self.peers, server)  # type: ignore[no-untyped-call]
+        server.add_insecure_port(f"{self._settings.control_address}:{self._settings.control_port}")
+        await server.start()
+        self._admin = make_admin_server(self._make_admin_sources())
+        self._admin.listen(self._settings.admin_port, self._settings.admin_address)
+        log_event("control_started", port=self._settings.control_port, serial=self.state.serial)
+        tasks = [asyncio.ensure_future(run()) for run in self._list_loops()]
+        waiting = asyncio.ensure_future(stopped.wait())
+        await asyncio.wait([waiting, *tasks], return_when=asyncio.FIRST_COMPLETED)
+        waiting.cancel()
+        has_failed = any(task.done() for task in tasks)
+        await self._stop(server, tasks)
+        return not has_failed
+
+    def _make_admin_sources(self) -> AdminSources:
+        return AdminSources(
+            self._get_unreadiness,
+            lambda: {"serial": self.state.serial, "digest": self.state.digest},
+            self._describe_upstreams,
+            self._counters.list_all,
+        )
+
+    def _get_unreadiness(self) -> str:
+        if self._is_stopping:
+            return "stopping"
+        if self.state.envelope is None:
+            return "no settings: none valid on the platform, on peers or in entry processes"
+        return "" if self.state.host_list is not None else "no host list"
+
+    def _describe_upstreams(self) -> dict[str, Any]:
+        departed = self.state.departures.has_left
+        return {
+            service: [
+                {**member._asdict(), "departed": departed(service, member[0], member.incarnation)}
+                for member in members
+            ]
+            for service, members in self.state.members.items()
+        }
+
+    def _list_loops(self) -> list[Callable[[], Awaitable[None]]]:
+        loops: list[Callable[[], Awaitable[None]]] = [
+            self._settings_watch.run,
+            self._host_watch.run,
+            self.peers.run,
+            self._shares.run,
+            self._sweeper.run,
+            self._status.run,
+            self._run_upkeep,
+        ]
+        return loops + [lease.run for lease in self._leases]
+
+    async def _run_upkeep(self) -> None:
+        while True:
+            self._counters.flush()
+            self._reports.take(self.state.host_id, self.feed.describe_host())
+            await asyncio.sleep(1.0)
+
+    async def _collect(self) -> None:
+        """Learn settings and host list from the platform and from peers, within a time limit."""
+        try:
+            async with asyncio.timeout(COLLECT_S):
+                await asyncio.gather(self._collect_from_platform(), self.peers.collect())
+        except TimeoutError:
+            log_event("start_collection_timeout", limit_s=COLLECT_S)
+
+    async def _collect_from_platform(self) -> None:
+        await asyncio.gather(self._settings_watch.fetch_once(), self._host_watch.fetch_once())
+        # The host list names peers that the process settings do not.
+        await self.peers.collect()
+
+    async def _stop(self, server: Any, tasks: Sequence[asyncio.Future[None]]) -> None:
+        self._is_stopping = True
+        for task in tasks:
+            if task.done() and not task.cancelled() and task.exception() is not None:
+                log_event("loop_failed", error=repr(task.exception()))
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        releases = [lease.release() for lease in self._leases]
+        try:
+            async with asyncio.timeout(RELEASE_S):
+                await asyncio.gather(*releases, self._shares.release())
+        except TimeoutError:
+            log_event("lease_release_timeout", limit_s=RELEASE_S)
+        await server.stop(STOP_GRACE_S)
+        self._admin.stop()
+        await self.peers.close()
+        self._counters.flush()
+        log_event("control_stopped")
+
+
+async def serve(settings: ControlSettings) -> bool:
+    """Run until SIGTERM or SIGINT; return False if a part of the process failed."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    loop.add_signal_handler(signal.SIGINT, stopped.set)
+    return await ControlProcess(settings).run(stopped)
+
+
+def run(settings: str) -> None:
+    """Run the control process.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the process settings file, JSON with comments.
+    """
+    try:
+        loaded = load_process_settings(settings, ControlSettings)
+    except SettingsError as error:
+        log_event("settings_invalid", error=error)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if not asyncio.run(serve(loaded)):
+        sys.exit(EXIT_FAILED)
+
+
+def main() -> None:
+    """Run from the command line."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    fire.Fire(run)
+
+
+if __name__ == "__main__":
+    main()
