--- /dev/null
+++ b/tests/test_policy_parts.py
@@ -0,0 +1,187 @@
+"""Tests of the parts of the decision core."""
+
+from amaranthbend.core.actions import (
+    AttemptResult,
+    AttemptStatus,
+    LoadReport,
+    Member,
+    Refuse,
+    RequestInfo,
+    Send,
+    UpstreamState,
+    WorkClass,
+)
+from amaranthbend.core.dispatching import Dispatcher
+from amaranthbend.core.ejection import Ejector
+from amaranthbend.core.limits import ConcurrencyLimit
+from amaranthbend.core.membership import Membership
+from amaranthbend.core.outcomes import OutcomeReason
+from amaranthbend.core.policy import LimitPolicy, ProbePolicy, ServicePolicy
+from amaranthbend.core.probing import ProbePlanner
+from amaranthbend.core.queueing import RequestQueue
+from amaranthbend.core.routing import Router
+from benchmarks.cost import measure_pair
+
+ANSWERED = AttemptResult(AttemptStatus.ANSWERED, 200)
+
+
+def make_members(count: int, data_centre: str = "dc") -> list[Member]:
+    """Return members u0, u1 and so on."""
+    return [Member(f"u{n}", f"u{n}", data_centre, 1) for n in range(count)]
+
+
+def make_request(request_id: int, **fields: object) -> RequestInfo:
+    """Return a short request with some fields replaced."""
+    request = RequestInfo(request_id, "r", True, WorkClass.SHORT, 10.0)
+    return request._replace(**fields)
+
+
+def test_router_prefers_own_data_centre_until_it_is_full() -> None:
+    """Guards against needless trips between data centres, and against full near upstreams."""
+    router = Router("near", 2, 1)
+    near = router.make_load(Member("n", "n", "near", 1))
+    far = router.make_load(Member("f", "f", "far", 1))
+    router.set_loads([far, near])
+    for load in (near, far):
+        load.note_report(LoadReport(0, 0, 2, UpstreamState.SERVING, 1), 0, 1.0)
+    assert router.choose(9, frozenset(), None, 0.02, 1.0) is near
+    near.note_report(LoadReport(2, 3, 2, UpstreamState.SERVING, 1), 0, 1.0)
+    assert router.choose(9, frozenset(), None, 0.02, 1.0) is far
+
+
+def test_router_distrusts_reports_that_contradict_own_requests() -> None:
+    """Guards against herding onto an upstream that always reports no load."""
+    router = Router("dc", 2, 1)
+    load = router.make_load(Member("u", "u", "dc", 1))
+    router.set_loads([load])
+    for n in range(4):
+        load.note_report(LoadReport(0, 0, 2, UpstreamState.SERVING, 1), 3, float(n))
+    assert load.doubt >= 3.0
+
+
+def test_probe_budget_of_small_share_is_zero() -> None:
+    """Guards against processes that round their share of the budget up."""
+    planner = ProbePlanner(ProbePolicy(probes_per_s_per_upstream=10.0))
+    planner.set_share(1.0 / 16.0)
+    load = Router("dc", 2, 1).make_load(make_members(1)[0])
+    assert planner.plan([load], 0.0) is None
+    assert planner.next_time() is None
+
+
+def test_slow_upstream_is_ejected_and_returns_on_trial_with_jitter() -> None:
+    """Guards against a slow upstream in full use, and against a return of all at one time."""
+    returns = set()
+    for seed in range(5):
+        ejector = Ejector(seed)
+        healthy = ejector.add("v", on_trial=False)
+        for _ in range(100):
+            ejector.note_start(healthy, 0.0)
+            ejector.note_duration(healthy, 0.0, 0.02)
+        health = ejector.add("u", on_trial=False)
+        for n in range(4):
+            ejector.note_start(health, float(n))
+            ejector.note_duration(health, float(n), n + 0.5)
+        assert ejector.is_bad("u", 4.0)
+        ejector.eject("u", 4.0)
+        time = ejector.next_readmission()
+        assert time is not None
+        assert ejector.readmit_due(time) == ["u"]
+        assert ejector.count_allowed("u") == 1
+        returns.add(time)
+    assert len(returns) == 5
+
+
+def test_heavy_tailed_request_does_not_eject() -> None:
+    """Guards against ejection for one long answer."""
+    ejector = Ejector(1)
+    health = ejector.add("u", on_trial=False)
+    ejector.note_start(health, 0.0)
+    ejector.note_duration(health, 0.0, 60.0)
+    assert not ejector.is_bad("u", 60.0)
+
+
+def test_half_of_the_upstreams_stay_when_all_fail() -> None:
+    """Guards against a service without upstreams when every one looks bad."""
+    dispatcher = Dispatcher(ServicePolicy("desk", 2), ProbePolicy(), "dc", 1)
+    dispatcher.set_members(make_members(6), 0.0)
+    failed = AttemptResult(AttemptStatus.ANSWERED, 500)
+    for n in range(300):
+        now = 0.01 * n
+        for action in dispatcher.submit(make_request(n), now):
+            assert isinstance(action, Send), action
+            dispatcher.finish(n, action.attempt, failed, now + 0.001)
+    assert sum(view.ejected for view in dispatcher.snapshot(3.0)) <= 3
+
+
+def test_limit_shrinks_on_reported_queues_and_grows_again() -> None:
+    """Guards against standing queues at upstreams, and against a limit that stays low."""
+    limit = ConcurrencyLimit(100.0)
+    for n in range(100):
+        limit.note_answer(10, 2, int(limit.limit), 0.02, 0.01 * n)
+    assert limit.limit < 10.0
+    for n in range(10_000):
+        limit.note_answer(0, 2, int(limit.limit), 0.02, 1.0 + 0.01 * n)
+    assert limit.limit > 50.0
+
+
+def test_long_work_is_bounded_and_short_work_overtakes_it() -> None:
+    """Guards against long work that takes all slots, and short work that waits behind it."""
+    policy = ServicePolicy("desk", 2, limits=LimitPolicy(long_share=0.5))
+    dispatcher = Dispatcher(policy, ProbePolicy(), "dc", 1)
+    dispatcher.set_members(make_members(4), 0.0)
+    sent = 0
+    for n in range(10):
+        actions = dispatcher.submit(make_request(n, work_class=WorkClass.LONG), 0.0)
+        sent += sum(isinstance(action, Send) for action in actions)
+    assert sent == 4
+    actions = dispatcher.submit(make_request(10), 0.0)
+    assert [type(action) for action in actions] == [Send]
+
+
+def test_request_that_runs_long_counts_as_long() -> None:
+    """Guards against long work on a route that declares it short."""
+    policy = ServicePolicy("desk", 2, limits=LimitPolicy(long_share=0.1, long_after_s=1.0))
+    dispatcher = Dispatcher(policy, ProbePolicy(), "dc", 1)
+    dispatcher.set_members(make_members(2), 0.0)
+    dispatcher.submit(make_request(1), 0.0)
+    dispatcher.tick(2.0)
+    assert dispatcher.submit(make_request(2, work_class=WorkClass.LONG), 2.0) == []
+    actions = dispatcher.finish(1, 1, ANSWERED, 3.0)
+    assert any(isinstance(action, Send) and action.request_id == 2 for action in actions)
+
+
+def test_unreachable_deadline_is_refused_early() -> None:
+    """Guards against work that waits only to time out."""
+    policy = ServicePolicy("desk", 1, connections_per_upstream=1)
+    dispatcher = Dispatcher(policy, ProbePolicy(), "dc", 1)
+    dispatcher.set_members(make_members(1), 0.0)
+    dispatcher.submit(make_request(1), 0.0)
+    dispatcher.submit(make_request(2), 0.0)
+    actions = dispatcher.submit(make_request(3, deadline=0.01), 0.0)
+    assert actions == [Refuse(3, OutcomeReason.DEADLINE_UNREACHABLE, 1.0)]
+
+
+def test_queue_order() -> None:
+    """Guards against new work ahead of work in progress or of higher priority."""
+    queue = RequestQueue()
+    queue.push(make_request(1))
+    queue.push(make_request(2, priority=5))
+    queue.push(make_request(3), in_progress=True)
+    order = []
+    while (request := queue.peek()) is not None:
+        order.append(request.request_id)
+        queue.remove(request.request_id)
+    assert order == [3, 2, 1]
+
+
+def test_report_of_earlier_incarnation_is_ignored() -> None:
+    """Guards against a late report that takes a restarted upstream out of use."""
+    membership = Membership()
+    membership.set_members([Member("u", "u", "dc", 2)])
+    assert not membership.note_state("u", UpstreamState.DRAINING, 1)
+    assert membership.is_usable("u")
+
+
+def test_cost_of_a_request() -> None:
+    """Guards against decisions that use up the added latency; ten times the usual cost here."""
+    assert measure_pair(500) < 600e-6
