Keep the probe budget across restarts, services and changes of holder

Cause: found by reading. (1) Every service's dispatcher spent the whole budget of its process, so two services doubled it. (2) A restarted entry process did not know what it had sent in the last second. (3) A changed budget never reached a running dispatcher. (4) A stopping control process gave its share up while its entry processes could still spend it. Ruled out: one planner shared by all dispatchers, which would tie them together; recalling the share from entry processes, which needs an answer from each. Change: the budget is divided among the services, a planner waits one window before its first probe and after a change, and the share lapses by its term. Before: tests/test_probing.py fails without the wait and the division. After: it passes.

--- a/amaranthbend/core/dispatching.py
+++ b/amaranthbend/core/dispatching.py
@@ -215,9 +215,14 @@
         self._limit.set_maximum(self._count_slots())
         return self._drain(now)
 
+    def set_probing(self, probing: ProbePolicy, now: float) -> list[Action]:
+        """Use another budget for measuring load."""
+        self._planner.set_policy(probing, now)
+        return self._drain(now)
+
     def set_probe_share(self, share: float, now: float) -> list[Action]:
         """Set the part of the deployment's probe budget that this dispatcher may spend, 0 to 1."""
-        self._planner.set_share(share)
+        self._planner.set_share(share, now)
         return self._drain(now)
 
     def snapshot(self, now: float) -> list[UpstreamView]:
--- a/amaranthbend/core/probing.py
+++ b/amaranthbend/core/probing.py
@@ -7,24 +7,40 @@
 from .policy import ProbePolicy
 from .routing import UpstreamLoad
 
-__all__ = ["ProbePlanner"]
+__all__ = ["ProbePlanner", "divide_budget"]
 
 # Bytes of one probe with its response, as sent by the upstream adapter, rounded up.
 PROBE_BYTES = 512
 # Processor time of one probe in the entry process.
 PROBE_CPU_S = 0.0005
 WINDOW_S = 1.0
+# Wait before the first probe under a budget; longer than a window, whose ends both count.
+SETTLE_S = WINDOW_S + 0.05
 # A probe without result counts as lost after this time.
 PROBE_TIMEOUT_S = 0.25
 # Reports younger than this make a probe needless.
 FRESH_S = 0.005
 
 
+def divide_budget(policy: ProbePolicy, parts: int) -> ProbePolicy:
+    """Return the part of a process's budget that each of its services may spend.
+
+    An upstream belongs to one service, so the budget of an upstream is not divided.
+    """
+    return policy._replace(
+        probes_per_s=policy.probes_per_s / parts,
+        bytes_per_s=policy.bytes_per_s / parts,
+        cpu_share=policy.cpu_share / parts,
+    )
+
+
 class ProbePlanner:
     """Spends the probe budget of one dispatcher evenly, on the upstreams with the oldest reports.
 
     The budget holds in every window of one second, since the times of the
-    probes of the last second are kept.
+    probes of the last second are kept. A new planner, and one whose budget
+    changed, waits for one window: a process that ran before it, or another
+    service that had this part of the budget, may just have spent it.
 
     Parameters
     ----------
@@ -37,15 +53,20 @@
         self._share = 0.0
         self._sent: deque[tuple[float, str]] = deque()
         self._sent_to: dict[str, int] = {}
-        self._next_at = -math.inf
+        self._next_at: float | None = None
 
-    def set_policy(self, policy: ProbePolicy) -> None:
-        """Use another budget; probes of the last second still count."""
+    def set_policy(self, policy: ProbePolicy, now: float) -> None:
+        """Use another budget, after one window if it differs from the present one."""
+        if policy == self._policy:
+            return
         self._policy = policy
+        self._next_at = now + SETTLE_S
 
-    def set_share(self, share: float) -> None:
+    def set_share(self, share: float, now: float) -> None:
         """Set the part of the deployment's budget that may be spent here, 0 to 1."""
         self._share = min(1.0, max(0.0, share))
+        if self._next_at is None:
+            self._next_at = now + SETTLE_S
 
     def count_allowed(self) -> int:
         """Return the probes allowed in one second."""
@@ -61,7 +82,7 @@
     def plan(self, loads: Iterable[UpstreamLoad], now: float) -> str | None:
         """Return the upstream to probe now, or None; a returned probe counts as sent."""
         allowed = self.count_allowed()
-        if now < self._next_at or allowed <= 0:
+        if self._next_at is None or now < self._next_at or allowed <= 0:
             return None
         self._next_at = now + WINDOW_S / allowed
         self._forget_old(now)
--- a/amaranthbend/filters/dispatch.py
+++ b/amaranthbend/filters/dispatch.py
@@ -13,6 +13,7 @@
 from ..core.dispatching import Dispatcher
 from ..core.outcomes import Outcome, OutcomeReason
 from ..core.policy import DeploymentPolicy
+from ..core.probing import divide_budget
 from .refusals import Refusal, make_refusal
 from .services import DispatchSettings, ServiceDispatch
 
@@ -48,15 +49,17 @@
         for name in list(self.services):
             if name not in policy.services:
                 del self.services[name]
+        probing = divide_budget(policy.probing, max(1, len(policy.services)))
         for name, service_policy in policy.services.items():
             service = self.services.get(name)
             if service is not None:
                 service.apply(service.dispatcher.set_policy(service_policy, now))
+                service.apply(service.dispatcher.set_probing(probing, now))
                 continue
             processes = policy.entry_hosts_max * self._settings.entry_processes
             dispatcher = Dispatcher(
                 service_policy,
-                policy.probing,
+                probing,
                 self._settings.data_centre,
                 random.getrandbits(32),
                 processes=processes,
--- a/amaranthbend/programs/control.py
+++ b/amaranthbend/programs/control.py
@@ -248,10 +248,12 @@
                 log_event("loop_failed", error=repr(task.exception()))
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        # The probe share is left to lapse: entry processes may spend it until its term ends, so
+        # another host that took it now would exceed the budget.
         releases = [lease.release() for lease in self._leases]
         try:
             async with asyncio.timeout(RELEASE_S):
-                await asyncio.gather(*releases, self._shares.release())
+                await asyncio.gather(*releases)
         except TimeoutError:
             log_event("lease_release_timeout", limit_s=RELEASE_S)
         await server.stop(STOP_GRACE_S)
