--- a/amaranthbend/core/dispatching.py
+++ b/amaranthbend/core/dispatching.py
@@ -20,7 +20,7 @@
 )
 from .attempts import AttemptState, RequestState, describe_failure, is_upstream_failure
 from .ejection import Ejector
-from .limits import LONGEST_WAIT_S, ConcurrencyLimit
+from .limits import ConcurrencyLimit, find_refusal
 from .membership import Departure, Membership
 from .outcomes import Outcome, OutcomeReason
 from .policy import ProbePolicy, ServicePolicy
@@ -263,21 +263,14 @@
             return OutcomeReason.DEADLINE_UNREACHABLE
         if not any(load.usable for load in self._loads.values()):
             return OutcomeReason.NO_UPSTREAM
-        waiting = len(self._queues[request.work_class])
-        length = self._policy.limits.queue_length
-        if request.work_class is WorkClass.LONG:
-            # Waiting long work must not fill the queue that short work needs.
-            is_full = waiting >= max(1, int(length * self._policy.limits.long_share))
-            return OutcomeReason.QUEUE_FULL if is_full else None
-        if waiting >= length:
-            return OutcomeReason.QUEUE_FULL
-        if not waiting:
-            return None
-        mean_s = self._ejector.mean_s
-        wait_s = self._limit.estimate_wait(waiting, self._running[WorkClass.SHORT], mean_s)
-        if now + wait_s >= request.deadline:
-            return OutcomeReason.DEADLINE_UNREACHABLE
-        return OutcomeReason.CONCURRENCY_LIMIT if wait_s > LONGEST_WAIT_S else None
+        return find_refusal(
+            request,
+            len(self._queues[request.work_class]),
+            self._running[WorkClass.SHORT],
+            self._policy.limits,
+            self._ejector.mean_s,
+            now,
+        )
 
     def _mark_overdue(self, now: float) -> None:
         """Count short requests that run for too long as long work."""
--- a/amaranthbend/core/limits.py
+++ b/amaranthbend/core/limits.py
@@ -1,6 +1,10 @@
-"""Adaptive limit on the requests of one service in flight from one process."""
+"""Adaptive limit on the requests in flight from one process, and early refusal of the excess."""
 
-__all__ = ["ConcurrencyLimit"]
+from .actions import RequestInfo, WorkClass
+from .outcomes import OutcomeReason
+from .policy import LimitPolicy
+
+__all__ = ["ConcurrencyLimit", "find_refusal"]
 
 # The limit shrinks when more than this many requests wait at an upstream for each of its slots.
 CONGESTED_QUEUE_PER_SLOT = 0.7
@@ -59,6 +63,42 @@
             return
         self._limit = min(self._maximum, self._limit + 1.0 / self._limit)
 
-    def estimate_wait(self, waiting: int, in_flight: int, service_s: float) -> float:
-        """Return the time that a request behind `waiting` others will wait, by Little's law."""
-        return (waiting + 1) * service_s / max(1, in_flight)
+
+def find_refusal(
+    request: RequestInfo,
+    waiting: int,
+    in_flight: int,
+    limits: LimitPolicy,
+    service_s: float,
+    now: float,
+) -> OutcomeReason | None:
+    """Return why a new request is refused at once instead of queued, or None.
+
+    Parameters
+    ----------
+    request : RequestInfo
+        The request.
+    waiting : int
+        Requests of its class that wait.
+    in_flight : int
+        Own short requests in flight.
+    limits : LimitPolicy
+        Limits in force.
+    service_s : float
+        Mean time of recent requests.
+    now : float
+        Present time.
+    """
+    if request.work_class is WorkClass.LONG:
+        # Waiting long work must not fill the queue that short work needs.
+        most = max(1, int(limits.queue_length * limits.long_share))
+        return OutcomeReason.QUEUE_FULL if waiting >= most else None
+    if waiting >= limits.queue_length:
+        return OutcomeReason.QUEUE_FULL
+    if not waiting:
+        return None
+    # Little's law: requests leave the queue as fast as those in flight end.
+    wait_s = (waiting + 1) * service_s / max(1, in_flight)
+    if now + wait_s >= request.deadline:
+        return OutcomeReason.DEADLINE_UNREACHABLE
+    return OutcomeReason.CONCURRENCY_LIMIT if wait_s > LONGEST_WAIT_S else None
--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -16,7 +16,8 @@
 from amaranthbend.core.outcomes import Outcome
 from amaranthbend.core.policy import ProbePolicy, ServicePolicy
 
-from .model import Balancer, BalancerFactory, Upstream
+from .model import BalancerFactory, Upstream
+from .scenario import Balancer
 
 __all__ = ["BASELINES", "SimpleBalancer", "make_dispatcher_factory"]
 
--- a/benchmarks/cases.py
+++ b/benchmarks/cases.py
@@ -9,7 +9,8 @@
 from amaranthbend.core.policy import LimitPolicy, ProbePolicy, ServicePolicy
 
 from .baselines import BASELINES, ENTRY_HOSTS_MAX, make_dispatcher_factory
-from .model import PROBE_BYTES, Fault, Model, RequestRecord, Scenario, Traffic
+from .model import PROBE_BYTES, Model, RequestRecord
+from .scenario import Fault, Scenario, Traffic
 
 __all__ = [
     "CASES",
--- a/tests/test_policy_bounds.py
+++ b/tests/test_policy_bounds.py
@@ -14,7 +14,8 @@
     run_case,
     run_steady_load,
 )
-from benchmarks.model import Fault, Model, Scenario, Traffic
+from benchmarks.model import Model
+from benchmarks.scenario import Fault, Scenario, Traffic
 
 # Virtual seconds of each case; the slow case needs time after its first two, and the peak case
 # sets its own duration.
--- a/tests/test_policy_parts.py
+++ b/tests/test_policy_parts.py
@@ -62,9 +62,9 @@
 def test_probe_budget_of_small_share_is_zero() -> None:
     """Guards against processes that round their share of the budget up."""
     planner = ProbePlanner(ProbePolicy(probes_per_s_per_upstream=10.0))
-    planner.set_share(1.0 / 16.0)
+    planner.set_share(1.0 / 16.0, 0.0)
     load = Router("dc", 2, 1).make_load(make_members(1)[0])
-    assert planner.plan([load], 0.0) is None
+    assert planner.plan([load], 5.0) is None
     assert planner.next_time() is None
 
 
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -13,7 +13,10 @@
 
 def make_loads(service: str) -> list[UpstreamLoad]:
     """Return the loads of 40 upstreams."""
-    return [UpstreamLoad(Member(f"{service}-{n}", "127.0.0.1:1", "huye", 1)) for n in range(40)]
+    return [
+        UpstreamLoad(Member(f"{service}-{n}", "127.0.0.1:1", "huye", 1), is_remote=False)
+        for n in range(40)
+    ]
 
 
 def run_planner(planner: ProbePlanner, start: float, end: float, service: str) -> list[float]:
