--- a/amaranthbend/controllers/probe_shares.py
+++ b/amaranthbend/controllers/probe_shares.py
@@ -78,16 +78,6 @@
                 continue
             await self._driver.platform.pause(self._backoff.next_delay())
 
-    async def release(self) -> None:
-        """Give the share up."""
-        if self._held is None:
-            return
-        machine = self._machines[self._held]
-        step = machine.plan_release(self._driver.clock())
-        if step is not None:
-            await self._driver.write(f"{NAME_PREFIX}{self._held}", machine, step)
-        self._held = None
-
     async def _step(self) -> bool:
         count = min(self._list_counts(self._driver.clock()))
         if count == 0:
@@ -96,7 +86,9 @@
         if self._held is None:
             return await self._choose(count)
         if self._held >= count:
-            await self.release()
+            # Not given up: entry processes may spend the share until its term ends, and a host
+            # with earlier settings could take it now.
+            self._held = None
             return True
         machine = self._machines[self._held]
         succeeded = await self._driver.step(f"{NAME_PREFIX}{self._held}", machine)
