--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import statistics
 import subprocess
@@ -42,6 +43,7 @@
 MAX_WRITES_PER_S = 300
 BYTES_PER_MB = 1024 * 1024
 RELAY_BYTES = 64 * 1024
+RELAY_END_S = 0.2
 COMPANION = "import time, amaranthbend.programs.entry; time.sleep(600)"
 COMPANIONS = 3
 
@@ -64,7 +66,9 @@
         except OSError:
             writer.close()
             return
-        await asyncio.gather(self._pump(reader, other[1]), self._pump(other[0], writer))
+        # The end of the measurement cancels what is still open.
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(self._pump(reader, other[1]), self._pump(other[0], writer))
 
     async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -72,8 +76,7 @@
                 self.bytes += len(data)
                 writer.write(data)
                 await writer.drain()
-        except (OSError, asyncio.CancelledError):
-            # The end of the measurement cancels what is still open.
+        except OSError:
             return
         finally:
             writer.close()
@@ -152,6 +155,8 @@
         for companion in companions:
             companion.kill()
             companion.wait()
+    # Lets the relays see the end of their connections before the event loop closes.
+    await asyncio.sleep(RELAY_END_S)
     return Cost(
         count,
         max(used) / duration_s,
