Count probes for the control link, and write plain key=value log lines

Cause: the control process got no probe counts; absl put its own prefix and a warning before the first log line. Ruled out: absl's command line parser, which fire replaces. Change: probes are counted with the size that the planner assumes; log lines start with time and level as fields; a test with callers that leave at random checks that no response reaches another request.

--- a/amaranthbend/adapters/logs.py
+++ b/amaranthbend/adapters/logs.py
@@ -1,15 +1,30 @@
 """Log lines: one per event, as key=value pairs."""
 
 import json
+import logging as standard_logging
 import re
 
-from absl import logging
+from absl import flags, logging
 
-__all__ = ["format_event", "log_event"]
+__all__ = ["format_event", "log_event", "set_up_logs"]
 
 PLAIN_VALUE = re.compile(r"[^\s\"=\\\x00-\x1f\x7f]+")
 
 
+LINE_FORMAT = "time=%(asctime)s level=%(levelname)s %(message)s"
+
+
+def set_up_logs() -> None:
+    """Write log lines as key=value pairs only, from the first one on."""
+    # absl holds log lines back, and says so, until its own command line is parsed.
+    flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    logging.get_absl_handler().setFormatter(
+        standard_logging.Formatter(LINE_FORMAT, datefmt="%Y-%m-%dT%H:%M:%S%z")
+    )
+    logging.set_verbosity(logging.INFO)
+
+
 def format_event(event: str, **fields: object) -> str:
     """Return the line of an event; values that could be misread are quoted.
 
--- a/amaranthbend/filters/dispatch.py
+++ b/amaranthbend/filters/dispatch.py
@@ -1,7 +1,7 @@
 """Last filter: hands requests to the dispatcher of their service."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from ..adapters.caller import CallerRequest
@@ -15,7 +15,7 @@
 from ..core.policy import DeploymentPolicy
 from ..core.probing import divide_budget
 from .refusals import Refusal, make_refusal
-from .services import DispatchSettings, ServiceDispatch
+from .services import DispatchSettings, ServiceDispatch, ignore_probe
 
 __all__ = ["DispatchFilter"]
 
@@ -43,6 +43,7 @@
         self._members: dict[str, tuple[Member, ...]] = {}
         self._share = 0.0
         self._last_id = 0
+        self.note_probe: Callable[[int], None] = ignore_probe
 
     def set_policy(self, policy: DeploymentPolicy, now: float) -> None:
         """Put other settings in force; requests of services that are gone still finish."""
@@ -65,6 +66,7 @@
                 processes=processes,
             )
             service = ServiceDispatch(dispatcher, self._client, self._counters, self._settings)
+            service.note_probe = self.note_probe
             self.services[name] = service
             service.set_members(self._members.get(name, ()), now)
             service.apply(dispatcher.set_probe_share(self._share, now))
--- a/amaranthbend/filters/services.py
+++ b/amaranthbend/filters/services.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from ..adapters.caller import CallerRequest
@@ -25,16 +25,14 @@
 )
 from ..core.dispatching import Dispatcher
 from ..core.outcomes import Outcome, OutcomeReason
+from ..core.probing import PROBE_BYTES, PROBE_TIMEOUT_S
 from .attempts import Attempt, build_upstream_request, parse_load_report
 from .refusals import make_failure, make_refusal
 
-__all__ = ["DispatchSettings", "ServiceDispatch"]
+__all__ = ["DispatchSettings", "ServiceDispatch", "ignore_probe"]
 
 # Retry-After is spread, so that refused callers do not return together.
 RETRY_AFTER_SPREAD = 2.0
-PROBE_TIMEOUT_S = 0.25
-# Estimate of the bytes of a probe and its response, headers included.
-PROBE_BYTES = 400
 MIN_TICK_S = 0.001
 
 
@@ -66,6 +64,10 @@
     attempts: dict[int, Attempt]
 
 
+def ignore_probe(_size_bytes: int) -> None:
+    """Do nothing; stands in until there is a control link."""
+
+
 class ProbeCall:
     """A probe; takes the report from the response's header or its body."""
 
@@ -112,6 +114,7 @@
         self._client = client
         self._counters = counters
         self._settings = settings
+        self.note_probe: Callable[[int], None] = ignore_probe
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
 
@@ -206,6 +209,7 @@
     def _probe(self, action: Probe) -> None:
         member = self.members.get(action.upstream)
         self._counters.incr("probe.sent")
+        self.note_probe(PROBE_BYTES)
         if member is None:
             self.end_probe(action.upstream, None)
             return
--- a/amaranthbend/programs/entry.py
+++ b/amaranthbend/programs/entry.py
@@ -10,14 +10,13 @@
 
 import fire
 import uvloop
-from absl import logging
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from ..adapters.admin import AdminSources, make_admin_server
 from ..adapters.caller_server import CallerServer
 from ..adapters.claims import ClaimRegistry
 from ..adapters.control_link import ControlLink, LinkCallbacks
-from ..adapters.logs import log_event
+from ..adapters.logs import log_event, set_up_logs
 from ..adapters.metrics import Counters
 from ..adapters.platform import PlatformClient
 from ..adapters.upstream import UpstreamClient
@@ -230,6 +229,9 @@
     def report_departures(self, departures: Iterable[Departure]) -> None:
         """Tell others of upstreams that this process saw leave."""
 
+    def count_probe(self, size_bytes: int) -> None:
+        """Count a probe, for the report to the control process."""
+
 
 def make_control_link(process: EntryProcess) -> Link:
     """Return the link to the control process of the host."""
@@ -266,6 +268,7 @@
         loop.add_signal_handler(number, stopped.set)
     process = EntryProcess(settings)
     link = make_link(process)
+    process.dispatch.note_probe = link.count_probe
     # Objects of the start live as long as the process; later collections skip them and run
     # rarely, since each one delays every request that is under way.
     gc.collect()
@@ -302,8 +305,7 @@
 
 def main() -> None:
     """Run from the command line."""
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
+    set_up_logs()
     fire.Fire(run)
 
 
--- a/tests/entry_cases.py
+++ b/tests/entry_cases.py
@@ -93,6 +93,9 @@
         """Remember what the entry process saw."""
         self.departures.extend(departures)
 
+    def count_probe(self, size_bytes: int) -> None:
+        """Ignore a probe."""
+
 
 class ScriptedUpstream:
     """Server that runs one script per connection and records what it received."""
--- a/tests/entry_runner.py
+++ b/tests/entry_runner.py
@@ -3,8 +3,8 @@
 import sys
 
 import uvloop
-from absl import logging
 
+from amaranthbend.adapters.logs import set_up_logs
 from amaranthbend.programs.entry import EntryProcess, Link, serve
 from amaranthbend.settings.process import EntrySettings, load_process_settings
 from tests.entry_cases import MERGED, StaticLink
@@ -13,8 +13,7 @@
 
 def main() -> None:
     """Run until SIGTERM."""
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
+    set_up_logs()
     # The keys of the test cases differ from process to process.
     settings = load_process_settings(sys.argv[1], EntrySettings)
     settings = settings._replace(approver_keys=APPROVER_KEYS)
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import hashlib
+import random
 
 import pytest
 
 from .entry_cases import (
     OK,
     WAIT_S,
+    Entry,
     ScriptedUpstream,
     get_field,
     make_request,
@@ -273,3 +275,45 @@
             writer.close()
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_responses_do_not_mix_when_callers_leave(seed: int) -> None:
+    """Guards against late bytes of a cancelled call that reach another request."""
+    rng = random.Random(seed)
+    mismatches: list[tuple[bytes, bytes]] = []
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head, _body = await read_message(reader)
+            data = head.split()[1] * 2000
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(data))
+            for start in range(0, len(data), 4000):
+                writer.write(data[start : start + 4000])
+                await asyncio.sleep(rng.random() * 0.004)
+
+    async def call_or_leave(entry: Entry, number: int) -> None:
+        path = b"/%06d" % number
+        reader, writer = await entry.connect()
+        writer.write(make_request("GET", path.decode()))
+        if rng.random() < 0.5:
+            await asyncio.sleep(rng.random() * 0.02)
+            writer.close()
+            return
+        _head, body = await asyncio.wait_for(read_message(reader), WAIT_S)
+        writer.close()
+        if body != path * 2000:
+            mismatches.append((path, body[:40]))
+
+    async def check() -> None:
+        async with ScriptedUpstream(script) as upstream, run_entry([upstream.address]) as entry:
+            for start in range(0, 300, 30):
+                await asyncio.gather(*(call_or_leave(entry, start + n) for n in range(30)))
+            assert entry.process.counters.get("outcome.answered") > 100
+            await wait_for(lambda: entry.process.dispatch.services["adopt-desk"].running == {})
+            assert [view["in_flight"] for view in entry.process.get_upstreams()["adopt-desk"]] == [
+                0
+            ]
+
+    asyncio.run(check())
+    assert mismatches == []
