End a refused attempt although its response stalls

Ruled out: ending the transfer with the head; under shedding every refusal would then cost a connection. Change: a refusal has 50 ms to end. Before/after: the new test fails without the change (no answer in 2 s) and passes with it.

--- a/amaranthbend/filters/attempts.py
+++ b/amaranthbend/filters/attempts.py
@@ -17,6 +17,9 @@
 NOT_RUN_PROOFS = frozenset({"shed", "draining", "deadline"})
 LOAD_FIELDS = ("in_flight", "queued", "slots", "state", "incarnation")
 MAX_REPORT_LENGTH = 256
+# Time for the rest of a refusal, whose proof is in its head; after its end the connection can
+# be used again.
+REFUSAL_END_S = 0.05
 # Reports repeat, since their numbers are small.
 KEPT_REPORTS = 4096
 MS_PER_S = 1000
@@ -110,6 +113,8 @@
             self._owner.note_report(self.upstream, report)
         if head.status == REFUSED_STATUS and head.not_run in NOT_RUN_PROOFS:
             self.refused = True
+            loop = asyncio.get_running_loop()
+            self.timer = loop.call_later(REFUSAL_END_S, self.fail, OutcomeReason.UPSTREAM_REFUSED)
             return
         if not self.has_ended and self._owner.accept_answer(self):
             self._passes = True
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -268,3 +268,20 @@
         assert get_field(head, "X-Outcome-Reason") == ["timeout"]
 
     asyncio.run(check())
+
+
+def test_refusal_without_end_does_not_hold_the_request() -> None:
+    """Guards against an upstream that proves "not run" and then stalls."""
+
+    async def stall(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_message(reader)
+        writer.write(b"HTTP/1.1 503 Busy\r\nX-Not-Run: shed\r\nContent-Length: 9\r\n\r\n")
+        await reader.read()
+
+    async def check() -> None:
+        async with ScriptedUpstream(stall) as upstream, run_entry([upstream.address]) as entry:
+            request = make_request("POST", "/", body=b"hay")
+            head, _body = await asyncio.wait_for(entry.exchange(request), 2.0)
+        assert get_field(head, "X-Request-Outcome") == ["not-run"]
+
+    asyncio.run(check())
