Make four failure tests fail without their mechanism

The paused process was never offered the older serial, since a lagging watch returns nothing; the old settings are now written over the new ones while it is paused. The two operators read the base one after the other; a slow platform now makes both read it first. The resumed lease holder had nothing to write before it learned of its successor; it is now paused with an unwritten change and the platform is slow when it resumes.

--- a/tests/test_system_platform.py
+++ b/tests/test_system_platform.py
@@ -6,6 +6,7 @@
 
 from standins.deployment import Deployment, Plan
 from standins.http import call
+from standins.nodes import Host
 from standins.processes import wait_until
 
 from .harness import count_executed, post, repeat, run_deployment
@@ -51,28 +52,44 @@
     return answer.load_json()["value"] if answer.status == 200 else {}
 
 
+def read_epoch(deployment: Deployment) -> int:
+    """Return the epoch of the fleet status."""
+    return int(read_value(deployment, "status/eeslikoda").get("epoch", 0))
+
+
+def pause_before_status_write(deployment: Deployment, holder: Host) -> None:
+    """Pause the lease holder when it has a settings change that is not in its status yet."""
+    for claim_rate in (100, 101, 102, 103):
+        serial = deployment.publish_settings_change({"claim_writes_per_s": claim_rate})
+        wait_until(lambda s=serial: holder.get_serial(holder.control_admin) >= s, 7.0, "settings")  # type: ignore[misc]
+        assert holder.control is not None
+        holder.control.pause()
+        if read_value(deployment, "status/eeslikoda")["serial"] < serial:
+            return
+        holder.control.resume()
+    raise AssertionError("the status was written at once each time")
+
+
 def test_paused_lease_holder_writes_nothing(tmp_path: Path) -> None:
     """A holder that resumes after its lease lapsed must not overwrite its successor's status.
 
-    A settings change gives it something to write when it resumes.
+    A slow platform keeps the holder from learning of its successor before it writes.
     """
     timing = {"lease_ttl_s": 1.5, "lease_margin_s": 0.3}
     plan = Plan(hosts=2, upstreams={"adopt-desk": 1}, control_settings=timing)
     with run_deployment(tmp_path, plan) as deployment:
-
-        def read_epoch(_number: int = 0) -> int:
-            return int(read_value(deployment, "status/eeslikoda").get("epoch", 0))
-
-        wait_until(read_epoch, 5.0, "status written")
+        wait_until(lambda: read_epoch(deployment), 5.0, "status written")
         holder_id = read_value(deployment, "leases/fleet-status")["holder"]
         holder = next(host for host in deployment.hosts if holder_id.startswith(host.id))
-        assert holder.control is not None
-        first_epoch = read_epoch()
-        holder.control.pause()
-        wait_until(lambda: read_epoch() > first_epoch, 8.0, "status of the successor")
-        with repeat(read_epoch, 1, 0.02) as epochs:
-            deployment.publish_settings_change({"claim_writes_per_s": 100})
+        first_epoch = read_epoch(deployment)
+        pause_before_status_write(deployment, holder)
+        wait_until(lambda: read_epoch(deployment) > first_epoch, 8.0, "status of the successor")
+        with repeat(lambda _: read_epoch(deployment), 1, 0.02) as epochs:
+            deployment.set_platform_faults(delay_s=0.3)
+            assert holder.control is not None
             holder.control.resume()
-            time.sleep(3.0)
+            time.sleep(1.0)
+            deployment.set_platform_faults(delay_s=0)
+            time.sleep(1.5)
         assert epochs == sorted(epochs)
         assert epochs[-1] > first_epoch
--- a/tests/test_system_settings.py
+++ b/tests/test_system_settings.py
@@ -64,29 +64,35 @@
         for number, operator in enumerate(operators):
             operator.change({"claim_writes_per_s": 100 + number})
             operator.approve().check_returncode()
+        # Both read the base before either has written.
+        deployment.set_platform_faults(delay_s=0.6)
         results = [f.result() for f in [background.start(o.publish) for o in operators]]
         assert sorted(result.returncode for result in results) == [0, 1]
         refused = next(result for result in results if result.returncode == 1)
         assert "approve" in refused.stderr
+        deployment.set_platform_faults(delay_s=0)
         deployment.wait_serial(2)
         assert deployment.get_platform_serial() == 2
 
 
 @pytest.mark.parametrize("paused", ["control", "entry"])
 def test_paused_process_keeps_newest_serial(tmp_path: Path, paused: str) -> None:
-    """A process that resumes while the platform gives out old settings must not go back."""
+    """A process that resumes and finds old settings on the platform must not go back to them."""
     with run_deployment(tmp_path, TWO_HOSTS) as deployment:
         host = deployment.hosts[0]
         process = host.control if paused == "control" else host.entries[0].process
         assert process is not None
+        path = f"/objects/settings/{deployment.name}"
+        first = call_json(deployment.platform_endpoint, path)["value"]
         serial = publish_change(deployment, 2000)
         deployment.wait_serial(serial)
         process.pause()
+        call_json(deployment.platform_endpoint, path, "PUT", first)
         time.sleep(0.5)
-        deployment.set_platform_faults(read_lag_s=300)
         process.resume()
         with repeat(lambda _: read_serials(deployment), 1, 0.1) as seen:
             time.sleep(SETTLE_S)
+        assert seen
         assert all(serials == [serial] * 4 for serials in seen)
 
 
@@ -160,6 +166,7 @@
         call_json(deployment.platform_endpoint, path, "PUT", bad)
         with repeat(lambda _: read_serials(deployment), 1, 0.1) as seen:
             time.sleep(SETTLE_S)
+        assert seen
         assert all(serials == [serial] * 4 for serials in seen)
         digests = {call_json(entry.admin, "/configz")["digest"] for entry in deployment.entries}
         assert digests == {present["digest"]}
