Check accepted serials in the logs, and drains within one data centre

An entry process gives its settings back to a control process that went back to an older serial within milliseconds, between two looks of the test; the order of accepted serials is now read from each process's log. The quiet host preferred an upstream in its own data centre over the leaving one; all are now in one data centre.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -31,6 +31,8 @@
         Further arguments of the upstream stand-ins.
     required_approvals : int
         Approvals that a change needs.
+    data_centres : int
+        Data centres over which hosts and upstreams are spread.
     control_settings, entry_settings : dict
         Process settings that replace the usual ones.
     """
@@ -40,6 +42,7 @@
     upstreams: dict[str, int] = {"adopt-desk": 2, "archive-shelf": 1}
     upstream_arguments: tuple[str, ...] = ()
     required_approvals: int = 1
+    data_centres: int = len(DATA_CENTRES)
     control_settings: dict[str, Any] = {}
     entry_settings: dict[str, Any] = {}
 
@@ -116,7 +119,7 @@
     def add_upstream(self, service: str, number: int) -> Upstream:
         """Start one more upstream; the host list names it from the next `publish_hosts` on."""
         address = f"{self._network}.{FIRST_UPSTREAM_NUMBER + len(self.upstreams)}"
-        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        data_centre = DATA_CENTRES[number % self.plan.data_centres]
         upstream = Upstream(f"{service}-{number}", service, pick_endpoint(address), data_centre)
         upstream.start(self.folder, self.plan.upstream_arguments)
         self.upstreams.append(upstream)
@@ -125,7 +128,8 @@
     def add_host(self) -> Host:
         """Add an entry host, without processes yet."""
         number = len(self.hosts)
-        host = Host(number, f"{self._network}.{FIRST_HOST_NUMBER + number}")
+        address = f"{self._network}.{FIRST_HOST_NUMBER + number}"
+        host = Host(number, address, DATA_CENTRES[number % self.plan.data_centres])
         self.hosts.append(host)
         return host
 
--- a/standins/nodes.py
+++ b/standins/nodes.py
@@ -80,10 +80,10 @@
 class Host:
     """One entry host: a control process and entry processes."""
 
-    def __init__(self, number: int, address: str) -> None:
+    def __init__(self, number: int, address: str, data_centre: str) -> None:
         self.id = f"entry-{number}"
         self.address = address
-        self.data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        self.data_centre = data_centre
         self.control_endpoint = pick_endpoint(address)
         self.control_admin = pick_endpoint(address)
         self.control: ManagedProcess | None = None
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -1,6 +1,7 @@
 """Whole deployments for the failure tests."""
 
 import contextlib
+import re
 import sys
 import threading
 import time
@@ -11,9 +12,17 @@
 
 from standins.deployment import Deployment, Plan
 from standins.http import Answer, call
-from standins.processes import Endpoint
-
-__all__ = ["SETTINGS", "Background", "count_executed", "post", "repeat", "run_deployment"]
+from standins.processes import Endpoint, ManagedProcess
+
+__all__ = [
+    "SETTINGS",
+    "Background",
+    "count_executed",
+    "post",
+    "read_accepted_serials",
+    "repeat",
+    "run_deployment",
+]
 
 T = TypeVar("T")
 
@@ -95,3 +104,9 @@
     """Return how often a request got a slot at any upstream."""
     logs = [upstream.get_executed() for upstream in deployment.upstreams]
     return sum(entry["request_id"] == request_id for log in logs for entry in log)
+
+
+def read_accepted_serials(process: ManagedProcess) -> list[int]:
+    """Return the serials that a process has put in force, in that order, from its log."""
+    pattern = r"event=settings_(?:accepted|in_force) .*?serial=(\d+)"
+    return [int(serial) for serial in re.findall(pattern, process.read_output())]
--- a/tests/test_system_settings.py
+++ b/tests/test_system_settings.py
@@ -10,7 +10,7 @@
 from standins.nodes import Operator
 from standins.processes import wait_until
 
-from .harness import SETTINGS, Background, repeat, run_deployment
+from .harness import SETTINGS, Background, read_accepted_serials, run_deployment
 
 SMALL = Plan(hosts=1, upstreams={"adopt-desk": 1, "archive-shelf": 1})
 TWO_HOSTS = SMALL._replace(hosts=2)
@@ -33,6 +33,20 @@
     return [deployment.hosts[0].get_serial(admin) for admin in admins]
 
 
+def assert_only_raised_to(deployment: Deployment, serial: int) -> None:
+    """Check that every process has this serial in force and never put a lower one in force.
+
+    An entry process gives its settings back to a control process within
+    milliseconds, so that only the log shows a short return to an older serial.
+    """
+    assert read_serials(deployment) == [serial] * 4
+    for host in deployment.hosts:
+        for process in host.processes:
+            accepted = read_accepted_serials(process)
+            assert accepted == sorted(set(accepted))
+            assert accepted[-1] == serial
+
+
 def test_accepted_settings_reach_every_host(tmp_path: Path) -> None:
     """Settings that take long to spread would leave callers under two sets of rules."""
     with run_deployment(tmp_path, SMALL._replace(hosts=3, entries=2)) as deployment:
@@ -90,10 +104,8 @@
         call_json(deployment.platform_endpoint, path, "PUT", first)
         time.sleep(0.5)
         process.resume()
-        with repeat(lambda _: read_serials(deployment), 1, 0.1) as seen:
-            time.sleep(SETTLE_S)
-        assert seen
-        assert all(serials == [serial] * 4 for serials in seen)
+        time.sleep(SETTLE_S)
+        assert_only_raised_to(deployment, serial)
 
 
 def test_control_restarted_in_outage_learns_from_entries(tmp_path: Path) -> None:
@@ -164,9 +176,7 @@
         present = call_json(deployment.platform_endpoint, path)["value"]
         bad = first if kind == "old" else forge(present, kind)
         call_json(deployment.platform_endpoint, path, "PUT", bad)
-        with repeat(lambda _: read_serials(deployment), 1, 0.1) as seen:
-            time.sleep(SETTLE_S)
-        assert seen
-        assert all(serials == [serial] * 4 for serials in seen)
+        time.sleep(SETTLE_S)
+        assert_only_raised_to(deployment, serial)
         digests = {call_json(entry.admin, "/configz")["digest"] for entry in deployment.entries}
         assert digests == {present["digest"]}
--- a/tests/test_system_upstreams.py
+++ b/tests/test_system_upstreams.py
@@ -55,7 +55,8 @@
 @pytest.mark.parametrize("sign", ["outage", "stale_list"])
 def test_drain_is_known_to_hosts_without_traffic(tmp_path: Path, sign: str) -> None:
     """A host that has not met the leaving upstream itself must learn of it from the others."""
-    with run_deployment(tmp_path, PLAN) as deployment:
+    # In one data centre, so that the quiet host would choose the leaving upstream too.
+    with run_deployment(tmp_path, PLAN._replace(data_centres=1)) as deployment:
         # Probes would show the quiet host the leaving upstream's own report.
         serial = deployment.publish_settings_change({"probing": {"probes_per_s": 0}})
         deployment.wait_serial(serial)
