Test the probe budget over whole processes

A change of the probe budget had no effect on services that ran already until the entry branch passed it on: with probes_per_s set to 0, a quiet host still probed. The test counts the load calls at the upstreams, under a low budget and after it is set to 0.

--- a/tests/test_system_upstreams.py
+++ b/tests/test_system_upstreams.py
@@ -191,3 +191,27 @@
             answer = started.result()
             assert answer.outcome != "answered" or answer.load_json()["key"] == f"k{number}"
             assert count_executed(deployment, f"k{number}") <= 1
+
+
+def test_probes_stay_within_budget(tmp_path: Path) -> None:
+    """Probes above the operators' budget are load that nobody approved.
+
+    Each of 16 shares is for one host, so 2 hosts may spend an eighth of the budget.
+    """
+    with run_deployment(tmp_path, PLAN) as deployment:
+        probing = {"probes_per_s": 160, "probes_per_s_per_upstream": 80}
+        serial = deployment.publish_settings_change({"probing": probing})
+        deployment.wait_serial(serial)
+        with repeat(lambda n: send_reads(deployment, n), 4, 0.01):
+            time.sleep(3.0)
+        stats = [upstream.get_stats() for upstream in deployment.upstreams]
+        assert sum(s["load_calls"] for s in stats) > 0
+        # The default before the change allows 5 a second to one upstream, 125 in all.
+        assert max(s["load_peak_per_s"] for s in stats) <= 10
+        assert sum(s["load_peak_per_s"] for s in stats) <= 20
+        serial = deployment.publish_settings_change({"probing": {"probes_per_s": 0}})
+        deployment.wait_serial(serial)
+        time.sleep(0.3)
+        before = [upstream.get_stats()["load_calls"] for upstream in deployment.upstreams]
+        time.sleep(1.0)
+        assert before == [upstream.get_stats()["load_calls"] for upstream in deployment.upstreams]
