Test writes at killed upstreams and upstreams that fail fast

A write whose upstream dies while it runs must not run elsewhere, and an upstream that fails at once must not draw work as if it were idle.

--- a/tests/test_system_upstreams.py
+++ b/tests/test_system_upstreams.py
@@ -215,3 +215,33 @@
         before = [upstream.get_stats()["load_calls"] for upstream in deployment.upstreams]
         time.sleep(1.0)
         assert before == [upstream.get_stats()["load_calls"] for upstream in deployment.upstreams]
+
+
+def test_upstream_killed_during_write(tmp_path: Path) -> None:
+    """A write that was running when its upstream died may have run, so no other may run it."""
+    with run_deployment(tmp_path, PLAN) as deployment, Background(1) as background:
+        upstreams = deployment.get_upstreams("adopt-desk")
+        entry = deployment.entries[0].endpoint
+        write = background.start(post, entry, "/visits?ms=2000", "k1")
+        wait_until(lambda: count_executed(deployment, "k1"), 3.0, "write running")
+        running = next(upstream for upstream in upstreams if upstream.get_executed())
+        assert running.process is not None
+        running.process.kill()
+        assert write.result().outcome == "unknown"
+        others = [upstream for upstream in upstreams if upstream is not running]
+        assert [upstream.get_executed() for upstream in others] == [[], []]
+
+
+def test_upstream_that_fails_fast_is_avoided(tmp_path: Path) -> None:
+    """An upstream that fails at once looks idle, and would draw most of the work."""
+    with run_deployment(tmp_path, PLAN._replace(data_centres=1)) as deployment:
+        failing = deployment.get_upstreams("adopt-desk")[0]
+        failing.set_faults(fail_ratio=1.0)
+        with repeat(lambda n: send_reads(deployment, n), 4, 0.005) as answers:
+            time.sleep(2.0)
+            learned = len(answers)
+            time.sleep(2.0)
+        statuses = [answer.status for answer in answers[learned:]]
+        assert len(statuses) > 100
+        # A third of the work would be its even share.
+        assert statuses.count(500) <= len(statuses) * 0.1
