--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,6 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks
+	$(BIN)/python -m benchmarks.cost
+	$(BIN)/python -m benchmarks.entry_overhead
+	$(BIN)/python -m benchmarks.control_cost
