--- a/amaranthbend/core/dispatching.py
+++ b/amaranthbend/core/dispatching.py
@@ -192,7 +192,7 @@
         self._router.set_loads(self._loads.values())
         for load in self._loads.values():
             self._refresh(load)
-        self._limit.set_maximum(self._count_slots())
+        self._limit.set_maximum(self._router.count_slots())
         return self._refuse_all_if_unusable() + self._drain(now)
 
     def depart(self, upstream: str, incarnation: int, now: float) -> list[Action]:
@@ -213,7 +213,7 @@
         self._budget.set_policy(policy.retries)
         self._long_limit.set_share(policy.limits.long_share)
         self._router.slots = policy.slots_per_upstream
-        self._limit.set_maximum(self._count_slots())
+        self._limit.set_maximum(self._router.count_slots())
         return self._drain(now)
 
     def set_probing(self, probing: ProbePolicy, now: float) -> list[Action]:
@@ -228,23 +228,7 @@
 
     def snapshot(self, now: float) -> list[UpstreamView]:
         """Return what is known of each upstream."""
-        views: list[UpstreamView] = []
-        for load in self._loads.values():
-            age = None if load.report is None else now - load.report_at
-            views.append(
-                UpstreamView(
-                    load.member, load.in_flight, load.report, age, load.ejected or not load.usable
-                )
-            )
-        return views
-
-    def _count_slots(self) -> int:
-        """Return the slots of all usable upstreams."""
-        slots = 0
-        for load in self._loads.values():
-            if load.usable:
-                slots += self._router.slots if load.report is None else load.report.slots
-        return slots
+        return [load.describe(now) for load in self._loads.values()]
 
     def _refresh(self, load: UpstreamLoad) -> None:
         """Copy the state of the member and the verdict on it to its load record."""
@@ -255,13 +239,13 @@
         load.ejected = self._ejector.is_ejected(upstream)
         load.most_in_flight = self._ejector.count_allowed(upstream)
         if was_usable != load.usable:
-            self._limit.set_maximum(self._count_slots())
+            self._limit.set_maximum(self._router.count_slots())
 
     def _find_refusal(self, request: RequestInfo, now: float) -> OutcomeReason | None:
         """Return why a new request is refused at once, or None."""
         if now >= request.deadline:
             return OutcomeReason.DEADLINE_UNREACHABLE
-        if not any(load.usable for load in self._loads.values()):
+        if not self._router.count_usable():
             return OutcomeReason.NO_UPSTREAM
         return find_refusal(
             request,
@@ -313,7 +297,7 @@
 
     def _refuse_all_if_unusable(self) -> list[Action]:
         """End the queued requests when no upstream is left to serve them."""
-        if any(load.usable for load in self._loads.values()):
+        if self._router.count_usable():
             return []
         actions: list[Action] = []
         for queue in self._queues.values():
@@ -348,7 +332,7 @@
         """Return whether the limits allow another request of this class."""
         running = self._running[work_class]
         if work_class is WorkClass.LONG:
-            return running < self._long_limit.count_allowed(self._count_slots())
+            return running < self._long_limit.count_allowed(self._router.count_slots())
         return running < self._limit.limit
 
     def _choose(self, record: RequestState, now: float) -> UpstreamLoad | None:
@@ -367,8 +351,7 @@
             )
             if load is None or not self._ejector.is_bad(load.member.upstream, now):
                 return load
-            usable = sum(other.usable for other in self._loads.values())
-            if self._ejector.count_removable(usable) <= 0:
+            if self._ejector.count_removable(self._router.count_usable()) <= 0:
                 return load
             self._ejector.eject(load.member.upstream, now)
             load.ejected = True
@@ -410,7 +393,7 @@
         if not self._budget.take(now):
             return [self._end(record, OutcomeReason.RETRY_BUDGET)]
         record.retry_reason = reason
-        if not any(load.usable for load in self._loads.values()):
+        if not self._router.count_usable():
             return [self._end(record, OutcomeReason.NO_UPSTREAM)]
         self._queues[request.work_class].push(request, in_progress=True)
         return []
--- a/amaranthbend/core/routing.py
+++ b/amaranthbend/core/routing.py
@@ -12,7 +12,7 @@
 import random
 from collections.abc import Iterable
 
-from .actions import LoadReport, Member
+from .actions import LoadReport, Member, UpstreamView
 from .ejection import UpstreamHealth, estimate_suspicion
 
 __all__ = ["Router", "UpstreamLoad"]
@@ -124,6 +124,12 @@
         self.mean_others += weight * error
         self.var_others += weight * (error * error - self.var_others)
 
+    def describe(self, now: float) -> UpstreamView:
+        """Return what is known, for the administration API."""
+        age_s = None if self.report is None else now - self.report_at
+        is_out = self.ejected or not self.usable
+        return UpstreamView(self.member, self.in_flight, self.report, age_s, is_out)
+
 
 class Router:
     """Chooses the upstream with the least expected wait.
@@ -152,6 +158,18 @@
         """Set the upstreams to choose from, the near ones first, which shortens the search."""
         self._order = sorted(loads, key=lambda load: load.is_remote)
 
+    def count_usable(self) -> int:
+        """Return the number of upstreams that have not departed, ejected ones included."""
+        return sum(load.usable for load in self._order)
+
+    def count_slots(self) -> int:
+        """Return the slots of all usable upstreams."""
+        slots = 0
+        for load in self._order:
+            if load.usable:
+                slots += self.slots if load.report is None else load.report.slots
+        return slots
+
     def choose(
         self,
         connection_limit: int,
