Bring ejected upstreams back when no other upstream is left

Cause: found by reading. When the upstreams in use depart, only ejected ones can be left, and requests waited up to the end of the ejection (10 s or more). Before: the new test fails without the change.

--- a/amaranthbend/core/dispatching.py
+++ b/amaranthbend/core/dispatching.py
@@ -158,8 +158,7 @@
     def tick(self, now: float) -> list[Action]:
         """Act on timers that are due."""
         self._mark_overdue(now)
-        for upstream in self._ejector.readmit_due(now):
-            self._refresh(self._loads[upstream])
+        self._readmit(now)
         actions = self._expire(now) + self._drain(now)
         probed = self._planner.plan(self._loads.values(), now)
         if probed is not None:
@@ -340,6 +339,10 @@
         long_limit = None
         if record.info.work_class is WorkClass.LONG:
             long_limit = self._long_limit.count_allowed_at(self._router.slots)
+        if self._router.is_exhausted():
+            # Departures can leave only upstreams that were ejected before.
+            self._ejector.end_all(now)
+            self._readmit(now)
         connections = max(1, self._policy.connections_per_upstream // self._processes)
         while True:
             load = self._router.choose(
@@ -356,6 +359,11 @@
             self._ejector.eject(load.member.upstream, now)
             load.ejected = True
 
+    def _readmit(self, now: float) -> None:
+        """Bring back the upstreams whose ejection is over."""
+        for upstream in self._ejector.readmit_due(now):
+            self._refresh(self._loads[upstream])
+
     def _send(self, record: RequestState, load: UpstreamLoad, now: float) -> Send:
         """Start an attempt."""
         request = record.info
--- a/amaranthbend/core/ejection.py
+++ b/amaranthbend/core/ejection.py
@@ -193,6 +193,12 @@
         health.ejected_until = now + base * jitter
         health.ejections = min(10, health.ejections + 1)
 
+    def end_all(self, now: float) -> None:
+        """Make all ejections due, for when no other upstream is left."""
+        for health in self._health.values():
+            if health.ejected_until is not None:
+                health.ejected_until = now
+
     def readmit_due(self, now: float) -> list[str]:
         """Bring back the upstreams whose time is over, on trial, and return them."""
         due: list[str] = []
--- a/amaranthbend/core/routing.py
+++ b/amaranthbend/core/routing.py
@@ -162,6 +162,10 @@
         """Return the number of upstreams that have not departed, ejected ones included."""
         return sum(load.usable for load in self._order)
 
+    def is_exhausted(self) -> bool:
+        """Return whether all usable upstreams are ejected."""
+        return not any(load.usable and not load.ejected for load in self._order)
+
     def count_slots(self) -> int:
         """Return the slots of all usable upstreams."""
         slots = 0
--- a/tests/test_policy_parts.py
+++ b/tests/test_policy_parts.py
@@ -113,6 +113,24 @@
     assert sum(view.ejected for view in dispatcher.snapshot(3.0)) <= 3
 
 
+def test_ejected_upstream_returns_when_the_others_depart() -> None:
+    """Guards against requests that wait for a timer while a usable upstream is ejected."""
+    dispatcher = Dispatcher(ServicePolicy("desk", 2), ProbePolicy(), "dc", 1)
+    dispatcher.set_members(make_members(2), 0.0)
+    failed = AttemptResult(AttemptStatus.FAILED)
+    request_id = 0
+    while not any(view.ejected for view in dispatcher.snapshot(0.0)):
+        request_id += 1
+        assert request_id < 100
+        for action in dispatcher.submit(make_request(request_id, idempotent=False), 0.0):
+            assert isinstance(action, Send), action
+            result = failed if action.upstream == "u0" else ANSWERED
+            dispatcher.finish(request_id, action.attempt, result, 0.001)
+    dispatcher.depart("u1", 1, 0.1)
+    actions = dispatcher.submit(make_request(1000), 0.2)
+    assert [action.upstream for action in actions if isinstance(action, Send)] == ["u0"]
+
+
 def test_limit_shrinks_on_reported_queues_and_grows_again() -> None:
     """Guards against standing queues at upstreams, and against a limit that stays low."""
     limit = ConcurrencyLimit(100.0)
