Keep a failed subscription from taking reports of the next one

Cause: test_restart_without_platform failed once in a full run with a timeout (load average 18). grpcio cancels the report iterator only of a call that is still open; the iterator of a failed call lived on for up to a second, and could take the envelope or departures meant for the next call. The control process asks for an envelope once, so it then never learned it.

Ruled out: the feed's answer to every second report, since the first report of a subscription is always answered.

Change: the iterator ends once the next subscription has begun.

Before: the new test does not end (killed after 60 s). After: 2 passed, three runs in a row. That this was the cause of the one failure is inferred from the code, the failure itself was not reproduced.

--- a/amaranthbend/adapters/control_link.py
+++ b/amaranthbend/adapters/control_link.py
@@ -97,6 +97,7 @@
         self._wake = asyncio.Event()
         self._send_envelope = False
         self._sequence = 0
+        self._subscription = 0
         self._sent_at: dict[int, float] = {}
         self._probes_sent = 0
         self._probe_bytes = 0
@@ -131,7 +132,7 @@
         async with grpc.aio.insecure_channel(self._target, options=CHANNEL_OPTIONS) as channel:
             self._unsent = list(self._departures)
             self._sent_at.clear()
-            call = control_pb2_grpc.FeedStub(channel).Subscribe(self._make_reports())  # type: ignore[no-untyped-call]
+            call = control_pb2_grpc.FeedStub(channel).Subscribe(self.make_reports())  # type: ignore[no-untyped-call]
             try:
                 while True:
                     update = await _read(call)
@@ -143,8 +144,15 @@
             finally:
                 call.cancel()
 
-    async def _make_reports(self) -> AsyncIterator[Any]:
-        while True:
+    async def make_reports(self) -> AsyncIterator[Any]:
+        """Give the reports of one subscription, until the next one begins.
+
+        grpcio does not close the iterator of a call that failed, and it must not
+        take what the next call has to send.
+        """
+        self._subscription += 1
+        subscription = self._subscription
+        while subscription == self._subscription:
             self._wake.clear()
             yield self.make_report()
             try:
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -5,6 +5,7 @@
 from amaranthbend.adapters.control_link import ControlLink, LinkCallbacks
 from amaranthbend.core.departures import Departure
 from amaranthbend.core.envelope import SettingsEnvelope
+from amaranthbend.rpc.control_pb2 import ControlUpdate
 from amaranthbend.rpc.messages import MembersByService
 from standins.control_hosts import ControlHosts, make_envelope, run_control_hosts
 from standins.processes import Endpoint
@@ -69,3 +70,23 @@
         hosts.publish(make_envelope(1))
         hosts.start()
         asyncio.run(follow_restart(hosts))
+
+
+def test_failed_call_takes_no_report_of_the_next() -> None:
+    """Guards against an envelope or departure handed to a call that has already failed."""
+
+    async def check() -> None:
+        receiver = Receiver(Endpoint(("127.0.0.1", 1)))
+        receiver.envelope = make_envelope(3)
+        failed, current = receiver.link.make_reports(), receiver.link.make_reports()
+        await anext(failed)
+        await anext(current)
+        receiver.link.report_departures([Departure("adopt-desk", "desk-0", 1)])
+        receiver.link.take_update(ControlUpdate(send_envelope=True))
+        async with asyncio.timeout(5):
+            assert [report async for report in failed] == []
+        report = await anext(current)
+        assert report.envelope
+        assert len(report.departures) == 1
+
+    asyncio.run(check())
