--- a/amaranthbend/filters/attempts.py
+++ b/amaranthbend/filters/attempts.py
@@ -1,6 +1,7 @@
 """One attempt of a request, and one probe."""
 
 import asyncio
+import functools
 from typing import Protocol
 
 from ..adapters.caller import CallerRequest
@@ -16,6 +17,11 @@
 NOT_RUN_PROOFS = frozenset({"shed", "draining", "deadline"})
 LOAD_FIELDS = ("in_flight", "queued", "slots", "state", "incarnation")
 MAX_REPORT_LENGTH = 256
+# Time for the rest of a refusal, whose proof is in its head; after its end the connection can
+# be used again.
+REFUSAL_END_S = 0.05
+# Reports repeat, since their numbers are small.
+KEPT_REPORTS = 4096
 MS_PER_S = 1000
 DROPPED_FROM_REQUEST = HOP_BY_HOP | {
     "host",
@@ -107,13 +113,18 @@
             self._owner.note_report(self.upstream, report)
         if head.status == REFUSED_STATUS and head.not_run in NOT_RUN_PROOFS:
             self.refused = True
+            loop = asyncio.get_running_loop()
+            self.timer = loop.call_later(REFUSAL_END_S, self.fail, OutcomeReason.UPSTREAM_REFUSED)
             return
         if not self.has_ended and self._owner.accept_answer(self):
             self._passes = True
-            if self.call is not None:
-                self.request.on_writable = self.call.resume
+            self.request.on_writable = self._resume
             self.request.begin(head)
 
+    def _resume(self) -> None:
+        if self.call is not None:
+            self.call.resume()
+
     @property
     def _has_begun(self) -> bool:
         return self._passes and self.request.has_begun
@@ -205,6 +216,7 @@
     )
 
 
+@functools.lru_cache(maxsize=KEPT_REPORTS)
 def parse_load_report(text: str) -> LoadReport | None:
     """Return the report in an `X-Load-Report` field, None if it is malformed."""
     if len(text) > MAX_REPORT_LENGTH:
