Keep upstream connections open for 0.5 s at the end of a shutdown

Ruled out: a fault of the download itself; the caller had all its bytes. Change: the process waits 0.5 s before it exits. Conclusion: fixed for handlers that end within 0.5 s of their last byte.

--- a/amaranthbend/programs/entry.py
+++ b/amaranthbend/programs/entry.py
@@ -41,6 +41,9 @@
 # Departures have to reach all processes within 3 s; this is the first step of several.
 DEPARTURE_INTERVAL_S = 0.2
 STOP_POLL_S = 0.02
+# An upstream may still work on a request whose last byte has arrived here; it would take the
+# end of its connection for a cancellation.
+UPSTREAM_LINGER_S = 0.5
 BACKLOG = 1024
 # New container objects between two collections of the youngest generation; some 100 requests.
 COLLECTION_THRESHOLDS = (20_000, 20, 20)
@@ -216,6 +219,7 @@
             self.server.close_idle()
             await asyncio.sleep(STOP_POLL_S)
         await self.server.finish_drains()
+        await asyncio.sleep(UPSTREAM_LINGER_S)
         self.counters.flush()
         log_event("entry_stopped")
 
