--- a/demo/traffic.py
+++ b/demo/traffic.py
@@ -16,9 +16,9 @@
 __all__ = ["Summary", "send_traffic", "summarise"]
 
 CALLERS = 8
-# One call in twenty is an adoption, which needs a claim on the platform. The rate of claims is
-# split over 16 hosts, so more of them would mostly show refusals.
-WRITE_INTERVAL = 20
+# One call in 21 is an adoption, which needs a claim on the platform. The rate of claims is split
+# over 16 hosts, so more of them, or all at one entry process, would mostly show refusals.
+WRITE_INTERVAL = 21
 PAUSE_S = 0.02
 MICROSECONDS = 1_000_000
 LONGEST_US = 60 * MICROSECONDS
--- a/standins/slots.py
+++ b/standins/slots.py
@@ -5,6 +5,8 @@
 from collections import deque
 from typing import Any, NamedTuple
 
+from tornado.httputil import HTTPServerRequest
+
 __all__ = ["ExecutionLog", "Load", "LoadHistory", "RefusedError", "SlotPool"]
 
 HISTORY_LENGTH = 4096
@@ -103,13 +105,13 @@
     def __init__(self) -> None:
         self.entries: list[dict[str, Any]] = []
 
-    def start(self, method: str, path: str, key: str, request_id: str) -> dict[str, Any]:
+    def start(self, request: HTTPServerRequest) -> dict[str, Any]:
         """Record the start of a request and return its entry."""
         entry: dict[str, Any] = {
-            "method": method,
-            "path": path,
-            "key": key,
-            "request_id": request_id,
+            "method": request.method,
+            "path": request.path,
+            "key": request.headers.get("Idempotency-Key", ""),
+            "request_id": request.headers.get("X-Request-Id", ""),
             "at": time.monotonic(),
             "end": "running",
         }
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -192,10 +192,7 @@
         except RefusedError as refusal:
             self.refuse(str(refusal))
             return
-        headers = self.request.headers
-        key, request_id = headers.get("Idempotency-Key", ""), headers.get("X-Request-Id", "")
-        method, path = self.request.method or "", self.request.path
-        entry = self.state.log.start(method, path, key, request_id)
+        entry = self.state.log.start(self.request)
         try:
             await self.serve()
             entry["end"] = "answered"
@@ -253,8 +250,10 @@
             self.write(b"x" * piece)
             await self.flush()
             left -= piece
-            await self.pause(piece / rate if rate > 0 else 0)
-        await self.finish()
+            # A caller may close as soon as it has everything, which is no cancellation.
+            if left > 0:
+                await self.pause(piece / rate if rate > 0 else 0)
+        self.finish()
 
     async def respond_faulty(self, fault: str) -> None:
         """Send a faulty response as raw bytes."""
