State when a body that is too large is unknown

Cause: the comment in outcomes.py said always not run, but a streamed body can pass its limit after a part was sent. Change: the comment. Conclusion: no behaviour changed.

--- a/amaranthbend/core/outcomes.py
+++ b/amaranthbend/core/outcomes.py
@@ -19,7 +19,7 @@
 class OutcomeReason(StrEnum):
     """Why a request ended without a complete answer, in the `X-Outcome-Reason` header."""
 
-    # Always "not run".
+    # "Not run"; `BODY_TOO_LARGE` is unknown if part of a streamed body had been sent.
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
     NO_UPSTREAM = "no_upstream"
