Let the busy host see the drain before the quiet host is asked

In 1 run of 2 the busy host sent no request to the leaving upstream after the drain began, so no process had seen a sign, and the quiet host rightly used it: 2 requests instead of 1. The test now sends more work at a time and waits until the busy host's administration API shows the drain; the 3 s count from there.

--- a/tests/test_system_upstreams.py
+++ b/tests/test_system_upstreams.py
@@ -6,7 +6,7 @@
 import pytest
 
 from standins.deployment import Deployment, Plan
-from standins.http import Answer, call
+from standins.http import Answer, call, call_json
 from standins.nodes import Upstream
 from standins.processes import wait_until
 
@@ -52,6 +52,12 @@
         assert {answer.outcome for answer in answers} == {"answered"}
 
 
+def sees_drain(deployment: Deployment, upstream: Upstream) -> bool:
+    """Return whether the first entry process knows that an upstream leaves."""
+    views = call_json(deployment.entries[0].admin, "/upstreamz")[upstream.service]
+    return any(v["upstream"] == upstream.name and v["state"] == "draining" for v in views)
+
+
 @pytest.mark.parametrize("sign", ["outage", "stale_list"])
 def test_drain_is_known_to_hosts_without_traffic(tmp_path: Path, sign: str) -> None:
     """A host that has not met the leaving upstream itself must learn of it from the others."""
@@ -63,9 +69,11 @@
         upstream = deployment.get_upstreams("adopt-desk")[0]
         quiet = deployment.entries[1].endpoint
         busy = deployment.entries[0].endpoint
-        with repeat(lambda n: call(busy, f"/profiles/{n}"), 4, 0.01):
+        with repeat(lambda n: call(busy, f"/profiles/{n}?ms=20"), 12, 0.01):
             wait_until(lambda: upstream.get_stats()["received"], 5.0, "upstream in use")
             start_drain(deployment, upstream, sign)
+            # The first sign is the report on a response that is sent after the start.
+            wait_until(lambda: sees_drain(deployment, upstream), 5.0, "sign seen")
             time.sleep(DRAIN_S)
         before = upstream.get_stats()["received"]
         for number in range(60):
