--- a/amaranthbend/core/actions.py
+++ b/amaranthbend/core/actions.py
@@ -110,6 +110,8 @@
         Higher values leave the queue first.
     replayable : bool
         Whether the whole body is held, so that it can be sent again.
+    body_bytes : int
+        Bytes of the body that are held while the request waits.
     """
 
     request_id: int
@@ -119,6 +121,7 @@
     deadline: float
     priority: int = 0
     replayable: bool = True
+    body_bytes: int = 0
 
 
 class AttemptStatus(StrEnum):
@@ -144,12 +147,15 @@
         Whether bytes of the answer were passed to the caller, which rules out a retry.
     reason : OutcomeReason or None
         Cause of a failure, for the caller and the counters.
+    is_draining : bool
+        Whether the upstream refused because it is leaving.
     """
 
     status: AttemptStatus
     http_status: int = 0
     answer_begun: bool = False
     reason: OutcomeReason | None = None
+    is_draining: bool = False
 
 
 class Send(NamedTuple):
--- a/amaranthbend/core/attempts.py
+++ b/amaranthbend/core/attempts.py
@@ -1,12 +1,20 @@
 """State of requests that have not ended and of attempts that hold a connection."""
 
-from .actions import AttemptResult, AttemptStatus, RequestInfo
+from .actions import AttemptResult, AttemptStatus, Complete, Refuse, RequestInfo
 from .ejection import UpstreamHealth
-from .outcomes import OutcomeReason, RetryReason
+from .outcomes import Outcome, OutcomeReason, RetryReason
 from .routing import UpstreamLoad
 
-__all__ = ["AttemptState", "RequestState", "describe_failure", "is_upstream_failure"]
+__all__ = [
+    "AttemptState",
+    "RequestState",
+    "describe_failure",
+    "is_upstream_failure",
+    "make_end",
+]
 
+# Callers are asked to come back after this time; the entry process adds jitter.
+RETRY_AFTER_S = 1.0
 SERVER_ERROR = 500
 
 
@@ -27,17 +35,27 @@
 class AttemptState:
     """One attempt that holds a connection, possibly after its request has ended."""
 
-    __slots__ = ("health", "is_long", "load", "started_at")
+    __slots__ = ("health", "incarnation", "is_long", "load", "started_at")
 
     def __init__(
         self, load: UpstreamLoad, health: UpstreamHealth, started_at: float, is_long: bool
     ) -> None:
         self.load = load
+        # A refusal by an earlier incarnation says nothing about the present one.
+        self.incarnation = load.member.incarnation
         self.health = health
         self.started_at = started_at
         self.is_long = is_long
 
 
+def make_end(record: RequestState, reason: OutcomeReason) -> Complete | Refuse:
+    """Return the action that ends a request without a complete answer."""
+    request_id = record.info.request_id
+    if record.may_have_run:
+        return Complete(request_id, Outcome.UNKNOWN, reason)
+    return Refuse(request_id, reason, RETRY_AFTER_S)
+
+
 def describe_failure(result: AttemptResult) -> OutcomeReason:
     """Return the reason that the caller gets for a failed attempt."""
     if result.status is AttemptStatus.REFUSED:
--- a/amaranthbend/core/dispatching.py
+++ b/amaranthbend/core/dispatching.py
@@ -11,30 +11,26 @@
     LoadReport,
     Member,
     Probe,
-    Refuse,
     RequestInfo,
     Send,
     UpstreamState,
     UpstreamView,
     WorkClass,
 )
-from .attempts import AttemptState, RequestState, describe_failure, is_upstream_failure
+from .attempts import AttemptState, RequestState, describe_failure, is_upstream_failure, make_end
 from .ejection import Ejector
 from .limits import ConcurrencyLimit, find_refusal
 from .membership import Departure, Membership
 from .outcomes import Outcome, OutcomeReason
 from .policy import ProbePolicy, ServicePolicy
 from .probing import ProbePlanner
-from .queueing import RequestQueue
+from .queueing import ClassQueues
 from .retries import RetryBudget, decide_retry, proves_not_run
 from .routing import REFUSAL_PAUSE_S, Router, UpstreamLoad
 from .workclass import LongWorkLimit, OverdueWatch
 
 __all__ = ["Dispatcher"]
 
-# Callers are asked to come back after this time; the entry process adds jitter.
-RETRY_AFTER_S = 1.0
-
 
 class Dispatcher:
     """Decides where and when requests of one service run. Pure: no I/O, no clock.
@@ -79,7 +75,7 @@
         self._loads: dict[str, UpstreamLoad] = {}
         self._requests: dict[int, RequestState] = {}
         self._attempts: dict[tuple[int, int], AttemptState] = {}
-        self._queues = {WorkClass.SHORT: RequestQueue(), WorkClass.LONG: RequestQueue()}
+        self._queues = ClassQueues()
         self._running = {WorkClass.SHORT: 0, WorkClass.LONG: 0}
 
     def submit(self, request: RequestInfo, now: float) -> list[Action]:
@@ -96,10 +92,10 @@
         actions = self._expire(now)
         reason = self._find_refusal(request, now)
         if reason is not None:
-            actions.append(Refuse(request.request_id, reason, RETRY_AFTER_S))
+            actions.append(make_end(RequestState(request), reason))
             return actions
         self._requests[request.request_id] = RequestState(request)
-        self._queues[request.work_class].push(request)
+        self._queues.get(request.work_class).push(request)
         return actions + self._drain(now)
 
     def finish(
@@ -115,6 +111,8 @@
         if record is not None and record.running and record.attempts == attempt:
             record.running = False
             actions += self._settle(record, result, now)
+        if result.is_draining:
+            actions += self._refuse_all_if_unusable()
         return actions + self._drain(now)
 
     def report(self, upstream: str, report: LoadReport, now: float) -> list[Action]:
@@ -147,7 +145,7 @@
         record = self._requests.get(request_id)
         if record is None:
             return []
-        self._queues[record.info.work_class].remove(request_id)
+        self._queues.get(record.info.work_class).remove(request_id)
         actions: list[Action] = []
         if record.running:
             record.may_have_run = True
@@ -159,7 +157,7 @@
         """Act on timers that are due."""
         self._mark_overdue(now)
         self._readmit(now)
-        actions = self._expire(now) + self._drain(now)
+        actions = self._drain(now)
         probed = self._planner.plan(self._loads.values(), now)
         if probed is not None:
             self._loads[probed].probe_pending = True
@@ -168,8 +166,11 @@
 
     def next_tick(self, now: float) -> float | None:
         """Return the time of the next timer, or None."""
-        times = [queue.next_deadline() for queue in self._queues.values()]
-        times += [self._ejector.next_readmission(), self._planner.next_time()]
+        times = (
+            self._queues.next_deadline(),
+            self._ejector.next_readmission(),
+            self._planner.next_time(),
+        )
         return min((max(now, time) for time in times if time is not None), default=None)
 
     def set_members(self, members: Iterable[Member], now: float) -> list[Action]:
@@ -242,13 +243,12 @@
 
     def _find_refusal(self, request: RequestInfo, now: float) -> OutcomeReason | None:
         """Return why a new request is refused at once, or None."""
-        if now >= request.deadline:
-            return OutcomeReason.DEADLINE_UNREACHABLE
         if not self._router.count_usable():
             return OutcomeReason.NO_UPSTREAM
         return find_refusal(
             request,
-            len(self._queues[request.work_class]),
+            len(self._queues.get(request.work_class)),
+            self._queues.total_bytes,
             self._running[WorkClass.SHORT],
             self._policy.limits,
             self._ejector.mean_s,
@@ -284,42 +284,30 @@
         else:
             self._ejector.stop_watching(ended.health, ended.started_at)
         if load.member.upstream in self._loads:
+            if result.is_draining:
+                self._membership.depart(load.member.upstream, ended.incarnation)
+                self._refresh(load)
             load.most_in_flight = self._ejector.count_allowed(load.member.upstream)
 
     def _expire(self, now: float) -> list[Action]:
         """End the queued requests whose deadline has passed."""
-        actions: list[Action] = []
-        for queue in self._queues.values():
-            for request_id in queue.pop_expired(now):
-                actions.append(self._end(self._requests[request_id], OutcomeReason.QUEUE_TIMEOUT))
-        return actions
+        return self._end_all(self._queues.pop_expired(now), OutcomeReason.QUEUE_TIMEOUT)
 
     def _refuse_all_if_unusable(self) -> list[Action]:
         """End the queued requests when no upstream is left to serve them."""
-        if self._router.count_usable():
-            return []
-        actions: list[Action] = []
-        for queue in self._queues.values():
-            while (request := queue.peek()) is not None:
-                queue.remove(request.request_id)
-                record = self._requests[request.request_id]
-                actions.append(self._end(record, OutcomeReason.NO_UPSTREAM))
-        return actions
+        waiting = [] if self._router.count_usable() else self._queues.pop_all()
+        return self._end_all(waiting, OutcomeReason.NO_UPSTREAM)
+
+    def _end_all(self, request_ids: list[int], reason: OutcomeReason) -> list[Action]:
+        return [self._end(self._requests[request_id], reason) for request_id in request_ids]
 
     def _drain(self, now: float) -> list[Action]:
         """Send queued requests while upstreams accept them, short work first."""
-        actions: list[Action] = []
+        actions = self._expire(now)
         for work_class in (WorkClass.SHORT, WorkClass.LONG):
-            queue = self._queues[work_class]
-            while len(queue) and self._has_room(work_class):
-                request = queue.peek()
-                if request is None:
-                    break
+            queue = self._queues.get(work_class)
+            while (request := queue.peek()) is not None and self._has_room(work_class):
                 record = self._requests[request.request_id]
-                if now >= request.deadline:
-                    queue.remove(request.request_id)
-                    actions.append(self._end(record, OutcomeReason.QUEUE_TIMEOUT))
-                    continue
                 load = self._choose(record, now)
                 if load is None:
                     break
@@ -346,11 +334,7 @@
         connections = max(1, self._policy.connections_per_upstream // self._processes)
         while True:
             load = self._router.choose(
-                connections,
-                record.tried,
-                long_limit,
-                self._ejector.mean_s,
-                now,
+                connections, record.tried, long_limit, self._ejector.mean_s, now
             )
             if load is None or not self._ejector.is_bad(load.member.upstream, now):
                 return load
@@ -403,13 +387,10 @@
         record.retry_reason = reason
         if not self._router.count_usable():
             return [self._end(record, OutcomeReason.NO_UPSTREAM)]
-        self._queues[request.work_class].push(request, in_progress=True)
+        self._queues.get(request.work_class).push(request, in_progress=True)
         return []
 
     def _end(self, record: RequestState, reason: OutcomeReason) -> Action:
         """End a request that has no complete answer."""
-        request_id = record.info.request_id
-        del self._requests[request_id]
-        if record.may_have_run:
-            return Complete(request_id, Outcome.UNKNOWN, reason)
-        return Refuse(request_id, reason, RETRY_AFTER_S)
+        del self._requests[record.info.request_id]
+        return make_end(record, reason)
--- a/amaranthbend/core/limits.py
+++ b/amaranthbend/core/limits.py
@@ -67,6 +67,7 @@
 def find_refusal(
     request: RequestInfo,
     waiting: int,
+    waiting_bytes: int,
     in_flight: int,
     limits: LimitPolicy,
     service_s: float,
@@ -80,6 +81,8 @@
         The request.
     waiting : int
         Requests of its class that wait.
+    waiting_bytes : int
+        Bytes of all bodies that wait.
     in_flight : int
         Own short requests in flight.
     limits : LimitPolicy
@@ -89,6 +92,10 @@
     now : float
         Present time.
     """
+    if now >= request.deadline:
+        return OutcomeReason.DEADLINE_UNREACHABLE
+    if request.body_bytes and waiting_bytes + request.body_bytes > limits.queue_bytes:
+        return OutcomeReason.QUEUE_FULL
     if request.work_class is WorkClass.LONG:
         # Waiting long work must not fill the queue that short work needs.
         most = max(1, int(limits.queue_length * limits.long_share))
--- a/amaranthbend/core/queueing.py
+++ b/amaranthbend/core/queueing.py
@@ -3,9 +3,9 @@
 import heapq
 from typing import NamedTuple
 
-from .actions import RequestInfo
+from .actions import RequestInfo, WorkClass
 
-__all__ = ["RequestQueue"]
+__all__ = ["ClassQueues", "RequestQueue"]
 
 
 class _Entry(NamedTuple):
@@ -25,6 +25,9 @@
         self._order: list[_Entry] = []
         self._deadlines: list[tuple[float, int, int]] = []
         self._sequence = 0
+        self._body_bytes: dict[int, int] = {}
+        # Bytes of all bodies that wait.
+        self.total_bytes = 0
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -34,6 +37,9 @@
         self._sequence += 1
         rank = 0 if in_progress else 1
         self._waiting[request.request_id] = self._sequence
+        if request.body_bytes:
+            self._body_bytes[request.request_id] = request.body_bytes
+            self.total_bytes += request.body_bytes
         heapq.heappush(self._order, _Entry(rank, -request.priority, self._sequence, request))
         heapq.heappush(self._deadlines, (request.deadline, self._sequence, request.request_id))
 
@@ -50,6 +56,7 @@
         """Remove a request, and return whether it was waiting."""
         if self._waiting.pop(request_id, None) is None:
             return False
+        self.total_bytes -= self._body_bytes.pop(request_id, 0)
         # Removed entries stay in the heaps until they surface; rebuild when they dominate.
         if len(self._order) > 64 and len(self._order) > 4 * len(self._waiting):
             self._compact()
@@ -61,6 +68,7 @@
         while (deadline := self.next_deadline()) is not None and deadline <= now:
             request_id = heapq.heappop(self._deadlines)[2]
             del self._waiting[request_id]
+            self.total_bytes -= self._body_bytes.pop(request_id, 0)
             expired.append(request_id)
         return expired
 
@@ -85,3 +93,37 @@
         ]
         heapq.heapify(self._order)
         heapq.heapify(self._deadlines)
+
+
+class ClassQueues:
+    """One queue for each work class."""
+
+    def __init__(self) -> None:
+        self._queues = {work_class: RequestQueue() for work_class in WorkClass}
+
+    @property
+    def total_bytes(self) -> int:
+        """Bytes of all bodies that wait."""
+        return sum(queue.total_bytes for queue in self._queues.values())
+
+    def get(self, work_class: WorkClass) -> RequestQueue:
+        """Return the queue of a work class."""
+        return self._queues[work_class]
+
+    def pop_expired(self, now: float) -> list[int]:
+        """Remove the requests whose deadline has passed, and return their identifiers."""
+        return [number for queue in self._queues.values() for number in queue.pop_expired(now)]
+
+    def pop_all(self) -> list[int]:
+        """Remove all requests, and return their identifiers in order."""
+        popped: list[int] = []
+        for queue in self._queues.values():
+            while (request := queue.peek()) is not None:
+                queue.remove(request.request_id)
+                popped.append(request.request_id)
+        return popped
+
+    def next_deadline(self) -> float | None:
+        """Return the earliest deadline of a waiting request."""
+        times = [queue.next_deadline() for queue in self._queues.values()]
+        return min((time for time in times if time is not None), default=None)
--- a/amaranthbend/filters/attempts.py
+++ b/amaranthbend/filters/attempts.py
@@ -14,7 +14,8 @@
 __all__ = ["Attempt", "AttemptOwner", "build_upstream_request", "parse_load_report"]
 
 REFUSED_STATUS = 503
-NOT_RUN_PROOFS = frozenset({"shed", "draining", "deadline"})
+DRAINING = "draining"
+NOT_RUN_PROOFS = frozenset({"shed", DRAINING, "deadline"})
 LOAD_FIELDS = ("in_flight", "queued", "slots", "state", "incarnation")
 MAX_REPORT_LENGTH = 256
 # Time for the rest of a refusal, whose proof is in its head; after its end the connection can
@@ -71,6 +72,7 @@
         "_status",
         "call",
         "has_ended",
+        "is_draining",
         "number",
         "refused",
         "request",
@@ -87,6 +89,7 @@
         self.call: UpstreamCall | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.refused = False
+        self.is_draining = False
         self.has_ended = False
         self._owner = owner
         self._passes = False
@@ -113,6 +116,7 @@
             self._owner.note_report(self.upstream, report)
         if head.status == REFUSED_STATUS and head.not_run in NOT_RUN_PROOFS:
             self.refused = True
+            self.is_draining = head.not_run == DRAINING
             loop = asyncio.get_running_loop()
             self.timer = loop.call_later(REFUSAL_END_S, self.fail, OutcomeReason.UPSTREAM_REFUSED)
             return
@@ -132,7 +136,7 @@
     def _describe(self, end: CallEnd) -> AttemptResult:
         if self.refused:
             # The proof is in the head; whether the rest arrived does not matter.
-            return AttemptResult(AttemptStatus.REFUSED, self._status)
+            return self._make_refusal()
         if end.kind is EndKind.COMPLETE:
             return AttemptResult(AttemptStatus.ANSWERED, self._status, True)
         if end.kind is EndKind.NEVER_CONNECTED:
@@ -145,8 +149,14 @@
             return
         if self.call is not None:
             self.call.abort()
-        status = AttemptStatus.REFUSED if self.refused else AttemptStatus.FAILED
-        self._end(AttemptResult(status, self._status, self._has_begun, reason))
+        if self.refused:
+            self._end(self._make_refusal())
+            return
+        result = AttemptResult(AttemptStatus.FAILED, self._status, self._has_begun, reason)
+        self._end(result)
+
+    def _make_refusal(self) -> AttemptResult:
+        return AttemptResult(AttemptStatus.REFUSED, self._status, is_draining=self.is_draining)
 
     def cancel(self) -> None:
         """Cancel at the upstream."""
--- a/amaranthbend/filters/services.py
+++ b/amaranthbend/filters/services.py
@@ -130,6 +130,7 @@
             request.deadline,
             route.priority,
             request.body is None or not request.body.streamed,
+            0 if request.body is None else request.body.waiting,
         )
         self.running[request.request_id] = Running(request, {})
         self.apply(self.dispatcher.submit(info, now))
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -25,7 +25,7 @@
 from standins.http import call_json
 from standins.processes import Endpoint
 
-__all__ = ["main"]
+__all__ = ["main", "measure_cost"]
 
 UPSTREAMS = 35
 ENTRY_PROCESSES = 2
@@ -133,9 +133,11 @@
     bytes_per_s: float
 
 
-async def measure_cost(folder: Path, count: int, duration_s: float) -> Cost:
+async def measure_cost(
+    folder: Path, count: int, duration_s: float, upstreams: int = UPSTREAMS
+) -> Cost:
     """Measure processor time, memory and bytes of control processes in steady state."""
-    with run_control_hosts(folder, count, UPSTREAMS, uses_relays=True) as hosts:
+    with run_control_hosts(folder, count, upstreams, uses_relays=True) as hosts:
         platform_relays, peer_relays = await start_relays(hosts, count)
         hosts.publish(make_envelope(1))
         await asyncio.to_thread(hosts.start)
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -139,3 +139,26 @@
     dispatcher.set_members([Member("u0", "127.0.0.1:1", "tartu-a", 2)], 0.3)
     assert get_send(dispatcher.submit(make_request(1), 0.4)).upstream == "u0"
     assert dispatcher.list_departures() == [("u0", 1)]
+
+
+def test_refusal_of_a_draining_upstream_is_a_departure() -> None:
+    """Guards against a leaving upstream whose refusals use up the retry budget."""
+    dispatcher = make_dispatcher(1)
+    send = get_send(dispatcher.submit(make_request(1), 0.0))
+    refused = AttemptResult(AttemptStatus.REFUSED, 503, is_draining=True)
+    actions = dispatcher.finish(1, send.attempt, refused, 0.1)
+    assert actions == [Refuse(1, OutcomeReason.NO_UPSTREAM, 1.0)]
+    assert dispatcher.list_departures() == [("u0", 1)]
+    restarted = Member("u0", "127.0.0.1:0", "tartu-a", 2)
+    dispatcher.set_members([restarted], 0.2)
+    assert get_send(dispatcher.submit(make_request(2), 0.3)).upstream == "u0"
+
+
+def test_late_refusal_does_not_exclude_a_restarted_upstream() -> None:
+    """Guards against the refusal of an earlier incarnation taken for one of the present."""
+    dispatcher = make_dispatcher(1)
+    send = get_send(dispatcher.submit(make_request(1), 0.0))
+    dispatcher.set_members([Member("u0", "127.0.0.1:0", "tartu-a", 2)], 0.1)
+    refused = AttemptResult(AttemptStatus.REFUSED, 503, is_draining=True)
+    retry = get_send(dispatcher.finish(1, send.attempt, refused, 0.2))
+    assert retry.upstream == "u0"
--- a/tests/test_policy_parts.py
+++ b/tests/test_policy_parts.py
@@ -13,7 +13,7 @@
 )
 from amaranthbend.core.dispatching import Dispatcher
 from amaranthbend.core.ejection import Ejector
-from amaranthbend.core.limits import ConcurrencyLimit
+from amaranthbend.core.limits import ConcurrencyLimit, find_refusal
 from amaranthbend.core.membership import Membership
 from amaranthbend.core.outcomes import OutcomeReason
 from amaranthbend.core.policy import LimitPolicy, ProbePolicy, ServicePolicy
@@ -179,6 +179,23 @@
     assert actions == [Refuse(3, OutcomeReason.DEADLINE_UNREACHABLE, 1.0)]
 
 
+def test_bodies_that_wait_are_bounded() -> None:
+    """Guards against a queue of few requests whose bodies fill the memory."""
+    queue = RequestQueue()
+    limits = LimitPolicy(queue_bytes=1000)
+    for number in range(3):
+        request = make_request(number)._replace(body_bytes=400)
+        waiting = len(queue)
+        reason = find_refusal(request, waiting, queue.total_bytes, 100, limits, 0.02, 0.0)
+        assert reason is (OutcomeReason.QUEUE_FULL if number == 2 else None)
+        if reason is None:
+            queue.push(request)
+    assert queue.total_bytes == 800
+    queue.remove(0)
+    queue.pop_expired(1e9)
+    assert queue.total_bytes == 0
+
+
 def test_queue_order() -> None:
     """Guards against new work ahead of work in progress or of higher priority."""
     queue = RequestQueue()
