Probe only upstreams without a recent report; share start-up code

Ruled out: a default budget of 0, which leaves upstreams without traffic unmeasured; sharing the true load between hosts, which was worse (docs/notes-routing.md). Change: a report younger than 0.5 s makes a probe needless. Both server programs and the stand-ins use one module for signals and settings at the start, and the control process writes its log lines in the same form as the entry process.

--- a/amaranthbend/core/probing.py
+++ b/amaranthbend/core/probing.py
@@ -18,8 +18,9 @@
 SETTLE_S = WINDOW_S + 0.05
 # A probe without result counts as lost after this time.
 PROBE_TIMEOUT_S = 0.25
-# Reports younger than this make a probe needless.
-FRESH_S = 0.005
+# Reports younger than this make a probe needless. Where responses carry reports, probes between
+# them only raised p99 (docs/notes-routing.md), so they go to upstreams without traffic.
+FRESH_S = 0.5
 
 
 def divide_budget(policy: ProbePolicy, parts: int) -> ProbePolicy:
--- a/amaranthbend/programs/control.py
+++ b/amaranthbend/programs/control.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import secrets
-import signal
 import sys
 import time
 from collections.abc import Awaitable, Callable, Sequence
@@ -12,11 +11,10 @@
 import fire
 import grpc
 import uvloop
-from absl import logging
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from ..adapters.admin import AdminSources, make_admin_server
-from ..adapters.logs import log_event
+from ..adapters.logs import log_event, set_up_logs
 from ..adapters.metrics import Counters
 from ..adapters.platform import PlatformClient
 from ..controllers.claim_sweeper import ClaimSweeper
@@ -28,11 +26,10 @@
 from ..controllers.peer_exchange import PeerExchange
 from ..controllers.probe_shares import ProbeShareKeeper
 from ..controllers.settings_watch import SettingsWatch
-from ..core.errors import SettingsError
 from ..rpc import control_pb2_grpc
 from ..rpc.options import SERVER_OPTIONS
 from ..settings.acceptance import Approvers
-from ..settings.process import load_process_settings
+from .runtime import load_or_exit, make_stop_event
 
 __all__ = ["ControlProcess", "main"]
 
@@ -45,7 +42,6 @@
 RELEASE_S = 2.0
 TOKEN_BYTES = 8
 EXIT_FAILED = 1
-EXIT_BAD_SETTINGS = 2
 
 
 class ControlSettings(NamedTuple):
@@ -267,11 +263,7 @@
 
 async def serve(settings: ControlSettings) -> bool:
     """Run until SIGTERM or SIGINT; return False if a part of the process failed."""
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stopped.set)
-    loop.add_signal_handler(signal.SIGINT, stopped.set)
-    return await ControlProcess(settings).run(stopped)
+    return await ControlProcess(settings).run(make_stop_event())
 
 
 def run(settings: str) -> None:
@@ -282,19 +274,14 @@
     settings : str
         Path of the process settings file, JSON with comments.
     """
-    try:
-        loaded = load_process_settings(settings, ControlSettings)
-    except SettingsError as error:
-        log_event("settings_invalid", error=error)
-        sys.exit(EXIT_BAD_SETTINGS)
+    loaded = load_or_exit(settings, ControlSettings)
     if not uvloop.run(serve(loaded)):
         sys.exit(EXIT_FAILED)
 
 
 def main() -> None:
     """Run from the command line."""
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
+    set_up_logs()
     fire.Fire(run)
 
 
--- a/amaranthbend/programs/entry.py
+++ b/amaranthbend/programs/entry.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import gc
-import signal
-import sys
 import time
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
@@ -22,7 +20,6 @@
 from ..adapters.upstream import UpstreamClient
 from ..core.departures import Departure
 from ..core.envelope import SettingsEnvelope
-from ..core.errors import SettingsError
 from ..core.versions import EnvelopeVerdict
 from ..filters.chain import FilterChain
 from ..filters.checks import InputChecks
@@ -33,7 +30,8 @@
 from ..filters.services import DispatchSettings
 from ..rpc.messages import MembersByService
 from ..settings.acceptance import Approvers, accept_envelope
-from ..settings.process import EntrySettings, load_process_settings
+from ..settings.process import EntrySettings
+from .runtime import load_or_exit, make_stop_event
 
 __all__ = ["EntryProcess", "main"]
 
@@ -52,7 +50,6 @@
 PLATFORM_CALLS_PER_S = 200.0
 # Replaced by the share in the settings as soon as there are any.
 FIRST_CLAIM_RATE = 1.0
-EXIT_BAD_SETTINGS = 2
 
 
 def make_claim_keeper(settings: EntrySettings, counters: Counters) -> ClaimKeeper:
@@ -266,10 +263,7 @@
     make_link : callable
         Makes the source of settings and members.
     """
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
+    stopped = make_stop_event()
     process = EntryProcess(settings)
     link = make_link(process)
     process.dispatch.note_probe = link.count_probe
@@ -299,11 +293,7 @@
     settings : str
         Path of the process settings file, JSON with comments.
     """
-    try:
-        loaded = load_process_settings(settings, EntrySettings)
-    except SettingsError as error:
-        log_event("settings_invalid", error=error)
-        sys.exit(EXIT_BAD_SETTINGS)
+    loaded = load_or_exit(settings, EntrySettings)
     uvloop.run(serve(loaded))
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -19,7 +19,6 @@
 
 import asyncio
 import json
-import signal
 import time
 from typing import Any, TypedDict
 
@@ -27,6 +26,7 @@
 import tornado.web
 
 from .objects import CallCounts, Change, HostHistory, ObjectStore
+from .serving import serve
 
 __all__ = ["Faults", "PlatformState", "main", "make_app"]
 
@@ -341,17 +341,6 @@
     )
 
 
-async def serve(address: str, port: int, state: PlatformState) -> None:
-    """Serve until SIGTERM or SIGINT."""
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stopped.set)
-    loop.add_signal_handler(signal.SIGINT, stopped.set)
-    make_app(state).listen(port, address)
-    print(f"event=ready address={address} port={port}", flush=True)
-    await stopped.wait()
-
-
 def main(
     port: int, address: str = "127.0.0.1", reads_per_s: int = 2000, writes_per_s: int = 300
 ) -> None:
@@ -368,7 +357,7 @@
     writes_per_s : int
         Writes and removals allowed in any second.
     """
-    asyncio.run(serve(address, port, PlatformState(reads_per_s, writes_per_s)))
+    asyncio.run(serve(make_app(PlatformState(reads_per_s, writes_per_s)), address, port))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,15 @@
+"""Serving of a stand-in until it is told to stop."""
+
+import tornado.web
+
+from amaranthbend.programs.runtime import make_stop_event
+
+__all__ = ["serve"]
+
+
+async def serve(app: tornado.web.Application, address: str, port: int) -> None:
+    """Serve until SIGTERM or SIGINT."""
+    stopped = make_stop_event()
+    app.listen(port, address)
+    print(f"event=ready address={address} port={port}", flush=True)
+    await stopped.wait()
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -22,7 +22,6 @@
 import asyncio
 import json
 import random
-import signal
 import time
 from typing import Any, TypedDict
 
@@ -32,6 +31,7 @@
 
 from .answers import ANSWER_FAULTS, write_faulty_answer
 from .objects import RateWindow
+from .serving import serve
 from .slots import ExecutionLog, RefusedError, SlotPool
 
 __all__ = ["Faults", "UpstreamState", "main", "make_app"]
@@ -344,17 +344,6 @@
     )
 
 
-async def serve(address: str, port: int, state: UpstreamState) -> None:
-    """Serve until SIGTERM or SIGINT."""
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stopped.set)
-    loop.add_signal_handler(signal.SIGINT, stopped.set)
-    make_app(state).listen(port, address)
-    print(f"event=ready address={address} port={port}", flush=True)
-    await stopped.wait()
-
-
 def main(
     port: int,
     address: str = "127.0.0.1",
@@ -391,7 +380,8 @@
         cold_s=cold_s,
         cold_factor=cold_factor,
     )
-    asyncio.run(serve(address, port, UpstreamState(options, slots, queue, seed)))
+    state = UpstreamState(options, slots, queue, seed)
+    asyncio.run(serve(make_app(state), address, port))
 
 
 if __name__ == "__main__":
