Apply a changed number of processes, and name rejections alike

A change of entry_hosts_max did not reach running dispatchers, so connections and long work were divided by the old number. The entry process counted settings.<reason>, the operators' guide and the control process settings.rejected.<reason>. Change: set_policy takes the number of processes; one counter name. Before: the new test gets 3 sends instead of 1. After: it passes.

--- a/amaranthbend/core/dispatching.py
+++ b/amaranthbend/core/dispatching.py
@@ -207,11 +207,12 @@
         """Return the departures known so far, for the exchange with other processes."""
         return self._membership.list_departures()
 
-    def set_policy(self, policy: ServicePolicy, now: float) -> list[Action]:
+    def set_policy(self, policy: ServicePolicy, processes: int, now: float) -> list[Action]:
         """Use other settings from now on; requests already accepted are kept."""
         self._policy = policy
+        self._processes = max(1, processes)
         self._budget.set_policy(policy.retries)
-        self._long_limit.set_share(policy.limits.long_share)
+        self._long_limit.set_share(policy.limits.long_share, self._processes)
         self._router.slots = policy.slots_per_upstream
         self._limit.set_maximum(self._router.count_slots())
         return self._drain(now)
--- a/amaranthbend/core/workclass.py
+++ b/amaranthbend/core/workclass.py
@@ -21,9 +21,10 @@
         self._share = share
         self._processes = processes
 
-    def set_share(self, share: float) -> None:
-        """Change the share."""
+    def set_share(self, share: float, processes: int) -> None:
+        """Change the share, and the number of processes."""
         self._share = share
+        self._processes = processes
 
     def count_allowed(self, slots: int) -> int:
         """Return the long requests that may be in flight, at least one, given all slots."""
--- a/amaranthbend/filters/dispatch.py
+++ b/amaranthbend/filters/dispatch.py
@@ -50,14 +50,14 @@
         for name in list(self.services):
             if name not in policy.services:
                 del self.services[name]
+        processes = policy.entry_hosts_max * self._settings.entry_processes
         probing = divide_budget(policy.probing, max(1, len(policy.services)))
         for name, service_policy in policy.services.items():
             service = self.services.get(name)
             if service is not None:
-                service.apply(service.dispatcher.set_policy(service_policy, now))
+                service.apply(service.dispatcher.set_policy(service_policy, processes, now))
                 service.apply(service.dispatcher.set_probing(probing, now))
                 continue
-            processes = policy.entry_hosts_max * self._settings.entry_processes
             dispatcher = Dispatcher(
                 service_policy,
                 probing,
--- a/amaranthbend/programs/entry.py
+++ b/amaranthbend/programs/entry.py
@@ -119,7 +119,7 @@
         decision, accepted = accept_envelope(self.envelope, envelope, self._approvers, now)
         if accepted is None:
             if decision.verdict is EnvelopeVerdict.REJECTED:
-                self.counters.incr(f"settings.{decision.reason}")
+                self.counters.incr(f"settings.rejected.{decision.reason}")
                 log_event("settings_rejected", serial=envelope.serial, error=decision.message)
             return
         self.envelope = accepted.envelope
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -162,3 +162,17 @@
     refused = AttemptResult(AttemptStatus.REFUSED, 503, is_draining=True)
     retry = get_send(dispatcher.finish(1, send.attempt, refused, 0.2))
     assert retry.upstream == "u0"
+
+
+def test_more_processes_leave_fewer_connections_for_each() -> None:
+    """Guards against a change of entry_hosts_max that running dispatchers ignore."""
+    dispatcher = make_dispatcher(1, connections_per_upstream=4)
+    policy = ServicePolicy("desk", 2, connections_per_upstream=4)
+    dispatcher.set_policy(policy, 4, 0.0)
+    sends = [
+        action
+        for number in range(3)
+        for action in dispatcher.submit(make_request(number), 0.0)
+        if isinstance(action, Send)
+    ]
+    assert len(sends) == 1
