Test status, headers and counter of every outcome reason

Cause: only some reasons had a test that reads their counter. Change: tests/test_refusals.py runs over all of OutcomeReason.

--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,55 @@
+from typing import Any, cast
+
+import pytest
+
+from amaranthbend.adapters.caller import CallerRequest
+from amaranthbend.adapters.metrics import Counters
+from amaranthbend.core.outcomes import Outcome, OutcomeReason
+from amaranthbend.filters.chain import FilterChain
+from amaranthbend.filters.refusals import Refusal, make_failure, make_refusal, render_refusal
+
+ALWAYS_UNKNOWN = {
+    OutcomeReason.DUPLICATE_REQUEST,
+    OutcomeReason.UPSTREAM_FAILED,
+    OutcomeReason.TRUNCATED_ANSWER,
+    OutcomeReason.MALFORMED_ANSWER,
+    OutcomeReason.STALLED_STREAM,
+}
+NOT_RUN_STATUSES = {400, 404, 405, 413, 431, 503}
+UNKNOWN_STATUSES = {409, 502, 504}
+
+
+class EndedRequest:
+    """The part of a request that the count of its end uses."""
+
+    arrived_at = 0.0
+
+
+def count_end(refusal: Refusal) -> Counters:
+    """Return the counters after one request has ended with a refusal."""
+    counters = Counters()
+    chain = FilterChain((), (), counters, 0)
+    request: Any = EndedRequest()
+    chain.count_end(cast(CallerRequest, request), refusal.outcome, refusal.reason)
+    return counters
+
+
+@pytest.mark.parametrize("reason", OutcomeReason)
+def test_each_reason_has_counter_status_and_headers(reason: OutcomeReason) -> None:
+    """Guards against a reason that operators cannot count or callers cannot read."""
+    is_unknown = reason in ALWAYS_UNKNOWN
+    refusal = make_failure(reason) if is_unknown else make_refusal(reason)
+    assert refusal.status in (UNKNOWN_STATUSES if is_unknown else NOT_RUN_STATUSES)
+    head = render_refusal(refusal, closes=False, has_body=False).decode()
+    outcome = Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN
+    assert f"\r\nX-Request-Outcome: {outcome}\r\n" in head
+    assert f"\r\nX-Outcome-Reason: {reason}\r\n" in head
+    counters = count_end(refusal)
+    assert counters.get(f"reason.{reason}") == 1
+    assert counters.get(f"outcome.{outcome}") == 1
+
+
+def test_overload_tells_when_to_come_back() -> None:
+    """Guards against callers that repeat refused requests at once."""
+    refusal = make_refusal(OutcomeReason.QUEUE_FULL, 2.4)
+    assert b"\r\nRetry-After: 2\r\n" in render_refusal(refusal, closes=False, has_body=False)
