State in the demo what the time until in force counts from

Cause: the line read 0.0 s, since the publisher ends after the change spread. Change: two decimals, and the wording. Conclusion: output only.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -28,7 +28,7 @@
     accepted_at = time.monotonic()
     print(f"settings approved and published as serial {serial}")
     deployment.wait_serial(serial)
-    print(f"in force on every host {time.monotonic() - accepted_at:.1f} s later")
+    print(f"in force on every host {time.monotonic() - accepted_at:.2f} s after publish returned")
     deployment.wait_ready()
 
     endpoints = [entry.endpoint for entry in deployment.entries]
