Share the fenced write between the fleet status and the claim sweeper

Cause: both controllers carried the same read under an epoch and the same conditional write. Ruled out: a common base class, which would tie their loops together. Change: controllers/fenced_object.py; a fenced holder logs lease_fenced with the object's name. Behaviour is otherwise the same.

--- a/amaranthbend/controllers/claim_sweeper.py
+++ b/amaranthbend/controllers/claim_sweeper.py
@@ -11,11 +11,10 @@
     Counters,
     ObjectChanges,
     PlatformClient,
-    PlatformErrorKind,
     StoredObject,
 )
 from ..core.claims import CLAIMS_KIND
-from ..core.leases import Fence
+from .fenced_object import FencedObject
 from .lease_keeper import LeaseKeeper
 
 __all__ = ["ClaimSweeper", "Mark", "compute_cut", "grow_marks"]
@@ -88,7 +87,7 @@
         self._retention_s = retention_s
         self._clock = clock
         self._interval_s = interval_s
-        self._fence = Fence()
+        self._object = FencedObject(platform, keeper, counters, SWEEPS_KIND, SWEEP_NAME)
         self._marks: list[Mark] = []
         self._marked_at = clock()
 
@@ -102,7 +101,9 @@
         """Remove the claims that are old enough; return whether this host did a sweep."""
         epoch = self._keeper.get_epoch()
         retention_s = self._retention_s()
-        if epoch is None or retention_s is None or not await self._read_marks(epoch):
+        if epoch is None or retention_s is None:
+            return False
+        if not await self._object.prepare(epoch, self._take_marks):
             return False
         answer = await self._platform.list(CLAIMS_KIND)
         if isinstance(answer, Err):
@@ -119,38 +120,16 @@
             await self._remove(claim)
         return True
 
-    async def _read_marks(self, epoch: int) -> bool:
-        if not self._fence.needs_read(epoch):
-            return True
-        answer = await self._platform.get(SWEEPS_KIND, SWEEP_NAME)
-        if isinstance(answer, Ok):
-            stored_epoch, self._marks = load_marks(answer.ok_value.value)
-            version: int | None = answer.ok_value.version
-        elif answer.err_value.kind is PlatformErrorKind.NOT_FOUND:
-            stored_epoch, self._marks, version = 0, [], None
-        else:
-            return False
+    def _take_marks(self, value: Any) -> None:
+        self._marks = [] if value is None else load_marks(value)
         self._marked_at = self._clock()
-        if self._fence.read_done(epoch, version, stored_epoch):
-            return True
-        self._counters.incr("leases.fenced")
-        self._keeper.drop()
-        return False
 
     async def _write_marks(self, epoch: int, claims: ObjectChanges) -> bool:
         now = self._clock()
         newest = max((claim.version for claim in claims.objects), default=0)
         marks = grow_marks(self._marks, now - self._marked_at, newest)
-        value = {"epoch": epoch, "marks": [list(mark) for mark in marks]}
-        if self._fence.version is None:
-            answer = await self._platform.create(SWEEPS_KIND, SWEEP_NAME, value)
-        else:
-            version = self._fence.version
-            answer = await self._platform.replace(SWEEPS_KIND, SWEEP_NAME, value, version)
-        if isinstance(answer, Err):
-            self._fence.write_failed()
+        if not await self._object.write({"epoch": epoch, "marks": [list(mark) for mark in marks]}):
             return False
-        self._fence.write_done(answer.ok_value)
         self._marked_at = now
         self._marks = prune_marks(marks, self._retention_s() or 0.0)
         return True
@@ -168,11 +147,10 @@
     return [mark for mark in marks if mark.version >= cut]
 
 
-def load_marks(value: Any) -> tuple[int, list[Mark]]:
-    """Return the epoch and the marks of the stored object; no marks if it is malformed."""
+def load_marks(value: Any) -> list[Mark]:
+    """Return the marks of the stored object; none if it is malformed."""
     try:
-        marks = [Mark(int(version), float(age_s)) for version, age_s in value["marks"]]
-        return int(value["epoch"]), marks
+        return [Mark(int(version), float(age_s)) for version, age_s in value["marks"]]
     except (KeyError, TypeError, ValueError) as error:
         log_event("sweep_marks_malformed", error=repr(error))
-        return 0, []
+        return []
--- /dev/null
+++ b/amaranthbend/controllers/fenced_object.py
@@ -0,0 +1,94 @@
+"""Platform object that only the holder of a lease writes, fenced by version and epoch."""
+
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok
+
+from ..adapters.logs import log_event
+from ..adapters.platform import Counters, PlatformClient, PlatformErrorKind
+from ..core.leases import Fence
+from .lease_keeper import LeaseKeeper
+
+__all__ = ["FencedObject", "read_epoch"]
+
+
+class FencedObject:
+    """Reads the object once in each epoch and makes every write depend on that version.
+
+    Parameters
+    ----------
+    platform : PlatformClient
+        Client of the platform.
+    keeper : LeaseKeeper
+        Keeper of the lease.
+    counters : Counters
+        Sink for counters.
+    kind, name : str
+        Name of the object; its value carries the epoch under `epoch`.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        keeper: LeaseKeeper,
+        counters: Counters,
+        kind: str,
+        name: str,
+    ) -> None:
+        self._platform = platform
+        self._keeper = keeper
+        self._counters = counters
+        self._kind = kind
+        self._name = name
+        self._fence = Fence()
+
+    async def prepare(self, epoch: int, take: Callable[[Any], None]) -> bool:
+        """Make sure that the object was read under this epoch.
+
+        Parameters
+        ----------
+        epoch : int
+            Epoch of the lease.
+        take : callable
+            Receives the value after a read, None if the object does not exist.
+
+        Returns
+        -------
+        bool
+            False if the platform failed, or if a later holder has written, so the lease is lost.
+        """
+        if not self._fence.needs_read(epoch):
+            return True
+        answer = await self._platform.get(self._kind, self._name)
+        value, version = None, None
+        if isinstance(answer, Ok):
+            value, version = answer.ok_value.value, answer.ok_value.version
+        elif answer.err_value.kind is not PlatformErrorKind.NOT_FOUND:
+            return False
+        if self._fence.read_done(epoch, version, read_epoch(value)):
+            take(value)
+            return True
+        self._counters.incr("leases.fenced")
+        log_event("lease_fenced", kind=self._kind, name=self._name, epoch=epoch)
+        self._keeper.drop()
+        return False
+
+    async def write(self, value: dict[str, Any]) -> bool:
+        """Write the object if nobody else has since it was read; return whether it was."""
+        version = self._fence.version
+        if version is None:
+            answer = await self._platform.create(self._kind, self._name, value)
+        else:
+            answer = await self._platform.replace(self._kind, self._name, value, version)
+        if isinstance(answer, Err):
+            self._fence.write_failed()
+            return False
+        self._fence.write_done(answer.ok_value)
+        return True
+
+
+def read_epoch(value: Any) -> int:
+    """Return the epoch of a stored value, 0 if it is absent or malformed."""
+    epoch = value.get("epoch") if isinstance(value, dict) else None
+    return epoch if isinstance(epoch, int) else 0
--- a/amaranthbend/controllers/fleet_status.py
+++ b/amaranthbend/controllers/fleet_status.py
@@ -4,11 +4,8 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from result import Err, Ok
-
-from ..adapters.logs import log_event
-from ..adapters.platform import Counters, PlatformClient, PlatformErrorKind
-from ..core.leases import Fence
+from ..adapters.platform import Counters, PlatformClient
+from .fenced_object import FencedObject
 from .host_state import HostState
 from .lease_keeper import LeaseKeeper
 
@@ -91,14 +88,11 @@
         counters: Counters,
         clock: Callable[[], float],
     ) -> None:
-        self._platform = platform
         self._keeper = keeper
         self._state = state
         self._reports = reports
-        self._deployment = deployment
-        self._counters = counters
         self._clock = clock
-        self._fence = Fence()
+        self._object = FencedObject(platform, keeper, counters, STATUS_KIND, deployment)
         self._written: dict[str, Any] = {}
         self._written_at = float("-inf")
 
@@ -111,7 +105,7 @@
     async def update(self) -> bool:
         """Write the status if this host holds the lease and it is due; return whether it was."""
         epoch = self._keeper.get_epoch()
-        if epoch is None or not await self._read(epoch):
+        if epoch is None or not await self._object.prepare(epoch, lambda _value: None):
             return False
         status = self._describe(epoch)
         if status == self._written and self._clock() - self._written_at < REFRESH_S:
@@ -127,40 +121,9 @@
             "hosts": self._reports.describe(),
         }
 
-    async def _read(self, epoch: int) -> bool:
-        if not self._fence.needs_read(epoch):
-            return True
-        answer = await self._platform.get(STATUS_KIND, self._deployment)
-        if isinstance(answer, Ok):
-            stored = answer.ok_value
-            stored_epoch = read_epoch(stored.value)
-            accepted = self._fence.read_done(epoch, stored.version, stored_epoch)
-        elif answer.err_value.kind is PlatformErrorKind.NOT_FOUND:
-            accepted = self._fence.read_done(epoch, None, 0)
-        else:
-            return False
-        if not accepted:
-            self._counters.incr("leases.fenced")
-            log_event("fleet_status_fenced", epoch=epoch)
-            self._keeper.drop()
-        return accepted
-
     async def _write(self, status: dict[str, Any]) -> bool:
-        version = self._fence.version
-        if version is None:
-            answer = await self._platform.create(STATUS_KIND, self._deployment, status)
-        else:
-            answer = await self._platform.replace(STATUS_KIND, self._deployment, status, version)
-        if isinstance(answer, Err):
-            self._fence.write_failed()
+        if not await self._object.write(status):
             return False
-        self._fence.write_done(answer.ok_value)
         self._written = status
         self._written_at = self._clock()
         return True
-
-
-def read_epoch(value: Any) -> int:
-    """Return the epoch of a stored status, 0 if it is malformed."""
-    epoch = value.get("epoch") if isinstance(value, dict) else None
-    return epoch if isinstance(epoch, int) else 0
