Never hand out the same test port twice

A free port was picked and closed before the child listened, so the kernel could give it again, and test workers with adjacent process ids shared networks after 61 deployments each. Ruled out: a fault of the entry process; its trace ends in bind(). Retrying the start, which hides real failures to listen. Change: a picked endpoint is not picked again, and processes are 997 networks apart. Tests and bounds are unchanged.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -24,7 +24,10 @@
 POLL_INTERVAL_S = 0.02
 STOP_TIMEOUT_S = 10.0
 NETWORK_COUNT = 60_000
-_network_numbers = itertools.count(os.getpid() * 61)
+# Test workers have adjacent process ids; none of them uses this many networks.
+NETWORKS_PER_PROCESS = 997
+_network_numbers = itertools.count(os.getpid() * NETWORKS_PER_PROCESS)
+_picked: set["Endpoint"] = set()
 
 
 class Endpoint(tuple[str, int]):
@@ -55,10 +58,18 @@
 
 
 def pick_endpoint(address: str) -> Endpoint:
-    """Return a port of the address that is free now."""
-    with socket.socket() as probe:
-        probe.bind((address, 0))
-        return Endpoint((address, probe.getsockname()[1]))
+    """Return a port of the address that is free now and was not returned before.
+
+    The kernel may give the same free port again before a child listens on it.
+    """
+    while True:
+        with socket.socket() as probe:
+            probe.bind((address, 0))
+            endpoint = Endpoint((address, probe.getsockname()[1]))
+        if endpoint in _picked:
+            continue
+        _picked.add(endpoint)
+        return endpoint
 
 
 def wait_until(condition: Callable[[], T], timeout_s: float, what: str) -> T:
