--- a/amaranthbend/adapters/caller.py
+++ b/amaranthbend/adapters/caller.py
@@ -13,6 +13,7 @@
 from ..core.policy import RoutePolicy
 from ..filters.refusals import Refusal, make_failure, make_refusal, render_refusal
 from .body import RequestBody
+from .dialect import Dialect
 from .headers import STATUS_WITHOUT_BODY, ResponseHead, list_connection_options
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
 
     held_body_bytes: int
     is_draining: bool
+    dialect: Dialect
 
     def check(self, request: "CallerRequest") -> Refusal | None:
         """Check the head of a request."""
@@ -65,7 +67,11 @@
     deadline = 0.0
     is_idempotent = False
     idempotency_key = ""
+    # Number within the process, 0 before the dispatcher has the request.
     request_id = 0
+    # Identifier that the caller sent, for logs.
+    caller_id = ""
+    service = ""
     claim: object = None
     dispatch: object = None
 
@@ -74,6 +80,8 @@
         self.arrived_at = 0.0
         self.last_progress = time.monotonic()
         self.is_sent = False
+        # What became of each attempt, for the log.
+        self.trace: list[str] = []
         self.has_begun = False
         self.has_ended = False
         self.on_writable: Callable[[], None] | None = None
@@ -102,6 +110,9 @@
         line = cast(RequestStartLine, start_line)
         self.method, self.target, self._version = line.method, line.path, line.version
         self.headers = headers
+        field = self._handler.dialect.request_id_field
+        if field:
+            self.caller_id = headers.get(field, "")
         self.arrived_at = self.last_progress = time.monotonic()
         options = list_connection_options(headers.get_list("Connection"))
         self._closes = not self.is_http_1_1 or "close" in options
@@ -188,7 +199,9 @@
         self._handler.count_end(self, refusal.outcome, reason)
         if self.has_begun:
             return b""
-        return render_refusal(refusal, closes=True, has_body=self.method != "HEAD")
+        has_body = self.method != "HEAD"
+        dialect = self._handler.dialect
+        return render_refusal(refusal, closes=True, has_body=has_body, dialect=dialect)
 
     # Response.
 
@@ -202,7 +215,10 @@
         self._closes = self._closes or refusal.closes or self._handler.is_draining
         has_body = self.method != "HEAD"
         self._out.clear()
-        self._out.append(render_refusal(refusal, closes=self._closes, has_body=has_body))
+        rendered = render_refusal(
+            refusal, closes=self._closes, has_body=has_body, dialect=self._handler.dialect
+        )
+        self._out.append(rendered)
         self._handler.count_end(self, refusal.outcome, refusal.reason)
         self._end()
 
--- a/amaranthbend/adapters/calls.py
+++ b/amaranthbend/adapters/calls.py
@@ -75,6 +75,8 @@
         Whether the request may use a connection that was used before.
     connect_timeout_s : float
         Longest time to connect.
+    accepts_excess : bool
+        Whether bytes after a whole response are no fault, since responses name their request.
     """
 
     address: str
@@ -86,6 +88,7 @@
     body_length: int | None
     idempotent: bool
     connect_timeout_s: float
+    accepts_excess: bool = False
 
 
 class EndKind(Enum):
@@ -320,6 +323,8 @@
         It does so without an error when bytes follow a response of known length.
         """
         head = self._head
+        if self.request.accepts_excess:
+            return False
         if head is None or head.chunked or not self._is_last(self._received):
             return False
         if not self._keeps_connection():
--- /dev/null
+++ b/amaranthbend/controllers/node_state.py
@@ -0,0 +1,201 @@
+"""Configuration and upstreams of a node process, from what its watches bring."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+from ..adapters.logs import log_event
+from ..adapters.metrics import Counters
+from ..core.policy import AskPolicy, DeploymentPolicy, RetryPolicy, ServicePolicy
+from ..core.registry import Listing, RegistryTimes, UpstreamRegistry
+from ..core.watching import StoreChanges
+from ..filters.dispatch import DispatchFilter
+from ..settings.node import NodeSettings
+
+__all__ = ["ConfigurationState", "UpstreamState", "complete_policy"]
+
+# Machines among which the shared retry budget is divided while their number is not known.
+ASSUMED_HOSTS = 16
+# Part of the shared ratio that is spent; requests of a window may end in the next one.
+RATIO_SHARE = 0.75
+# Leaves time for a change to arrive before a leaving upstream stops serving.
+KEEP_MARGIN_S = 0.6
+# Live upstreams are listed again within about two seconds of the store's return.
+RETURN_S = 2.2
+
+
+def complete_policy(policy: DeploymentPolicy, settings: NodeSettings) -> DeploymentPolicy:
+    """Return a decoded configuration with the parts that the process itself decides."""
+    ratio = settings.retry_ratio * RATIO_SHARE
+    burst = max(1.0, settings.retry_slack / ASSUMED_HOSTS)
+    services: dict[str, ServicePolicy] = {}
+    for name, service in policy.services.items():
+        retries = RetryPolicy(ratio=ratio, floor_per_s=0.0, max_attempts=1, burst=burst)
+        services[name] = service._replace(retries=retries, asking=AskPolicy())
+    return policy._replace(services=services)
+
+
+class ConfigurationState:
+    """Puts stored configurations in force, never an older one after a newer one.
+
+    Parameters
+    ----------
+    name : str
+        Name of the object that holds the configuration.
+    decode : callable
+        Returns version and policy of a stored value; raises ValueError if it is not valid.
+    put_in_force : callable
+        Takes version and policy.
+    counters : Counters
+        Where accepted and rejected configurations are counted.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        decode: Callable[[Any], tuple[int, DeploymentPolicy]],
+        put_in_force: Callable[[int, DeploymentPolicy, float], None],
+        counters: Counters,
+    ) -> None:
+        self._name = name
+        self._decode = decode
+        self._put_in_force = put_in_force
+        self._counters = counters
+        self._revision = 0
+        self.version: int | None = None
+
+    def replace_all(self, changes: StoreChanges, now: float) -> None:
+        """Take all objects of the kind."""
+        self.apply_changes(changes, now)
+
+    def apply_changes(self, changes: StoreChanges, now: float) -> None:
+        """Put the newest configuration in force."""
+        for event in changes.events:
+            stored = event.object
+            if stored.name != self._name or stored.revision <= self._revision:
+                continue
+            if event.is_removal:
+                log_event("configuration_removed", kept_version=self.version)
+                continue
+            self._take(stored.value, stored.revision, now)
+
+    def note_reachable(self, is_reachable: bool, now: float) -> None:
+        """Do nothing; the configuration in force stays without the store."""
+
+    def _take(self, value: Any, revision: int, now: float) -> None:
+        try:
+            version, policy = self._decode(value)
+        except ValueError as error:
+            self._counters.incr("configuration.rejected")
+            log_event("configuration_rejected", revision=revision, error=error)
+            return
+        self._revision = revision
+        self.version = version
+        self._put_in_force(version, policy, now)
+        self._counters.incr("configuration.accepted")
+        log_event(
+            "configuration_in_force",
+            version=version,
+            revision=revision,
+            routes=len(policy.routes),
+            services=len(policy.services),
+        )
+
+
+class UpstreamState:
+    """Keeps the dispatchers' members in step with the registry.
+
+    Parameters
+    ----------
+    decode : callable
+        Returns the listing in a stored value, given name and revision; raises ValueError if
+        the entry names no upstream that can be used.
+    dispatch : DispatchFilter
+        Takes the members.
+    settings : NodeSettings
+        Process settings.
+    counters : Counters
+        Where rejected entries are counted.
+    """
+
+    def __init__(
+        self,
+        decode: Callable[[str, int, Any], Listing],
+        dispatch: DispatchFilter,
+        settings: NodeSettings,
+        counters: Counters,
+    ) -> None:
+        self._decode = decode
+        self._dispatch = dispatch
+        self._counters = counters
+        keep_s = max(0.0, settings.drain_s - KEEP_MARGIN_S)
+        self._registry = UpstreamRegistry(RegistryTimes(keep_s, RETURN_S))
+        self._timer: asyncio.TimerHandle | None = None
+        self.is_known = False
+
+    def replace_all(self, changes: StoreChanges, now: float) -> None:
+        """Take all entries."""
+        listings: list[Listing] = []
+        for event in changes.events:
+            listing = self._read(event.object.name, event.object.revision, event.object.value)
+            if listing is not None:
+                listings.append(listing)
+        kept = self._registry.replace(listings, now)
+        self.is_known = True
+        log_event("upstreams_listed", count=len(listings), kept=len(kept))
+        self._publish(now)
+
+    def apply_changes(self, changes: StoreChanges, now: float) -> None:
+        """Take changes of entries."""
+        removed: list[str] = []
+        for event in changes.events:
+            stored = event.object
+            if event.is_removal:
+                removed.append(stored.name)
+                continue
+            listing = self._read(stored.name, stored.revision, stored.value)
+            if listing is None:
+                continue
+            if stored.name in removed:
+                removed.remove(stored.name)
+            if self._registry.put(listing, now):
+                log_event(
+                    "upstream_changed",
+                    upstream=stored.name,
+                    service=listing.service,
+                    state=listing.member.state,
+                    incarnation=listing.member.incarnation,
+                    revision=stored.revision,
+                )
+        if removed:
+            kept = self._registry.remove(removed, now)
+            log_event("upstreams_removed", names=",".join(removed), kept=",".join(kept))
+        self._publish(now)
+
+    def note_reachable(self, is_reachable: bool, now: float) -> None:
+        """Take news of the store itself."""
+        self._registry.note_reachable(is_reachable, now)
+
+    def _read(self, name: str, revision: int, value: Any) -> Listing | None:
+        try:
+            return self._decode(name, revision, value)
+        except ValueError as error:
+            self._counters.incr("upstreams.rejected")
+            log_event("upstream_rejected", upstream=name, revision=revision, error=error)
+            return None
+
+    def _publish(self, now: float) -> None:
+        """Hand the members to the dispatchers, and again when they change by time alone."""
+        self._dispatch.set_members(self._registry.list_members(now), now)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        due = self._registry.next_time(now)
+        if due is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(due - now + 0.001, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._publish(time.monotonic())
--- a/amaranthbend/core/actions.py
+++ b/amaranthbend/core/actions.py
@@ -82,6 +82,8 @@
         State of the upstream.
     incarnation : int
         Incarnation that made the report.
+    slowdown : float
+        How long work takes on the upstream's machine at the moment, as a multiple of the usual.
     """
 
     in_flight: int
@@ -89,6 +91,7 @@
     slots: int
     state: UpstreamState
     incarnation: int
+    slowdown: float = 1.0
 
 
 class RequestInfo(NamedTuple):
@@ -112,6 +115,10 @@
         Whether the whole body is held, so that it can be sent again.
     body_bytes : int
         Bytes of the body that are held while the request waits.
+    latency_goal_s : float or None
+        Time within which a response has its full value to the caller.
+    max_attempts : int or None
+        Most attempts; None leaves it to the service.
     """
 
     request_id: int
@@ -122,6 +129,8 @@
     priority: int = 0
     replayable: bool = True
     body_bytes: int = 0
+    latency_goal_s: float | None = None
+    max_attempts: int | None = None
 
 
 class AttemptStatus(StrEnum):
@@ -169,11 +178,15 @@
 
 
 class Complete(NamedTuple):
-    """End the request; for outcomes other than answered, tell the caller why."""
+    """End the request; for outcomes other than answered, tell the caller why.
+
+    `attempt` is the one whose response the caller gets, 0 without one.
+    """
 
     request_id: int
     outcome: Outcome
     reason: OutcomeReason | None = None
+    attempt: int = 0
 
 
 class Refuse(NamedTuple):
--- a/amaranthbend/core/attempts.py
+++ b/amaranthbend/core/attempts.py
@@ -21,12 +21,23 @@
 class RequestState:
     """State of a request that has not ended."""
 
-    __slots__ = ("attempts", "info", "may_have_run", "retry_reason", "running", "tried")
+    __slots__ = (
+        "attempts",
+        "fallback",
+        "info",
+        "may_have_run",
+        "retry_reason",
+        "running",
+        "tried",
+    )
 
     def __init__(self, info: RequestInfo) -> None:
         self.info = info
         self.attempts = 0
-        self.running = False
+        # Attempts in flight.
+        self.running: set[int] = set()
+        # Attempt whose failed but whole response is passed on if no other succeeds.
+        self.fallback = 0
         self.may_have_run = False
         self.retry_reason: RetryReason | None = None
         self.tried: frozenset[str] = frozenset()
--- a/amaranthbend/core/dispatching.py
+++ b/amaranthbend/core/dispatching.py
@@ -94,8 +94,9 @@
         if reason is not None:
             actions.append(make_end(RequestState(request), reason))
             return actions
-        self._requests[request.request_id] = RequestState(request)
-        self._queues.get(request.work_class).push(request)
+        record = RequestState(request)
+        self._requests[request.request_id] = record
+        actions += self._enqueue(record, now)
         return actions + self._drain(now)
 
     def finish(
@@ -108,9 +109,9 @@
         self._release(ended, result, now)
         actions: list[Action] = []
         record = self._requests.get(request_id)
-        if record is not None and record.running and record.attempts == attempt:
-            record.running = False
-            actions += self._settle(record, result, now)
+        if record is not None and attempt in record.running:
+            record.running.discard(attempt)
+            actions += self._settle(record, attempt, result, now)
         if result.is_draining:
             actions += self._refuse_all_if_unusable()
         return actions + self._drain(now)
@@ -149,7 +150,7 @@
         actions: list[Action] = []
         if record.running:
             record.may_have_run = True
-            actions.append(Cancel(request_id, record.attempts))
+        actions += self._cancel_running(record)
         actions.append(self._end(record, OutcomeReason.CALLER_GONE))
         return actions + self._expire(now)
 
@@ -290,6 +291,16 @@
                 self._refresh(load)
             load.most_in_flight = self._ejector.count_allowed(load.member.upstream)
 
+    def _cancel_running(self, record: RequestState) -> list[Action]:
+        """Return the actions that cancel the attempts in flight."""
+        return [Cancel(record.info.request_id, number) for number in sorted(record.running)]
+
+    def _enqueue(self, record: RequestState, now: float) -> list[Action]:  # noqa: ARG002
+        """Let a request wait for an upstream; one that was sent before goes ahead."""
+        queue = self._queues.get(record.info.work_class)
+        queue.push(record.info, in_progress=record.attempts > 0)
+        return []
+
     def _expire(self, now: float) -> list[Action]:
         """End the queued requests whose deadline has passed."""
         return self._end_all(self._queues.pop_expired(now), OutcomeReason.QUEUE_TIMEOUT)
@@ -353,7 +364,7 @@
         """Start an attempt."""
         request = record.info
         record.attempts += 1
-        record.running = True
+        record.running.add(record.attempts)
         record.tried |= {load.member.upstream}
         if record.attempts == 1:
             self._budget.note_first_attempt()
@@ -364,6 +375,7 @@
         self._running[request.work_class] += 1
         load.in_flight += 1
         load.last_sent_at = now
+        load.sent_since_report += 1
         if is_long:
             load.long_in_flight += 1
         else:
@@ -372,24 +384,43 @@
         timeout_s = request.deadline - now
         return Send(*key, load.member.upstream, timeout_s, record.retry_reason)
 
-    def _settle(self, record: RequestState, result: AttemptResult, now: float) -> list[Action]:
+    def _settle(
+        self, record: RequestState, attempt: int, result: AttemptResult, now: float
+    ) -> list[Action]:
         """End the request after an attempt, or queue it again."""
         request = record.info
-        if result.status is AttemptStatus.ANSWERED:
-            del self._requests[request.request_id]
-            return [Complete(request.request_id, Outcome.ANSWERED)]
+        is_answer = result.status is AttemptStatus.ANSWERED
         if not proves_not_run(result.status):
             record.may_have_run = True
         reason = decide_retry(request, result, record.attempts, self._policy.retries, now)
+        if is_answer and reason is None:
+            return self._complete(record, attempt)
+        if is_answer:
+            record.fallback = attempt
+        if record.running:
+            return []
         if reason is None:
-            return [self._end(record, describe_failure(result))]
+            return self._give_up(record, describe_failure(result))
         if not self._budget.take(now):
-            return [self._end(record, OutcomeReason.RETRY_BUDGET)]
+            return self._give_up(record, OutcomeReason.RETRY_BUDGET)
         record.retry_reason = reason
         if not self._router.count_usable():
-            return [self._end(record, OutcomeReason.NO_UPSTREAM)]
-        self._queues.get(request.work_class).push(request, in_progress=True)
-        return []
+            return self._give_up(record, OutcomeReason.NO_UPSTREAM)
+        return self._enqueue(record, now)
+
+    def _complete(self, record: RequestState, attempt: int) -> list[Action]:
+        """End the request with the response of an attempt; others still running are cancelled."""
+        request_id = record.info.request_id
+        del self._requests[request_id]
+        actions = self._cancel_running(record)
+        actions.append(Complete(request_id, Outcome.ANSWERED, None, attempt))
+        return actions
+
+    def _give_up(self, record: RequestState, reason: OutcomeReason) -> list[Action]:
+        """End the request with the upstream's own failure if there is one."""
+        if record.fallback:
+            return self._complete(record, record.fallback)
+        return [*self._cancel_running(record), self._end(record, reason)]
 
     def _end(self, record: RequestState, reason: OutcomeReason) -> Action:
         """End a request that has no complete answer."""
--- a/amaranthbend/core/outcomes.py
+++ b/amaranthbend/core/outcomes.py
@@ -59,3 +59,6 @@
     UPSTREAM_REFUSED = "upstream_refused"
     NEVER_CONNECTED = "never_connected"
     IDEMPOTENT_FAILURE = "idempotent_failure"
+    SERVER_ERROR = "server_error"
+    # The first attempt is still running, longer than usual.
+    SLOW_ATTEMPT = "slow_attempt"
--- a/amaranthbend/core/policy.py
+++ b/amaranthbend/core/policy.py
@@ -10,6 +10,7 @@
 from .actions import WorkClass
 
 __all__ = [
+    "AskPolicy",
     "ClaimRule",
     "DeploymentPolicy",
     "LimitPolicy",
@@ -17,6 +18,7 @@
     "RetryPolicy",
     "RoutePolicy",
     "ServicePolicy",
+    "WeightedService",
 ]
 
 
@@ -38,11 +40,44 @@
         Retries a second that are always allowed.
     max_attempts : int
         Most attempts of one request, the first included.
+    burst : float
+        Most retries that can be saved up. The default covers one host's requests in flight at
+        one upstream.
     """
 
     ratio: float = 0.1
     floor_per_s: float = 1.0
     max_attempts: int = 3
+    burst: float = 20.0
+
+
+class AskPolicy(NamedTuple):
+    """How upstreams are asked for their load at the moment of choice.
+
+    Answers the load pattern of instances on shared machines, whose speed changes within a few
+    hundred milliseconds: a report from an earlier response says little about the next request.
+
+    Parameters
+    ----------
+    near, far : int
+        Upstreams asked in the own data centre and elsewhere.
+    patience_s : float
+        Time after which the answers that are there decide.
+    timeout_s : float
+        Time after which an upstream counts as unreachable.
+    rounds : int
+        Most rounds for one attempt; each asks other upstreams.
+    second_share : float
+        Part of the latency goal after which an idempotent request may be sent to a second
+        upstream; 0 never sends a second one.
+    """
+
+    near: int = 3
+    far: int = 1
+    patience_s: float = 0.012
+    timeout_s: float = 0.06
+    rounds: int = 3
+    second_share: float = 0.6
 
 
 class LimitPolicy(NamedTuple):
@@ -81,6 +116,10 @@
         Limits on repeated attempts.
     limits : LimitPolicy
         Limits on queued and running work.
+    asking : AskPolicy or None
+        How upstreams are asked before each attempt; None chooses by earlier reports only.
+    probe_path : str
+        Path at which upstreams report their load.
     """
 
     name: str
@@ -88,6 +127,15 @@
     connections_per_upstream: int = 200
     retries: RetryPolicy = RetryPolicy()
     limits: LimitPolicy = LimitPolicy()
+    asking: AskPolicy | None = None
+    probe_path: str = "/load"
+
+
+class WeightedService(NamedTuple):
+    """A service that gets part of a route's requests."""
+
+    service: str
+    weight: float
 
 
 class RoutePolicy(NamedTuple):
@@ -115,10 +163,19 @@
         Whether requests need a claim on their idempotency key.
     max_body_bytes : int
         Largest request body.
+    host : str
+        Host, in lower case, whose requests match; empty matches every host.
+    split : tuple of WeightedService
+        Services among which requests are divided in place of `service`.
+    latency_goal_s : float or None
+        Time within which a response has its full value to the caller.
+    max_attempts : int or None
+        Most attempts of one request; None leaves it to the service.
     """
 
     name: str
     path_prefix: str
+    # Empty matches every method.
     methods: tuple[str, ...]
     service: str
     idempotent: bool | None = None
@@ -127,6 +184,10 @@
     priority: int = 0
     claim: ClaimRule = ClaimRule.NONE
     max_body_bytes: int = 1024 * 1024
+    host: str = ""
+    split: tuple[WeightedService, ...] = ()
+    latency_goal_s: float | None = None
+    max_attempts: int | None = None
 
 
 class ProbePolicy(NamedTuple):
--- /dev/null
+++ b/amaranthbend/core/registry.py
@@ -0,0 +1,161 @@
+"""Which instances may be used, given what a lossy registry lists.
+
+Load pattern: entries of live instances vanish while the registry is in trouble and come back
+once it has recovered, while the entry of an instance that leaves vanishes for good. Dropping
+the first kind empties a service; keeping the second kind sends work to an instance that exits.
+"""
+
+import math
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .actions import Member, UpstreamState
+
+__all__ = ["Listing", "RegistryTimes", "UpstreamRegistry"]
+
+
+class Listing(NamedTuple):
+    """An instance as the registry lists it.
+
+    Parameters
+    ----------
+    service : str
+        Service that the instance belongs to.
+    member : Member
+        The instance.
+    slots : int
+        Requests that it runs at the same time.
+    cold_s : float
+        Time for which it is still slow after its start, in seconds.
+    revision : int
+        Revision of the entry's last change.
+    """
+
+    service: str
+    member: Member
+    slots: int
+    cold_s: float
+    revision: int
+
+
+class RegistryTimes(NamedTuple):
+    """Times in seconds, from the platform's settings.
+
+    Parameters
+    ----------
+    keep_s : float
+        How long an instance stays in use after its entry vanished together with most others of
+        its service; shorter than the time for which leaving instances still serve.
+    return_s : float
+        Time after an outage within which live instances are listed again.
+    """
+
+    keep_s: float
+    return_s: float
+
+
+class _Entry:
+    __slots__ = ("cold_until", "listing", "usable_until")
+
+    def __init__(self, listing: Listing, cold_until: float) -> None:
+        self.listing = listing
+        self.cold_until = cold_until
+        # Infinite while the registry lists the instance.
+        self.usable_until = math.inf
+
+
+class UpstreamRegistry:
+    """Follows the registry's entries, and holds on to those that vanish in an outage.
+
+    Parameters
+    ----------
+    times : RegistryTimes
+        How long vanished entries are used.
+    """
+
+    def __init__(self, times: RegistryTimes) -> None:
+        self._times = times
+        self._entries: dict[str, _Entry] = {}
+        self._is_reachable = True
+        # End of the latest outage.
+        self._recovered_at = -math.inf
+
+    def note_reachable(self, is_reachable: bool, now: float) -> None:
+        """Record whether the registry answers."""
+        if is_reachable and not self._is_reachable:
+            self._recovered_at = now
+            for entry in self._entries.values():
+                if entry.usable_until < math.inf:
+                    entry.usable_until = max(entry.usable_until, now + self._times.return_s)
+        self._is_reachable = is_reachable
+
+    def put(self, listing: Listing, now: float) -> bool:
+        """Take a new or changed entry, and return whether it was news."""
+        name = listing.member.upstream
+        known = self._entries.get(name)
+        if known is not None and known.listing.revision >= listing.revision:
+            if known.usable_until < math.inf and known.listing.revision == listing.revision:
+                known.usable_until = math.inf
+                return True
+            return False
+        self._entries[name] = _Entry(listing, now + listing.cold_s)
+        return True
+
+    def remove(self, names: Iterable[str], now: float) -> list[str]:
+        """Take the end of entries that vanished together, and return those kept in use."""
+        gone = [
+            self._entries[name]
+            for name in names
+            if name in self._entries and self._entries[name].usable_until == math.inf
+        ]
+        kept: list[str] = []
+        for service in {entry.listing.service for entry in gone}:
+            members = [entry for entry in gone if entry.listing.service == service]
+            limit = self._limit_use(service, len(members), now)
+            for entry in members:
+                is_leaving = entry.listing.member.state is UpstreamState.DRAINING
+                entry.usable_until = now if is_leaving else limit
+                if entry.usable_until > now:
+                    kept.append(entry.listing.member.upstream)
+        self._drop_expired(now)
+        return kept
+
+    def replace(self, listings: Iterable[Listing], now: float) -> list[str]:
+        """Take all entries at once, and return the vanished ones that are kept in use."""
+        listed: set[str] = set()
+        for listing in listings:
+            listed.add(listing.member.upstream)
+            self.put(listing, now)
+        return self.remove(self._entries.keys() - listed, now)
+
+    def list_members(self, now: float) -> dict[str, tuple[Member, ...]]:
+        """Return the usable instances by service, and forget those whose time is over."""
+        self._drop_expired(now)
+        members: dict[str, list[Member]] = {}
+        for entry in self._entries.values():
+            member = entry.listing.member
+            if member.state is UpstreamState.SERVING and entry.cold_until > now:
+                member = member._replace(state=UpstreamState.COLD)
+            members.setdefault(entry.listing.service, []).append(member)
+        return {service: tuple(group) for service, group in members.items()}
+
+    def next_time(self, now: float) -> float | None:
+        """Return when the members change without news, None if they do not."""
+        times = [entry.usable_until for entry in self._entries.values()]
+        times += [entry.cold_until for entry in self._entries.values()]
+        return min((time for time in times if now < time < math.inf), default=None)
+
+    def _limit_use(self, service: str, vanished: int, now: float) -> float:
+        """Return until when vanished instances of a service are used."""
+        if not self._is_reachable or now < self._recovered_at + self._times.return_s:
+            return max(now, self._recovered_at) + self._times.return_s
+        listed = sum(
+            entry.listing.service == service and entry.usable_until == math.inf
+            for entry in self._entries.values()
+        )
+        # Instances leave one after the other; most of a service at once is a fault of the registry.
+        return now + self._times.keep_s if vanished > 1 and 2 * vanished > listed else now
+
+    def _drop_expired(self, now: float) -> None:
+        for name in [name for name, entry in self._entries.items() if entry.usable_until <= now]:
+            del self._entries[name]
--- a/amaranthbend/core/retries.py
+++ b/amaranthbend/core/retries.py
@@ -6,8 +6,7 @@
 
 __all__ = ["RetryBudget", "decide_retry", "proves_not_run"]
 
-# Bounds the burst after a quiet time; covers one host's requests in flight at one upstream.
-BURST_RETRIES = 20.0
+SERVER_ERROR = 500
 
 
 def proves_not_run(status: AttemptStatus) -> bool:
@@ -40,7 +39,8 @@
     """
     if result.answer_begun or not request.replayable:
         return None
-    if attempts >= policy.max_attempts or now >= request.deadline:
+    most = policy.max_attempts if request.max_attempts is None else request.max_attempts
+    if attempts >= most or now >= request.deadline:
         return None
     if result.status is AttemptStatus.REFUSED:
         return RetryReason.UPSTREAM_REFUSED
@@ -48,6 +48,8 @@
         return RetryReason.NEVER_CONNECTED
     if result.status is AttemptStatus.FAILED and request.idempotent:
         return RetryReason.IDEMPOTENT_FAILURE
+    if result.status is AttemptStatus.ANSWERED and result.http_status >= SERVER_ERROR:
+        return RetryReason.SERVER_ERROR if request.idempotent else None
     return None
 
 
@@ -72,7 +74,12 @@
 
     def note_first_attempt(self) -> None:
         """Earn a share of a retry."""
-        self._earned = min(BURST_RETRIES, self._earned + self._policy.ratio)
+        self._earned = min(self._policy.burst, self._earned + self._policy.ratio)
+
+    def has_one(self, now: float) -> bool:
+        """Return whether a retry would be allowed now."""
+        self._refill_floor(now)
+        return self._earned >= 1.0 or self._floor >= 1.0
 
     def take(self, now: float) -> bool:
         """Spend one retry, and return whether the budget allowed it."""
--- a/amaranthbend/core/routing.py
+++ b/amaranthbend/core/routing.py
@@ -74,6 +74,7 @@
         "probed_at",
         "report",
         "report_at",
+        "sent_since_report",
         "usable",
         "var_others",
     )
@@ -93,6 +94,7 @@
         self.probed_at = -math.inf
         self.report: LoadReport | None = None
         self.report_at = -math.inf
+        self.sent_since_report = 0
         self.others = 0.0
         self.mean_others = 1.0
         self.var_others = 2.0
@@ -119,6 +121,7 @@
         weight = 1.0 - math.exp(-age / AVERAGE_TIME_S)
         self.report = report
         self.report_at = now
+        self.sent_since_report = 0
         self.others = float(max(0, total - own))
         error = self.others - self.mean_others
         self.mean_others += weight * error
@@ -158,6 +161,10 @@
         """Set the upstreams to choose from, the near ones first, which shortens the search."""
         self._order = sorted(loads, key=lambda load: load.is_remote)
 
+    def list_loads(self) -> list[UpstreamLoad]:
+        """Return the upstreams to choose from, the near ones first."""
+        return self._order
+
     def count_usable(self) -> int:
         """Return the number of upstreams that have not departed, ejected ones included."""
         return sum(load.usable for load in self._order)
--- /dev/null
+++ b/amaranthbend/core/watching.py
@@ -0,0 +1,116 @@
+"""How a watcher follows one kind of object in a store that fails at times."""
+
+import math
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Any, NamedTuple, Protocol
+
+from result import Result
+
+from .backoff import Backoff
+
+__all__ = [
+    "ObjectEvent",
+    "ObjectStore",
+    "StoreChanges",
+    "StoreError",
+    "StoreErrorKind",
+    "StoredObject",
+    "WatchPlan",
+]
+
+# Limits of the delay after a failed call. A store that returns has to be noticed within about a
+# second, since nothing else tells of instances that left meanwhile.
+FIRST_DELAY_S = 0.1
+LONGEST_DELAY_S = 0.8
+
+
+class StoreErrorKind(StrEnum):
+    """Why a call to the store failed."""
+
+    UNAVAILABLE = "unavailable"
+    HISTORY_LOST = "history_lost"
+    MALFORMED = "malformed"
+
+
+class StoreError(NamedTuple):
+    """A failed call to the store."""
+
+    kind: StoreErrorKind
+    detail: str
+
+
+class StoredObject(NamedTuple):
+    """An object: name, revision of its last change, and the value that its writer gave."""
+
+    name: str
+    revision: int
+    value: Any
+
+
+class ObjectEvent(NamedTuple):
+    """A change of an object, or its removal."""
+
+    object: StoredObject
+    is_removal: bool
+
+
+class StoreChanges(NamedTuple):
+    """Changes up to a revision of the store."""
+
+    events: list[ObjectEvent]
+    revision: int
+
+
+class ObjectStore(Protocol):
+    """What a watcher needs of the store's client."""
+
+    async def list_objects(self, kind: str) -> Result[StoreChanges, StoreError]:
+        """Return all objects of a kind."""
+
+    async def watch_objects(
+        self, kind: str, revision: int, wait_s: float
+    ) -> Result[StoreChanges, StoreError]:
+        """Return the changes after a revision."""
+
+
+class WatchPlan:
+    """Decides whether to list or to watch next, and after which pause.
+
+    Parameters
+    ----------
+    draw : callable
+        Returns a random number from 0 up to 1.
+    pause_s : float
+        Pause after changes, in which further ones gather; each call has a price.
+    """
+
+    def __init__(self, draw: Callable[[], float], pause_s: float) -> None:
+        self._backoff = Backoff(draw, FIRST_DELAY_S, LONGEST_DELAY_S)
+        self._pause_s = pause_s
+        self._failed_since = math.inf
+        # Revision to watch from, None when everything has to be listed.
+        self.revision: int | None = None
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the last call succeeded."""
+        return self._failed_since == math.inf
+
+    def note_changes(self, changes: StoreChanges) -> float:
+        """Record an answer, and return the pause before the next call."""
+        was_list = self.revision is None
+        self.revision = changes.revision
+        self._failed_since = math.inf
+        self._backoff.reset()
+        return 0.0 if was_list or not changes.events else self._pause_s
+
+    def note_failure(self, error: StoreError, now: float) -> float:
+        """Record a failed call, and return the pause before the next one."""
+        if error.kind is StoreErrorKind.HISTORY_LOST:
+            self.revision = None
+            return 0.0
+        if error.kind is StoreErrorKind.MALFORMED:
+            self.revision = None
+        self._failed_since = min(self._failed_since, now)
+        return self._backoff.next_delay()
--- a/amaranthbend/filters/attempts.py
+++ b/amaranthbend/filters/attempts.py
@@ -1,35 +1,34 @@
 """One attempt of a request, and one probe."""
 
 import asyncio
-import functools
+import time
 from typing import Protocol
 
 from ..adapters.caller import CallerRequest
 from ..adapters.calls import CallEnd, EndKind, UpstreamCall, UpstreamRequest
-from ..adapters.headers import HOP_BY_HOP, ResponseHead, encode_lines, list_connection_options
-from ..adapters.host_list import MAX_NUMBER
-from ..core.actions import AttemptResult, AttemptStatus, LoadReport, UpstreamState
+from ..adapters.dialect import Dialect
+from ..adapters.headers import (
+    HOP_BY_HOP,
+    STATUS_WITHOUT_BODY,
+    ResponseHead,
+    encode_lines,
+    list_connection_options,
+)
+from ..core.actions import AttemptResult, AttemptStatus, LoadReport, Member
 from ..core.outcomes import OutcomeReason
-from .idempotency import DEADLINE_FIELD
 
-__all__ = ["Attempt", "AttemptOwner", "build_upstream_request", "parse_load_report"]
+__all__ = ["Attempt", "AttemptOwner", "build_upstream_request"]
 
-REFUSED_STATUS = 503
-DRAINING = "draining"
-NOT_RUN_PROOFS = frozenset({"shed", DRAINING, "deadline"})
-LOAD_FIELDS = ("in_flight", "queued", "slots", "state", "incarnation")
-MAX_REPORT_LENGTH = 256
 # Time for the rest of a refusal, whose proof is in its head; after its end the connection can
 # be used again.
 REFUSAL_END_S = 0.05
-# Reports repeat, since their numbers are small.
-KEPT_REPORTS = 4096
+# Larger responses are passed on while they arrive.
+HELD_RESPONSE_BYTES = 1024 * 1024
 MS_PER_S = 1000
 DROPPED_FROM_REQUEST = HOP_BY_HOP | {
     "host",
     "content-length",
     "expect",
-    DEADLINE_FIELD.lower(),
 }
 # Fields that libcurl would add; a line without a value keeps it from doing so.
 LIBCURL_FIELDS = {
@@ -63,11 +62,18 @@
         Request that is sent.
     number : int
         Number of the attempt, from 1.
-    upstream : str
+    member : Member
         Where it is sent.
+    dialect : Dialect
+        Reads the response's header fields.
     """
 
     __slots__ = (
+        "_dialect",
+        "_held",
+        "_held_bytes",
+        "_held_head",
+        "_member",
         "_owner",
         "_passes",
         "_status",
@@ -77,16 +83,29 @@
         "number",
         "refused",
         "request",
+        "sent_at",
         "timer",
         "upstream",
     )
 
     def __init__(
-        self, owner: AttemptOwner, request: CallerRequest, number: int, upstream: str
+        self,
+        owner: AttemptOwner,
+        request: CallerRequest,
+        number: int,
+        member: Member,
+        dialect: Dialect,
     ) -> None:
         self.request = request
         self.number = number
-        self.upstream = upstream
+        self.upstream = member.upstream
+        self.sent_at = time.monotonic()
+        self._member = member
+        self._dialect = dialect
+        # Response that is passed on once it is complete.
+        self._held_head: ResponseHead | None = None
+        self._held: list[bytes] = []
+        self._held_bytes = 0
         self.call: UpstreamCall | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.refused = False
@@ -102,7 +121,9 @@
             self._take_head(head)
         if self.has_ended:
             return False
-        if self._passes:
+        if self._held_head is not None and data:
+            self._hold(data)
+        elif self._passes:
             self.request.append(data)
         if end is not None:
             self._end(self._describe(end))
@@ -110,22 +131,63 @@
         return self.request.flush() if self._passes else True
 
     def _take_head(self, head: ResponseHead) -> None:
-        self.stop_timer()
         self._status = head.status
-        report = parse_load_report(head.report) if head.report else None
-        if report is not None:
-            self._owner.note_report(self.upstream, report)
-        if head.status == REFUSED_STATUS and head.not_run in NOT_RUN_PROOFS:
+        reading = self._dialect.read_response(head, self.request.caller_id, self._member)
+        if reading.report is not None:
+            self._owner.note_report(self.upstream, reading.report)
+        if reading.fault is not None:
+            self.fail(reading.fault)
+            return
+        if reading.is_refusal:
+            self.stop_timer()
             self.refused = True
-            self.is_draining = head.not_run == DRAINING
+            self.is_draining = reading.is_draining
             loop = asyncio.get_running_loop()
             self.timer = loop.call_later(REFUSAL_END_S, self.fail, OutcomeReason.UPSTREAM_REFUSED)
             return
-        if not self.has_ended and self._owner.accept_answer(self):
+        if self.has_ended:
+            return
+        if self._dialect.holds_responses and (head.length or 0) <= HELD_RESPONSE_BYTES:
+            self._held_head = head
+            return
+        self._pass_on(head)
+
+    def _pass_on(self, head: ResponseHead) -> None:
+        self.stop_timer()
+        if self._owner.accept_answer(self):
             self._passes = True
             self.request.on_writable = self._resume
             self.request.begin(head)
 
+    def _hold(self, data: bytes) -> None:
+        """Keep a part of the body; pass everything on when it becomes too much."""
+        self._held.append(data)
+        self._held_bytes += len(data)
+        if self._held_bytes <= HELD_RESPONSE_BYTES:
+            return
+        head, self._held_head = self._held_head, None
+        assert head is not None
+        self._pass_on(head)
+        if self._passes:
+            self.request.append(b"".join(self._held))
+        self._held.clear()
+
+    @property
+    def holds_response(self) -> bool:
+        """Whether a response waits to be passed on."""
+        return self._held_head is not None
+
+    def release_response(self) -> None:
+        """Pass the held response on; it is complete."""
+        head = self._held_head
+        if head is None:
+            return
+        if self.request.method != "HEAD" and head.status not in STATUS_WITHOUT_BODY:
+            head = head._replace(length=self._held_bytes, chunked=False)
+        self.request.begin(head)
+        self.request.append(b"".join(self._held))
+        self._held.clear()
+
     def _resume(self) -> None:
         if self.call is not None:
             self.call.resume()
@@ -138,8 +200,11 @@
         if self.refused:
             # The proof is in the head; whether the rest arrived does not matter.
             return self._make_refusal()
+        if self.holds_response and self.request.has_begun:
+            # The response of another attempt is on its way to the caller.
+            return AttemptResult(AttemptStatus.CANCELLED, self._status)
         if end.kind is EndKind.COMPLETE:
-            return AttemptResult(AttemptStatus.ANSWERED, self._status, True)
+            return AttemptResult(AttemptStatus.ANSWERED, self._status, self._passes)
         if end.kind is EndKind.NEVER_CONNECTED:
             return AttemptResult(AttemptStatus.NEVER_CONNECTED, reason=end.reason)
         return AttemptResult(AttemptStatus.FAILED, self._status, self._has_begun, end.reason)
@@ -170,6 +235,9 @@
     def _end(self, result: AttemptResult) -> None:
         self.has_ended = True
         self.stop_timer()
+        duration_ms = (time.monotonic() - self.sent_at) * MS_PER_S
+        cause = result.reason or result.http_status or ""
+        self.request.trace.append(f"{self.upstream}:{result.status}:{cause}:{duration_ms:.0f}ms")
         self._owner.finish_attempt(self, result)
 
     def stop_timer(self) -> None:
@@ -180,7 +248,11 @@
 
 
 def build_upstream_request(
-    request: CallerRequest, address: str, timeout_s: float, connect_timeout_s: float
+    request: CallerRequest,
+    member: Member,
+    timeout_s: float,
+    connect_timeout_s: float,
+    dialect: Dialect,
 ) -> UpstreamRequest:
     """Return what is sent to an upstream.
 
@@ -188,15 +260,20 @@
     ----------
     request : CallerRequest
         Request of the caller.
-    address : str
-        `address:port` of the upstream.
+    member : Member
+        The upstream.
     timeout_s : float
         Time left until the deadline.
     connect_timeout_s : float
         Longest time to connect.
+    dialect : Dialect
+        Names the fields that this process sets.
     """
+    address = member.address
+    deadline_field = dialect.deadline_field
     headers = request.headers
-    dropped: frozenset[str] = DROPPED_FROM_REQUEST
+    dropped: frozenset[str] = DROPPED_FROM_REQUEST | dialect.own_request_fields
+    dropped |= {deadline_field.lower()}
     if "Connection" in headers:
         dropped |= list_connection_options(headers.get_list("Connection"))
     fields = [("Host", request.host or address)]
@@ -207,7 +284,8 @@
             continue
         present.add(key)
         fields.append((name, value))
-    fields.append((DEADLINE_FIELD, str(max(1, int(timeout_s * MS_PER_S)))))
+    fields.append((deadline_field, str(max(1, int(timeout_s * MS_PER_S)))))
+    fields += dialect.list_request_fields(member)
     lines = encode_lines(fields)
     lines += [line for key, line in LIBCURL_FIELDS.items() if key not in present]
     body = request.body
@@ -224,26 +302,5 @@
         body_length=body.length if body is not None else None,
         idempotent=request.is_idempotent,
         connect_timeout_s=min(connect_timeout_s, timeout_s),
+        accepts_excess=dialect.holds_responses,
     )
-
-
-@functools.lru_cache(maxsize=KEPT_REPORTS)
-def parse_load_report(text: str) -> LoadReport | None:
-    """Return the report in an `X-Load-Report` field, None if it is malformed."""
-    if len(text) > MAX_REPORT_LENGTH:
-        return None
-    values: dict[str, str] = {}
-    for part in text.split(";"):
-        name, _, value = part.partition("=")
-        values[name.strip()] = value.strip()
-    try:
-        in_flight, queued, slots, state, incarnation = (values[name] for name in LOAD_FIELDS)
-        report = LoadReport(
-            int(in_flight), int(queued), int(slots), UpstreamState(state), int(incarnation)
-        )
-    except (KeyError, ValueError):
-        return None
-    numbers = (report.in_flight, report.queued, report.slots, report.incarnation)
-    if min(numbers) < 0 or max(numbers) > MAX_NUMBER:
-        return None
-    return report
--- a/amaranthbend/filters/chain.py
+++ b/amaranthbend/filters/chain.py
@@ -8,15 +8,23 @@
 from absl import logging
 
 from ..adapters.caller import CallerRequest
+from ..adapters.dialect import OWN_DIALECT, Dialect
 from ..adapters.metrics import Counters
 from ..core.outcomes import Outcome, OutcomeReason
 from .refusals import Refusal, make_refusal
 
-__all__ = ["FilterChain", "HeadFilter", "RunFilter"]
+__all__ = ["FilterChain", "HeadFilter", "RequestLog", "RunFilter"]
 
 US_PER_S = 1_000_000
 
 
+class RequestLog(Protocol):
+    """Writes a line for each request that ended."""
+
+    def write(self, request: CallerRequest, outcome: Outcome, reason: str, now: float) -> None:
+        """Write the line, or drop it when there are too many."""
+
+
 class HeadFilter(Protocol):
     """Looks at the head of a request and notes on it what it finds."""
 
@@ -50,6 +58,10 @@
         Where outcomes and times are counted.
     held_body_bytes : int
         Largest body that is held whole, so that it can be sent again.
+    dialect : Dialect
+        Header fields between callers, this process and upstreams.
+    request_log : RequestLog or None
+        Where the end of each request is logged.
     """
 
     def __init__(
@@ -58,9 +70,15 @@
         run_filters: Sequence[RunFilter],
         counters: Counters,
         held_body_bytes: int,
+        dialect: Dialect = OWN_DIALECT,
+        request_log: RequestLog | None = None,
     ) -> None:
+        self.dialect = dialect
+        self._request_log = request_log
         self.held_body_bytes = held_body_bytes
         self.is_draining = False
+        # Requests whose body is complete or streamed, and that have not ended.
+        self.running = 0
         self._head_filters = tuple(head_filters)
         self._run_filters = tuple(run_filters)
         self._counters = counters
@@ -77,6 +95,7 @@
 
     def run(self, request: CallerRequest) -> None:
         """Run a request whose body is complete or will be streamed."""
+        self.running += 1
         self._run_from(request, 0)
 
     def _run_from(self, request: CallerRequest, start: int) -> None:
@@ -118,10 +137,14 @@
 
     def count_end(self, request: CallerRequest, outcome: Outcome, reason: str) -> None:
         """Count how a request ended."""
+        if request.is_running:
+            self.running -= 1
         self._counters.incr(f"outcome.{outcome}")
         if reason:
             self._counters.incr(f"reason.{reason}")
         if request.arrived_at:
             self._counters.record("request", time.monotonic() - request.arrived_at)
+        if self._request_log is not None:
+            self._request_log.write(request, outcome, reason, time.monotonic())
         for run_filter in self._run_filters:
             run_filter.end(request, outcome)
--- a/amaranthbend/filters/dispatch.py
+++ b/amaranthbend/filters/dispatch.py
@@ -9,10 +9,11 @@
 from ..adapters.metrics import Counters
 from ..adapters.upstream import UpstreamClient
 from ..core.actions import Member
+from ..core.asked_dispatching import AskedDispatcher
 from ..core.departures import Departure
 from ..core.dispatching import Dispatcher
 from ..core.outcomes import Outcome, OutcomeReason
-from ..core.policy import DeploymentPolicy
+from ..core.policy import DeploymentPolicy, RoutePolicy
 from ..core.probing import divide_budget
 from .refusals import Refusal, make_refusal
 from .services import DispatchSettings, ServiceDispatch, ignore_probe
@@ -20,6 +21,21 @@
 __all__ = ["DispatchFilter"]
 
 
+def choose_service(route: RoutePolicy, draw: random.Random) -> str:
+    """Return the service of a request: the route's, or one of its split by weight.
+
+    A service that is short of room keeps its share, since its weight is the operators' decision.
+    """
+    if not route.split:
+        return route.service
+    point = draw.random() * sum(part.weight for part in route.split)
+    for part in route.split:
+        point -= part.weight
+        if point < 0:
+            return part.service
+    return route.split[-1].service
+
+
 class DispatchFilter:
     """Hands requests to the dispatcher of their service.
 
@@ -42,6 +58,7 @@
         self._settings = settings
         self._members: dict[str, tuple[Member, ...]] = {}
         self._share = 0.0
+        self._random = random.Random()
         self._last_id = 0
         self.note_probe: Callable[[int], None] = ignore_probe
 
@@ -55,10 +72,12 @@
         for name, service_policy in policy.services.items():
             service = self.services.get(name)
             if service is not None:
+                service.probe_path = service_policy.probe_path
                 service.apply(service.dispatcher.set_policy(service_policy, processes, now))
                 service.apply(service.dispatcher.set_probing(probing, now))
                 continue
-            dispatcher = Dispatcher(
+            kind = Dispatcher if service_policy.asking is None else AskedDispatcher
+            dispatcher = kind(
                 service_policy,
                 probing,
                 self._settings.data_centre,
@@ -67,6 +86,7 @@
             )
             service = ServiceDispatch(dispatcher, self._client, self._counters, self._settings)
             service.note_probe = self.note_probe
+            service.probe_path = service_policy.probe_path
             self.services[name] = service
             service.set_members(self._members.get(name, ()), now)
             service.apply(dispatcher.set_probe_share(self._share, now))
@@ -95,7 +115,8 @@
     def run(self, request: CallerRequest, now: float) -> Refusal | None:
         """Hand a request to its dispatcher."""
         assert request.route is not None
-        service = self.services.get(request.route.service)
+        request.service = choose_service(request.route, self._random)
+        service = self.services.get(request.service)
         if service is None:
             return make_refusal(OutcomeReason.NO_UPSTREAM)
         self._last_id += 1
@@ -117,6 +138,11 @@
         for service in self.services.values():
             service.cut_stalled(now)
 
+    def end_all(self) -> None:
+        """End the requests in flight, since the process is about to be killed."""
+        for service in self.services.values():
+            service.end_all()
+
     def snapshot(self, now: float) -> dict[str, Any]:
         """Return what is known of each upstream, by service."""
         views: dict[str, Any] = {}
--- a/amaranthbend/filters/idempotency.py
+++ b/amaranthbend/filters/idempotency.py
@@ -1,14 +1,14 @@
 """Idempotency and deadline of a request."""
 
 from ..adapters.caller import CallerRequest
+from ..adapters.dialect import OWN_DIALECT, Dialect
 from ..core.outcomes import OutcomeReason
 from ..core.policy import ClaimRule
 from .refusals import Refusal, make_refusal
 
-__all__ = ["DEADLINE_FIELD", "KEY_FIELD", "IdempotencyAndDeadline"]
+__all__ = ["KEY_FIELD", "IdempotencyAndDeadline"]
 
 KEY_FIELD = "Idempotency-Key"
-DEADLINE_FIELD = "X-Request-Deadline-Ms"
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 MAX_KEY_LENGTH = 255
 MAX_DEADLINE_DIGITS = 9
@@ -16,7 +16,16 @@
 
 
 class IdempotencyAndDeadline:
-    """Decides whether a request may run more than once, and until when it is worth running."""
+    """Decides whether a request may run more than once, and until when it is worth running.
+
+    Parameters
+    ----------
+    dialect : Dialect
+        Names the field in which callers tell how long they wait.
+    """
+
+    def __init__(self, dialect: Dialect = OWN_DIALECT) -> None:
+        self._dialect = dialect
 
     def check(self, request: CallerRequest, now: float) -> Refusal | None:
         """Set idempotency, key and deadline of a request."""
@@ -29,7 +38,7 @@
             return make_refusal(OutcomeReason.BAD_IDEMPOTENCY_KEY)
         if route.claim is ClaimRule.REQUIRED and not request.idempotency_key:
             return make_refusal(OutcomeReason.BAD_IDEMPOTENCY_KEY)
-        wait_s = _read_deadline(request, route.deadline_s)
+        wait_s = _read_deadline(request, self._dialect.deadline_field, route.deadline_s)
         if wait_s is None:
             return make_refusal(OutcomeReason.BAD_DEADLINE)
         request.deadline = now + wait_s
@@ -48,9 +57,9 @@
     return True
 
 
-def _read_deadline(request: CallerRequest, longest_s: float) -> float | None:
+def _read_deadline(request: CallerRequest, field: str, longest_s: float) -> float | None:
     """Return how long the caller waits, None if its own deadline is malformed."""
-    values = request.headers.get_list(DEADLINE_FIELD)
+    values = request.headers.get_list(field)
     if not values:
         return longest_s
     text = values[0]
--- a/amaranthbend/filters/refusals.py
+++ b/amaranthbend/filters/refusals.py
@@ -3,6 +3,7 @@
 from http import HTTPStatus
 from typing import NamedTuple
 
+from ..adapters.dialect import OWN_DIALECT, Dialect
 from ..core.outcomes import Outcome, OutcomeReason
 
 __all__ = ["Refusal", "make_failure", "make_refusal", "render_refusal"]
@@ -75,7 +76,9 @@
     return Refusal(status, Outcome.UNKNOWN, reason, closes=closes)
 
 
-def render_refusal(refusal: Refusal, *, closes: bool, has_body: bool) -> bytes:
+def render_refusal(
+    refusal: Refusal, *, closes: bool, has_body: bool, dialect: Dialect = OWN_DIALECT
+) -> bytes:
     """Return the whole response.
 
     Parameters
@@ -86,6 +89,8 @@
         Whether the connection is closed after it.
     has_body : bool
         Whether a body may follow; not so in response to HEAD.
+    dialect : Dialect
+        How `Retry-After` is written.
     """
     body = f"{refusal.outcome}: {refusal.reason}\n".encode()
     lines = [
@@ -96,8 +101,7 @@
         f"Content-Length: {len(body)}",
     ]
     if refusal.retry_after_s > 0:
-        # The field takes whole seconds only.
-        lines.append(f"Retry-After: {max(1, round(refusal.retry_after_s))}")
+        lines.append(f"Retry-After: {dialect.format_retry_after(refusal.retry_after_s)}")
     if refusal.allow:
         lines.append(f"Allow: {', '.join(refusal.allow)}")
     if closes:
--- /dev/null
+++ b/amaranthbend/filters/request_log.py
@@ -0,0 +1,49 @@
+"""One log line for each request that ended, bounded in volume."""
+
+import time
+
+from ..adapters.caller import CallerRequest
+from ..adapters.logs import log_event
+from ..adapters.metrics import Counters
+from ..core.backoff import TokenBucket
+from ..core.outcomes import Outcome
+
+__all__ = ["RequestLog"]
+
+# Lines a second; several times the requests of one machine in a usual peak.
+LINES_PER_S = 200.0
+MS_PER_S = 1000
+
+
+class RequestLog:
+    """Writes the decisions on a request: route, version in force, attempts, outcome.
+
+    Parameters
+    ----------
+    counters : Counters
+        Where dropped lines are counted.
+    """
+
+    def __init__(self, counters: Counters) -> None:
+        self._counters = counters
+        self._bucket = TokenBucket(LINES_PER_S, LINES_PER_S, time.monotonic())
+        # Version of the configuration in force.
+        self.version = 0
+
+    def write(self, request: CallerRequest, outcome: Outcome, reason: str, now: float) -> None:
+        """Write the line, or count it as dropped when there are too many."""
+        if not self._bucket.take(now):
+            self._counters.incr("log.dropped")
+            return
+        log_event(
+            "request",
+            id=request.caller_id,
+            route=request.route.name if request.route is not None else "",
+            service=request.service,
+            version=self.version,
+            outcome=outcome,
+            reason=reason,
+            ms=int((now - request.arrived_at) * MS_PER_S) if request.arrived_at else 0,
+            left_ms=int((request.deadline - now) * MS_PER_S) if request.deadline else "",
+            attempts=",".join(request.trace),
+        )
--- a/amaranthbend/filters/routes.py
+++ b/amaranthbend/filters/routes.py
@@ -9,25 +9,29 @@
 
 
 class RouteMatch:
-    """Chooses the route with the longest prefix whose methods match."""
+    """Chooses the route with the longest prefix whose host and methods match."""
 
     def __init__(self) -> None:
-        self._routes: tuple[RoutePolicy, ...] | None = None
+        self._routes: dict[str, list[RoutePolicy]] | None = None
 
     def set_policy(self, policy: DeploymentPolicy) -> None:
         """Use other routes from now on."""
-        routes = sorted(policy.routes, key=lambda route: len(route.path_prefix), reverse=True)
-        self._routes = tuple(routes)
+        routes: dict[str, list[RoutePolicy]] = {}
+        for route in sorted(policy.routes, key=lambda route: len(route.path_prefix), reverse=True):
+            routes.setdefault(route.host, []).append(route)
+        self._routes = routes
 
     def check(self, request: CallerRequest, now: float) -> Refusal | None:  # noqa: ARG002
         """Set the route of a request, and check its announced length."""
         if self._routes is None:
             return make_refusal(OutcomeReason.NO_CONFIGURATION)
+        host = request.host.rpartition(":")[0] or request.host
+        candidates = self._routes.get(host.lower(), []) + self._routes.get("", [])
         allowed: set[str] = set()
-        for route in self._routes:
+        for route in candidates:
             if not request.path.startswith(route.path_prefix):
                 continue
-            if request.method in route.methods:
+            if not route.methods or request.method in route.methods:
                 request.route = route
                 return _check_length(request, route)
             allowed.update(route.methods)
--- a/amaranthbend/filters/services.py
+++ b/amaranthbend/filters/services.py
@@ -8,6 +8,7 @@
 
 from ..adapters.caller import CallerRequest
 from ..adapters.calls import CallEnd, EndKind, UpstreamCall, UpstreamRequest
+from ..adapters.dialect import OWN_DIALECT, Dialect
 from ..adapters.headers import ResponseHead
 from ..adapters.metrics import Counters
 from ..adapters.upstream import UpstreamClient
@@ -26,7 +27,7 @@
 from ..core.dispatching import Dispatcher
 from ..core.outcomes import Outcome, OutcomeReason
 from ..core.probing import PROBE_BYTES, PROBE_TIMEOUT_S
-from .attempts import Attempt, build_upstream_request, parse_load_report
+from .attempts import Attempt, build_upstream_request
 from .refusals import make_failure, make_refusal
 
 __all__ = ["DispatchSettings", "ServiceDispatch", "ignore_probe"]
@@ -49,19 +50,23 @@
         Longest time to connect to an upstream.
     stall_timeout_s : float
         Time without progress after which a stream is cut off.
+    dialect : Dialect
+        Header fields between this process, callers and upstreams.
     """
 
     data_centre: str
     entry_processes: int
     connect_timeout_s: float
     stall_timeout_s: float
+    dialect: Dialect = OWN_DIALECT
 
 
 class Running(NamedTuple):
-    """A request that the dispatcher holds, and its attempts that have not ended."""
+    """A request that the dispatcher holds, its attempts in flight, and held responses."""
 
     request: CallerRequest
     attempts: dict[int, Attempt]
+    held: dict[int, Attempt]
 
 
 def ignore_probe(_size_bytes: int) -> None:
@@ -71,18 +76,19 @@
 class ProbeCall:
     """A probe; takes the report from the response's header or its body."""
 
-    def __init__(self, service: "ServiceDispatch", upstream: str) -> None:
+    def __init__(self, service: "ServiceDispatch", member: Member, dialect: Dialect) -> None:
         self._service = service
-        self._upstream = upstream
+        self._member = member
+        self._dialect = dialect
         self._report: LoadReport | None = None
 
     def deliver(self, head: ResponseHead | None, data: bytes, end: CallEnd | None) -> bool:  # noqa: ARG002
         """Take a part of the response; called by the upstream client."""
-        if head is not None and head.report:
-            self._report = parse_load_report(head.report)
+        if head is not None:
+            self._report = self._dialect.read_probe(head, self._member)
         if end is not None:
             complete = end.kind is EndKind.COMPLETE
-            self._service.end_probe(self._upstream, self._report if complete else None)
+            self._service.end_probe(self._member.upstream, self._report if complete else None)
         return True
 
 
@@ -115,6 +121,7 @@
         self._counters = counters
         self._settings = settings
         self.note_probe: Callable[[int], None] = ignore_probe
+        self.probe_path = "/load"
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
 
@@ -131,8 +138,10 @@
             route.priority,
             request.body is None or not request.body.streamed,
             0 if request.body is None else request.body.waiting,
+            route.latency_goal_s,
+            route.max_attempts,
         )
-        self.running[request.request_id] = Running(request, {})
+        self.running[request.request_id] = Running(request, {}, {})
         self.apply(self.dispatcher.submit(info, now))
 
     def abandon(self, request: CallerRequest, now: float) -> None:
@@ -168,13 +177,16 @@
         request = running.request
         if action.retry_reason is not None:
             self._counters.incr(f"retry.{action.retry_reason}")
-        attempt = Attempt(self, request, action.attempt, action.upstream)
+        member = self.members[action.upstream]
+        dialect = self._settings.dialect
+        attempt = Attempt(self, request, action.attempt, member, dialect)
         running.attempts[action.attempt] = attempt
         message = build_upstream_request(
             request,
-            self.members[action.upstream].address,
+            member,
             action.timeout_s,
             self._settings.connect_timeout_s,
+            dialect,
         )
         request.is_sent = True
         loop = asyncio.get_running_loop()
@@ -183,8 +195,12 @@
         attempt.call = self._client.start(message, attempt)
 
     def _complete(self, action: Complete) -> None:
-        request = self.running.pop(action.request_id).request
+        running = self.running.pop(action.request_id)
+        request = running.request
         if action.outcome is Outcome.ANSWERED:
+            held = running.held.get(action.attempt)
+            if held is not None:
+                held.release_response()
             request.complete()
             return
         reason = action.reason or OutcomeReason.UPSTREAM_FAILED
@@ -215,10 +231,11 @@
             self.end_probe(action.upstream, None)
             return
         lines = [b"User-Agent:", b"Accept:"]
+        target = self.probe_path.encode("latin1")
         message = UpstreamRequest(
-            member.address, "GET", b"/load", lines, None, None, None, True, PROBE_TIMEOUT_S
+            member.address, "GET", target, lines, None, None, None, True, PROBE_TIMEOUT_S
         )
-        call = self._client.start(message, ProbeCall(self, action.upstream))
+        call = self._client.start(message, ProbeCall(self, member, self._settings.dialect))
         loop = asyncio.get_running_loop()
         loop.call_later(PROBE_TIMEOUT_S, self._expire_probe, action.upstream, call)
 
@@ -243,8 +260,7 @@
 
     def accept_answer(self, attempt: Attempt) -> bool:
         """Return whether this attempt's response goes to the caller: the first one does."""
-        running = self.running.get(attempt.request.request_id)
-        return running is not None and attempt.number == max(running.attempts)
+        return attempt.request.request_id in self.running and not attempt.request.has_begun
 
     def finish_attempt(self, attempt: Attempt, result: AttemptResult) -> None:
         """Take the result of an attempt."""
@@ -252,6 +268,8 @@
         running = self.running.get(request_id)
         if running is not None:
             running.attempts.pop(attempt.number, None)
+            if attempt.holds_response:
+                running.held[attempt.number] = attempt
         now = time.monotonic()
         self.apply(self.dispatcher.finish(request_id, attempt.number, result, now))
 
@@ -273,6 +291,12 @@
         self._timer = None
         self.apply(self.dispatcher.tick(time.monotonic()))
 
+    def end_all(self) -> None:
+        """End the requests in flight."""
+        for running in list(self.running.values()):
+            for attempt in list(running.attempts.values()):
+                attempt.fail(OutcomeReason.SHUTTING_DOWN)
+
     def cut_stalled(self, now: float) -> None:
         """End the streams that made no progress for too long."""
         oldest = now - self._settings.stall_timeout_s
--- /dev/null
+++ b/amaranthbend/platform/dialect.py
@@ -0,0 +1,100 @@
+"""Header fields of the platform's clients and instances."""
+
+import functools
+from http import HTTPStatus
+
+from ..adapters.dialect import ResponseReading
+from ..adapters.headers import ResponseHead
+from ..core.actions import LoadReport, Member, UpstreamState
+from ..core.outcomes import OutcomeReason
+
+__all__ = ["PlatformDialect"]
+
+ATTEMPT_ID_FIELD = b"x-amaranthbend-attempt-id"
+SIGNATURE_FIELD = b"x-amaranthbend-response-signature"
+NOT_EXECUTED_FIELD = b"x-amaranthbend-not-executed"
+LOAD_FIELD = b"x-amaranthbend-instance-load"
+INSTANCE_FIELD = b"x-amaranthbend-instance-id"
+EXPECTED_INSTANCE_FIELD = "X-Amaranthbend-Expected-Instance"
+ENCODING_FIELD = b"content-encoding"
+USUAL_SPEED = 100
+# Statuses that promise the client that its request has not run and never will.
+PROMISES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+KEPT_REPORTS = 4096
+MAX_REPORT_LENGTH = 64
+MAX_FIGURE = 1_000_000
+
+
+class PlatformDialect:
+    """Reads and writes the platform's header fields."""
+
+    deadline_field = "X-Amaranthbend-Request-Deadline"
+    request_id_field = "X-Amaranthbend-Attempt-Id"
+    own_request_fields = frozenset({EXPECTED_INSTANCE_FIELD.lower()})
+    holds_responses = True
+
+    def list_request_fields(self, member: Member) -> list[tuple[str, str]]:
+        """Return the instance that has to run the request; another one at its address refuses."""
+        return [(EXPECTED_INSTANCE_FIELD, member.upstream)]
+
+    def read_response(self, head: ResponseHead, request_id: str, member: Member) -> ResponseReading:
+        """Return what the head of a response says.
+
+        A late or extra response can arrive where another one is due: only the echoed id shows
+        to which request a response belongs.
+        """
+        fields = _get_fields(head)
+        report = _parse_load(fields.get(LOAD_FIELD, b""), member.incarnation)
+        not_executed = NOT_EXECUTED_FIELD in fields
+        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+            return ResponseReading(None, True, True)
+        answered_id = fields.get(ATTEMPT_ID_FIELD)
+        if answered_id is not None and answered_id.decode("latin1") != request_id:
+            return ResponseReading(fault=OutcomeReason.MALFORMED_ANSWER)
+        if not_executed:
+            return ResponseReading(report, True)
+        is_signed = answered_id is not None and bool(fields.get(SIGNATURE_FIELD))
+        is_success = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
+        if (is_success and not is_signed) or ENCODING_FIELD in fields or head.status in PROMISES:
+            return ResponseReading(report, fault=OutcomeReason.MALFORMED_ANSWER)
+        return ResponseReading(report)
+
+    def read_probe(self, head: ResponseHead, member: Member) -> LoadReport | None:
+        """Return the load of a healthy instance, None from another one or a sick one."""
+        fields = _get_fields(head)
+        if head.status != HTTPStatus.OK or ATTEMPT_ID_FIELD in fields:
+            return None
+        if fields.get(INSTANCE_FIELD, b"").decode("latin1") != member.upstream:
+            return None
+        return _parse_load(fields.get(LOAD_FIELD, b""), member.incarnation)
+
+    def format_retry_after(self, delay_s: float) -> str:
+        """Return seconds with fractions, which the platform's clients accept."""
+        return f"{delay_s:.3f}"
+
+
+def _get_fields(head: ResponseHead) -> dict[bytes, bytes]:
+    return {name.lower(): value for name, value in head.fields}
+
+
+@functools.lru_cache(maxsize=KEPT_REPORTS)
+def _parse_load(text: bytes, incarnation: int) -> LoadReport | None:
+    """Return the report `running,waiting,slots[,percent of the usual time]`, None if malformed."""
+    if not text or len(text) > MAX_REPORT_LENGTH:
+        return None
+    parts = text.split(b",")
+    if len(parts) < 3 or not all(part.strip().isdigit() for part in parts[:4]):
+        return None
+    running, waiting, slots, percent = (*map(int, parts[:4]), USUAL_SPEED)[:4]
+    if slots <= 0 or max(running, waiting, slots, percent) > MAX_FIGURE:
+        return None
+    slowdown = max(percent, 1) / USUAL_SPEED
+    state = UpstreamState.SERVING
+    return LoadReport(running, waiting, slots, state, incarnation, slowdown)
--- /dev/null
+++ b/amaranthbend/platform/quantities.py
@@ -0,0 +1,53 @@
+"""Values as the platform writes them."""
+
+import re
+from typing import Any
+
+__all__ = ["get_text", "get_whole_number", "parse_duration"]
+
+DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+SECONDS = {"ms": 0.001, "s": 1.0}
+# Larger numbers lose digits in other JSON implementations.
+MAX_NUMBER = 2**53
+
+
+def parse_duration(value: Any) -> float:
+    """Return a duration in seconds.
+
+    Raises
+    ------
+    ValueError
+        If the value is not a number with the unit ms or s.
+    """
+    match = DURATION.fullmatch(value) if isinstance(value, str) else None
+    if match is None:
+        raise ValueError(f"{value!r} is not a duration such as '1500ms' or '2.5s'")
+    return float(match[1]) * SECONDS[match[2]]
+
+
+def get_text(document: dict[str, Any], key: str) -> str:
+    """Return a field that must be a non-empty string.
+
+    Raises
+    ------
+    ValueError
+        If the field is missing or of another type.
+    """
+    value = document.get(key)
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{key!r} is {value!r}, not a non-empty string")
+    return value
+
+
+def get_whole_number(document: dict[str, Any], key: str, default: int | None = None) -> int:
+    """Return a field that must be a whole number of at least 0.
+
+    Raises
+    ------
+    ValueError
+        If the field is of another type, or missing without a default.
+    """
+    value = document.get(key, default)
+    if type(value) is not int or not 0 <= value <= MAX_NUMBER:
+        raise ValueError(f"{key!r} is {value!r}, not a whole number from 0 to {MAX_NUMBER}")
+    return value
--- /dev/null
+++ b/amaranthbend/platform/settings.py
@@ -0,0 +1,108 @@
+"""Reads the settings file that the platform writes for each process."""
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from ..core.errors import SettingsError
+from ..settings.node import NodeSettings
+from .quantities import get_text, parse_duration
+
+__all__ = ["SETTINGS_VARIABLE", "find_settings_file", "load_node_settings"]
+
+SETTINGS_VARIABLE = "AMARANTHBEND_CONFIG"
+DEFAULT_FILE = "/etc/amaranthbend/settings.toml"
+READINESS_PATH = "/api/readiness"
+
+
+def find_settings_file() -> str:
+    """Return the path of the settings file."""
+    return os.environ.get(SETTINGS_VARIABLE, DEFAULT_FILE)
+
+
+def load_node_settings(file: str) -> NodeSettings:
+    """Return the settings in a file of the platform; fields that are not known are ignored.
+
+    Parameters
+    ----------
+    file : str
+        Path of the file, TOML.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read, or a setting is missing or of the wrong type.
+    """
+    try:
+        document = tomllib.loads(Path(file).read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        remedy = f"set {SETTINGS_VARIABLE} or --settings to the path of a readable TOML file"
+        raise SettingsError(file, 0, "", str(error), remedy) from error
+    reader = _Reader(file, document)
+    return NodeSettings(
+        host_id=reader.get_text("self.node"),
+        data_centre=reader.get_text("self.zone"),
+        caller_address=reader.get_address("network.listenAddresses.frontend"),
+        readiness_address=reader.get_address("network.listenAddresses.readiness"),
+        readiness_path=READINESS_PATH,
+        store_address=reader.get_address("platform.platform.address"),
+        grace_s=reader.get_duration("terms.bounds.gracePeriod", 6.0),
+        drain_s=reader.get_duration("terms.bounds.drainPeriod", 2.0),
+        heartbeat_s=reader.get_duration("platform.heartbeat", 1.5),
+        retry_ratio=reader.get_number("terms.bounds.retryBudgetRatio", 0.1),
+        retry_slack=reader.get_number("terms.bounds.retryBudgetSlack", 0.0),
+        probes_per_s=reader.get_number("terms.bounds.probesPerS", 0.0),
+    )
+
+
+class _Reader:
+    """Finds fields by their dotted names, and says which one is wrong."""
+
+    def __init__(self, file: str, document: dict[str, Any]) -> None:
+        self._file = file
+        self._document = document
+
+    def _find(self, name: str) -> tuple[dict[str, Any], str]:
+        *tables, key = name.split(".")
+        table: Any = self._document
+        for part in tables:
+            table = table.get(part) if isinstance(table, dict) else None
+        return (table if isinstance(table, dict) else {}), key
+
+    def _refuse(self, name: str, problem: object, remedy: str) -> SettingsError:
+        return SettingsError(self._file, 0, name, str(problem), remedy)
+
+    def get_text(self, name: str) -> str:
+        """Return a string."""
+        table, key = self._find(name)
+        try:
+            return get_text(table, key)
+        except ValueError as error:
+            raise self._refuse(name, error, "give a string") from error
+
+    def get_address(self, name: str) -> str:
+        """Return an address."""
+        text = self.get_text(name)
+        host, _, port = text.rpartition(":")
+        if not host or not port.isdigit():
+            raise self._refuse(name, f"{text!r} is not an address", "give ADDRESS:PORT")
+        return text
+
+    def get_duration(self, name: str, default_s: float) -> float:
+        """Return a duration in seconds."""
+        table, key = self._find(name)
+        if key not in table:
+            return default_s
+        try:
+            return parse_duration(table[key])
+        except ValueError as error:
+            raise self._refuse(name, error, "give a duration such as '2s'") from error
+
+    def get_number(self, name: str, default: float) -> float:
+        """Return a number of at least 0."""
+        table, key = self._find(name)
+        value = table.get(key, default)
+        if type(value) not in (int, float) or value < 0:
+            raise self._refuse(name, f"{value!r} is not a number", "give a number of at least 0")
+        return float(value)
--- /dev/null
+++ b/amaranthbend/platform/store.py
@@ -0,0 +1,111 @@
+"""Client of the platform's metadata store: lists and watches objects of one kind."""
+
+import json
+from typing import Any
+from urllib.parse import quote, urlencode
+
+from result import Err, Ok, Result
+from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from ..core.watching import ObjectEvent, StoreChanges, StoredObject, StoreError, StoreErrorKind
+from .quantities import get_text, get_whole_number
+
+__all__ = ["StoreClient"]
+
+OBJECTS_PATH = "/api/objects/"
+# The store answers within a few milliseconds when well, and up to some hundred when slow.
+CALL_TIMEOUT_S = 2.0
+# Allowance on top of the waiting time of a watch, for its answer to arrive.
+WATCH_GRACE_S = 1.0
+MS_PER_S = 1000
+GONE = 410
+# More pages than any deployment has objects; bounds the list of a store that repeats itself.
+MAX_PAGES = 1000
+
+
+class StoreClient:
+    """Reads objects. Each call uses a connection of its own, since kept ones can go silent.
+
+    Parameters
+    ----------
+    address : str
+        `address:port` of the store.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}{OBJECTS_PATH}"
+        self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=16)
+
+    async def list_objects(self, kind: str) -> Result[StoreChanges, StoreError]:
+        """Return all objects of a kind, and the revision from which to watch for changes."""
+        events: list[ObjectEvent] = []
+        revision: int | None = None
+        after = ""
+        for _ in range(MAX_PAGES):
+            answer = await self._call(kind, {"after": after} if after else {}, CALL_TIMEOUT_S)
+            if isinstance(answer, Err):
+                return answer
+            page = answer.ok_value
+            try:
+                objects = [_decode_object(item) for item in page["items"]]
+                # Changes between two pages are seen again by a watch from the first one's revision.
+                revision = get_whole_number(page, "at") if revision is None else revision
+                has_more = bool(page.get("hasMore"))
+            except (KeyError, TypeError, ValueError) as error:
+                return Err(StoreError(StoreErrorKind.MALFORMED, f"list of {kind}: {error!r}"))
+            events += [ObjectEvent(stored, False) for stored in objects]
+            if not has_more or not objects:
+                return Ok(StoreChanges(events, revision))
+            after = objects[-1].name
+        return Err(StoreError(StoreErrorKind.MALFORMED, f"list of {kind} does not end"))
+
+    async def watch_objects(
+        self, kind: str, revision: int, wait_s: float
+    ) -> Result[StoreChanges, StoreError]:
+        """Return the changes after a revision, as soon as there are any."""
+        query = {"watch": str(revision), "waitMs": str(int(wait_s * MS_PER_S))}
+        answer = await self._call(kind, query, wait_s + WATCH_GRACE_S)
+        if isinstance(answer, Err):
+            return answer
+        page = answer.ok_value
+        try:
+            events = [
+                ObjectEvent(_decode_object(event["object"]), event["deleted"] is True)
+                for event in page["events"]
+            ]
+            return Ok(StoreChanges(events, get_whole_number(page, "at")))
+        except (KeyError, TypeError, ValueError) as error:
+            return Err(StoreError(StoreErrorKind.MALFORMED, f"watch of {kind}: {error!r}"))
+
+    async def _call(
+        self, kind: str, query: dict[str, str], timeout_s: float
+    ) -> Result[dict[str, Any], StoreError]:
+        url = self._base + quote(kind, safe="")
+        if query:
+            url += "?" + urlencode(query)
+        request = HTTPRequest(url, connect_timeout=timeout_s, request_timeout=timeout_s)
+        try:
+            response = await self._client.fetch(request)
+            document = json.loads(response.body)
+        except HTTPClientError as error:
+            kind_of_error = StoreErrorKind.UNAVAILABLE
+            if error.code == GONE:
+                kind_of_error = StoreErrorKind.HISTORY_LOST
+            return Err(StoreError(kind_of_error, f"{kind}: {error.code} {error.message}"))
+        except OSError as error:
+            return Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{kind}: {error!r}"))
+        except (ValueError, RecursionError) as error:
+            return Err(StoreError(StoreErrorKind.MALFORMED, f"{kind}: {error!r}"))
+        if not isinstance(document, dict):
+            return Err(StoreError(StoreErrorKind.MALFORMED, f"{kind}: not an object"))
+        return Ok(document)
+
+
+def _decode_object(document: Any) -> StoredObject:
+    metadata = document["metadata"]
+    return StoredObject(
+        get_text(metadata, "name"),
+        get_whole_number(metadata, "revision"),
+        document.get("specification"),
+    )
--- /dev/null
+++ b/amaranthbend/programs/node.py
@@ -0,0 +1,265 @@
+"""Node process: serves callers on a machine by itself, following the platform's store."""
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+import time
+from typing import Any
+
+import fire
+from absl import logging
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from ..adapters.admin import AdminSources, make_admin_server
+from ..adapters.caller_server import CallerServer
+from ..adapters.logs import log_event, set_up_logs
+from ..adapters.metrics import Counters
+from ..adapters.output import NonBlockingOutput
+from ..adapters.upstream import UpstreamClient
+from ..controllers.node_state import ConfigurationState, UpstreamState, complete_policy
+from ..controllers.store_watch import StoreWatch
+from ..core.errors import SettingsError
+from ..core.policy import DeploymentPolicy
+from ..core.shutdown import ShutdownStep, make_shutdown_plan
+from ..filters.chain import FilterChain
+from ..filters.checks import InputChecks
+from ..filters.dispatch import DispatchFilter
+from ..filters.gate import ShutdownGate
+from ..filters.idempotency import IdempotencyAndDeadline
+from ..filters.request_log import RequestLog
+from ..filters.routes import RouteMatch
+from ..filters.services import DispatchSettings
+from ..platform.dialect import PlatformDialect
+from ..platform.documents import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    INSTANCES_KIND,
+    decode_configuration,
+    decode_listing,
+)
+from ..platform.settings import find_settings_file, load_node_settings
+from ..platform.store import StoreClient
+from ..settings.node import NodeSettings
+
+__all__ = ["NodeProcess", "main"]
+
+EXIT_BAD_SETTINGS = 2
+BACKLOG = 1024
+# Bodies up to this size are held whole, so that they can be sent again.
+HELD_BODY_BYTES = 1024 * 1024
+MAX_HEADER_BYTES = 64 * 1024
+# Longest time to connect to an upstream: several round trips between data centres.
+CONNECT_TIMEOUT_S = 0.25
+# A caller that neither sends nor takes anything for this long is cut off.
+STALL_TIMEOUT_S = 30.0
+SWEEP_S = 1.0
+STOP_POLL_S = 0.02
+# New container objects between two collections of the youngest generation; some 100 requests.
+COLLECTION_THRESHOLDS = (20_000, 20, 20)
+
+
+class _ReadinessHandler(RequestHandler):
+    """Answers the platform's question whether the process takes new connections."""
+
+    def initialize(self, process: "NodeProcess") -> None:
+        self._process = process
+
+    def get(self) -> None:
+        if self._process.get_unreadiness():
+            self.set_status(503)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class NodeProcess:
+    """Builds the parts of the node process.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Process settings.
+    """
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self.settings = settings
+        self.counters = Counters()
+        dialect = PlatformDialect()
+        client = UpstreamClient(force_instance=True)
+        dispatch_settings = DispatchSettings(
+            settings.data_centre, 1, CONNECT_TIMEOUT_S, STALL_TIMEOUT_S, dialect
+        )
+        self.dispatch = DispatchFilter(client, self.counters, dispatch_settings)
+        self.routes = RouteMatch()
+        self.gate = ShutdownGate()
+        self.request_log = RequestLog(self.counters)
+        self.chain = FilterChain(
+            (InputChecks(), self.gate, self.routes, IdempotencyAndDeadline(dialect)),
+            (self.dispatch,),
+            self.counters,
+            HELD_BODY_BYTES,
+            dialect,
+            self.request_log,
+        )
+        self.server = CallerServer(self.chain, MAX_HEADER_BYTES)
+        self.readiness = HTTPServer(
+            Application(
+                [(settings.readiness_path, _ReadinessHandler, {"process": self})],
+                log_function=lambda _handler: None,
+            )
+        )
+        self.configuration = ConfigurationState(
+            CONFIGURATION_NAME, decode_configuration, self.put_in_force, self.counters
+        )
+        self.upstreams = UpstreamState(decode_listing, self.dispatch, settings, self.counters)
+        self.admin = make_admin_server(
+            AdminSources(
+                self.get_unreadiness,
+                lambda: {"version": self.configuration.version},
+                lambda: self.dispatch.snapshot(time.monotonic()),
+                self.counters.list_all,
+            )
+        )
+
+    def put_in_force(self, version: int, policy: DeploymentPolicy, now: float) -> None:
+        """Use a configuration from now on."""
+        complete = complete_policy(policy, self.settings)
+        self.dispatch.set_policy(complete, now)
+        self.routes.set_policy(complete)
+        self.request_log.version = version
+
+    def get_unreadiness(self) -> str:
+        """Return why the process should get no new connections, empty if it should."""
+        if self.chain.is_draining:
+            return "shutting down"
+        if self.configuration.version is None:
+            return "no configuration"
+        if not self.upstreams.is_known:
+            return "no list of upstreams"
+        return ""
+
+    def listen(self) -> None:
+        """Start to accept connections."""
+        host, port = split_address(self.settings.readiness_address)
+        self.readiness.listen(port, host)
+        host, port = split_address(self.settings.caller_address)
+        self.server.listen(port, host, backlog=BACKLOG)
+        log_event(
+            "node_started",
+            host=self.settings.host_id,
+            data_centre=self.settings.data_centre,
+            address=self.settings.caller_address,
+        )
+
+    def make_watches(self) -> list[StoreWatch]:
+        """Return the watches that bring configuration and upstreams."""
+        store = StoreClient(self.settings.store_address)
+        return [
+            StoreWatch(store, CONFIGURATION_KIND, self.configuration, self.counters),
+            StoreWatch(store, INSTANCES_KIND, self.upstreams, self.counters),
+        ]
+
+    async def sweep(self) -> None:
+        """Cut off stalled connections, until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = time.monotonic()
+            self.dispatch.cut_stalled(now)
+            self.server.close_stalled(STALL_TIMEOUT_S, now)
+
+    async def shut_down(self) -> None:
+        """Finish what is in flight, within the time until the process is killed."""
+        plan = make_shutdown_plan(self.settings.grace_s)
+        started_at = time.monotonic()
+        self.chain.is_draining = True
+        log_event("node_draining", connections=self.server.count_connections())
+        elapsed_s = 0.0
+        while not plan.may_exit(elapsed_s, self.chain.running):
+            self.gate.is_closed = plan.find_step(elapsed_s) is not ShutdownStep.ACCEPT
+            await asyncio.sleep(STOP_POLL_S)
+            elapsed_s = time.monotonic() - started_at
+        self.server.stop()
+        self.dispatch.end_all()
+        await asyncio.sleep(STOP_POLL_S)
+        log_event("node_stopped", elapsed_ms=int(elapsed_s * 1000), cut=self.chain.running)
+
+
+async def serve(settings: NodeSettings, metrics_address: str, output: NonBlockingOutput) -> None:
+    """Serve until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Process settings.
+    metrics_address : str
+        `address:port` of the administration API, empty for none.
+    output : NonBlockingOutput
+        Where logs go.
+    """
+    loop = asyncio.get_running_loop()
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, log_event, "settings_signal")
+    process = NodeProcess(settings)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTION_THRESHOLDS)
+    process.listen()
+    if metrics_address:
+        host, port = split_address(metrics_address)
+        process.admin.listen(port, host)
+    tasks: list[asyncio.Task[Any]] = [
+        asyncio.ensure_future(watch.run()) for watch in process.make_watches()
+    ]
+    tasks.append(asyncio.ensure_future(process.sweep()))
+    await stopped.wait()
+    await process.shut_down()
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    output.flush()
+
+
+def run(settings: str = "", metrics: str = "", check: bool = False) -> None:
+    """Run a node process.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the platform's settings file; by default the one that the platform names.
+    metrics : str
+        `address:port` of the administration API, empty for none.
+    check : bool
+        Check the settings and exit.
+    """
+    file = settings or find_settings_file()
+    try:
+        loaded = load_node_settings(file)
+    except SettingsError as error:
+        log_event("settings_invalid", error=error)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if check:
+        log_event("settings_valid", **loaded._asdict())
+        return
+    output = NonBlockingOutput(sys.stdout.fileno())
+    logging.get_absl_handler().python_handler.stream = output
+    asyncio.run(serve(loaded, metrics, output))
+    # Skips the teardown of libraries, which takes longer than all of the shutdown's last step.
+    os._exit(0)
+
+
+def main() -> None:
+    """Run from the command line."""
+    set_up_logs()
+    fire.Fire(run)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -48,7 +48,7 @@
     dispatcher = make_dispatcher()
     send = get_send(dispatcher.submit(make_request(1), 0.0))
     assert send.timeout_s == 5.0
-    assert dispatcher.finish(1, 1, ANSWERED, 0.1) == [Complete(1, Outcome.ANSWERED)]
+    assert dispatcher.finish(1, 1, ANSWERED, 0.1) == [Complete(1, Outcome.ANSWERED, attempt=1)]
     assert dispatcher.finish(1, 1, ANSWERED, 0.1) == []
 
 
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -126,7 +126,7 @@
             bodies = [
                 request.body
                 for service in entry.process.dispatch.services.values()
-                for request, _attempts in service.running.values()
+                for request, *_attempts in service.running.values()
             ]
             assert [body.waiting < MB for body in bodies if body is not None] == [True]
             read_on.set()
--- a/tests/test_outside_input.py
+++ b/tests/test_outside_input.py
@@ -7,11 +7,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from amaranthbend.adapters.dialect import parse_load_report
 from amaranthbend.adapters.host_list import HostList, dump_host_list, load_host_list
 from amaranthbend.controllers.host_state import group_members
 from amaranthbend.core.actions import Member, UpstreamState
 from amaranthbend.core.departures import Departure
-from amaranthbend.filters.attempts import parse_load_report
 from amaranthbend.rpc import control_pb2
 from amaranthbend.rpc.messages import decode_members, encode_departures, encode_members
 
