Keep second attempts within the route's attempts

Ruled out: the retry itself, which counts attempts. Also lets the share of failures fade, so that an upstream that failed once gets work again.

--- a/amaranthbend/core/asked_dispatching.py
+++ b/amaranthbend/core/asked_dispatching.py
@@ -154,7 +154,7 @@
             return (
                 [] if record.running else self._give_up(record, OutcomeReason.DEADLINE_UNREACHABLE)
             )
-        load = ask_round.choose(self._router.slots, self._ejector.mean_s)
+        load = ask_round.choose(self._router.slots, self._ejector.mean_s, now)
         if load is not None and ask_round.is_second:
             return self._send_second(record, load, now)
         if load is not None and self._has_room_at(load, record, now):
@@ -174,27 +174,35 @@
         share = URGENT_QUEUE_SHARE if is_urgent else QUEUE_SHARE
         if count_ahead(load, slots) > share * slots:
             return False
-        wait_s = estimate_time(load, slots, self._ejector.mean_s)
+        wait_s = estimate_time(load, slots, self._ejector.mean_s, now)
         return now + 0.5 * wait_s < record.info.deadline
 
     def _send_first(self, record: RequestState, load: UpstreamLoad, now: float) -> Action:
         """Send an attempt, and plan a second one for the case that it is slow."""
         info = record.info
-        most = self._policy.retries.max_attempts if info.max_attempts is None else info.max_attempts
         share = self._rounds.policy.second_share
-        if info.idempotent and share > 0 and info.latency_goal_s and record.attempts + 1 < most:
+        if info.idempotent and share > 0 and info.latency_goal_s:
             due = now + share * info.latency_goal_s
             if due < info.deadline:
                 heapq.heappush(self._seconds, (due, info.request_id))
         return self._send(record, load, now)
 
+    def _may_send_second(self, record: RequestState) -> bool:
+        """Return whether the only attempt in flight may get another one beside it."""
+        most = record.info.max_attempts
+        if most is None:
+            most = self._policy.retries.max_attempts
+        return len(record.running) == 1 and record.attempts < most
+
     def _begin_seconds(self, now: float) -> list[Action]:
         """Ask upstreams for requests whose only attempt is slow."""
         actions: list[Action] = []
         while self._seconds and self._seconds[0][0] <= now:
             _, request_id = heapq.heappop(self._seconds)
             record = self._requests.get(request_id)
-            if record is None or len(record.running) != 1 or self._rounds.get(request_id):
+            if record is None or self._rounds.get(request_id) is not None:
+                continue
+            if not self._may_send_second(record):
                 continue
             if not self._budget.has_one(now):
                 continue
@@ -205,9 +213,9 @@
         """Send a second attempt if it will probably end within the goal."""
         info = record.info
         slots = self._router.slots
-        if len(record.running) != 1 or count_ahead(load, slots) > 0:
+        if not self._may_send_second(record) or count_ahead(load, slots) > 0:
             return []
-        time_s = estimate_time(load, slots, self._ejector.mean_s)
+        time_s = estimate_time(load, slots, self._ejector.mean_s, now)
         if now + SECOND_GAIN * time_s >= info.deadline or not self._budget.take(now):
             return []
         record.retry_reason = RetryReason.SLOW_ATTEMPT
--- a/amaranthbend/core/asking.py
+++ b/amaranthbend/core/asking.py
@@ -39,7 +39,7 @@
     return max(0, held - report.slots + 1)
 
 
-def estimate_time(load: UpstreamLoad, slots: int, service_s: float) -> float:
+def estimate_time(load: UpstreamLoad, slots: int, service_s: float, now: float) -> float:
     """Return the expected time until an upstream has run a new request, with its risks as time.
 
     Parameters
@@ -50,6 +50,8 @@
         Slots of an upstream that has not reported.
     service_s : float
         Mean time of recent requests, in seconds.
+    now : float
+        Present time.
     """
     report = load.report
     if report is not None:
@@ -61,7 +63,7 @@
     if load.member.state is UpstreamState.COLD:
         run_s *= COLD_FACTOR
     time_s = run_s * (1.0 + count_ahead(load, slots) / max(1, slots))
-    time_s *= 1.0 + FAILURE_WEIGHT * load.health.failure_share
+    time_s *= 1.0 + FAILURE_WEIGHT * load.health.read_failure_share(now)
     return time_s * REMOTE_FACTOR if load.is_remote else time_s
 
 
@@ -154,14 +156,14 @@
         self.is_second = is_second
         self.started_at = now
 
-    def choose(self, slots: int, service_s: float) -> UpstreamLoad | None:
+    def choose(self, slots: int, service_s: float, now: float) -> UpstreamLoad | None:
         """Return the upstream with the least expected time among those that answered."""
         best: UpstreamLoad | None = None
         best_s = math.inf
         for load in self.candidates:
             if not load.usable or load.report_at < self.started_at - SHARED_ANSWER_S:
                 continue
-            time_s = estimate_time(load, slots, service_s)
+            time_s = estimate_time(load, slots, service_s, now)
             if time_s < best_s:
                 best, best_s = load, time_s
         return best
--- a/amaranthbend/core/dispatching.py
+++ b/amaranthbend/core/dispatching.py
@@ -278,7 +278,7 @@
         if result.status is AttemptStatus.REFUSED:
             load.paused_until = now + REFUSAL_PAUSE_S
         elif result.status is not AttemptStatus.CANCELLED:
-            self._ejector.note_failure(ended.health, failed)
+            self._ejector.note_failure(ended.health, failed, now)
         if ended.is_long:
             load.long_in_flight -= 1
         elif result.status is AttemptStatus.ANSWERED and not failed:
--- a/amaranthbend/core/ejection.py
+++ b/amaranthbend/core/ejection.py
@@ -21,6 +21,8 @@
 SERVICE_FAILURE_WEIGHT = 0.01
 # An upstream fails more than the others only above this multiple of the average.
 FAILURE_FACTOR = 2.0
+# Time in which the share of failures of an avoided upstream falls to about a third.
+FAILURE_FADE_S = 4.0
 # Part of the upstreams that stays in use when all look bad.
 KEPT_SHARE = 0.5
 # First ejection; doubles with each repetition. Each return costs every process one or two slow
@@ -52,6 +54,7 @@
     __slots__ = (
         "ejected_until",
         "ejections",
+        "failed_at",
         "failure_share",
         "running",
         "slowness",
@@ -62,6 +65,7 @@
 
     def __init__(self, on_trial: bool = False) -> None:
         self.failure_share = 0.0
+        self.failed_at = 0.0
         self.slowness = 0.0
         self.slowness_at = 0.0
         self.ejected_until: float | None = None
@@ -77,6 +81,10 @@
             return None
         return 1 + max(0, self.trial_answers - TRIAL_ANSWERS) // RAMP_ANSWERS
 
+    def read_failure_share(self, now: float) -> float:
+        """Return the share of failures, faded since the last one."""
+        return self.failure_share * math.exp(min(0.0, self.failed_at - now) / FAILURE_FADE_S)
+
     def read_slowness(self, now: float) -> float:
         """Return the faded evidence of requests that have ended."""
         faded = EVIDENCE_FADE_PER_S * (now - self.slowness_at)
@@ -157,8 +165,10 @@
         evidence = weigh_duration((now - started_at) / self.mean_s, ended=False)
         health.add_evidence(evidence, now)
 
-    def note_failure(self, health: UpstreamHealth, failed: bool) -> None:
+    def note_failure(self, health: UpstreamHealth, failed: bool, now: float) -> None:
         """Record whether an attempt failed through the upstream's fault."""
+        if failed:
+            health.failed_at = now
         outcome = 1.0 if failed else 0.0
         health.failure_share += FAILURE_WEIGHT * (outcome - health.failure_share)
         self._failure_share += SERVICE_FAILURE_WEIGHT * (outcome - self._failure_share)
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,269 @@
+"""Names and formats of the platform, decoded once."""
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from amaranthbend.adapters.headers import ResponseHead
+from amaranthbend.core.actions import LoadReport, Member, UpstreamState
+from amaranthbend.core.errors import SettingsError
+from amaranthbend.core.outcomes import OutcomeReason
+from amaranthbend.core.policy import WeightedService
+from amaranthbend.platform.dialect import PlatformDialect
+from amaranthbend.platform.documents import decode_configuration, decode_listing
+from amaranthbend.platform.quantities import parse_duration
+from amaranthbend.platform.settings import load_node_settings
+
+SETTINGS = """
+[self]
+node = "frontend-huye-1"
+zone = "huye"
+future = [1, 2]
+[network.listenAddresses]
+frontend = "127.0.0.1:8161"
+readiness = "127.0.0.1:8167"
+[platform]
+heartbeat = "1500ms"
+[platform.platform]
+address = "127.0.0.1:8169"
+[terms.bounds]
+gracePeriod = "6s"
+drainPeriod = "2000ms"
+retryBudgetRatio = 0.2
+retryBudgetSlack = 56
+probesPerS = 60
+"""
+CONFIGURATION: dict[str, Any] = {
+    "version": 7,
+    "limits": {"maxBodyBytes": 1000},
+    "listeners": [
+        {
+            "host": "Shop.example",
+            "rules": [
+                {
+                    "name": "r1",
+                    "kind": "unsafe",
+                    "latencyGoal": "400ms",
+                    "priority": 1,
+                    "match": {"pathPrefix": "/pay/"},
+                    "action": {"service": "desk", "timeout": "1s", "attempts": 2},
+                },
+                {
+                    "name": "r2",
+                    "kind": "safe",
+                    "match": {"pathPrefix": "/look/"},
+                    "action": {
+                        "trafficSplit": [
+                            {"service": "desk", "weight": 90},
+                            {"service": "shelf", "weight": 10},
+                        ]
+                    },
+                },
+            ],
+        }
+    ],
+    "clusters": [{"name": "desk", "healthCheckPath": "/health", "maxConnections": 220}],
+}
+LISTING: dict[str, Any] = {
+    "service": "desk",
+    "address": "127.0.0.1:9000",
+    "zone": "huye",
+    "slots": 3,
+    "state": "ready",
+    "coldRemaining": "1500ms",
+    "sequence": 4,
+    "born": 1787798547120,
+}
+MEMBER = Member("i-1", "127.0.0.1:9000", "huye", 5)
+ID = (b"X-Amaranthbend-Attempt-Id", b"abc")
+SIGNATURE = (b"X-Amaranthbend-Response-Signature", b"3e1b.07")
+NOT_EXECUTED = (b"X-Amaranthbend-Not-Executed", b"1")
+LOAD = (b"X-Amaranthbend-Instance-Load", b"2,1,3,500")
+INSTANCE = (b"X-Amaranthbend-Instance-Id", b"i-1")
+
+
+def make_head(status: int, *fields: tuple[bytes, bytes]) -> ResponseHead:
+    """Return the head of a response."""
+    return ResponseHead(status, b"", fields, 0, False, "", "")
+
+
+def test_settings_are_read_and_new_fields_ignored(tmp_path: Path) -> None:
+    """Guards against a process that does not start because the platform knows more than it."""
+    file = tmp_path / "settings.toml"
+    file.write_text(SETTINGS)
+    settings = load_node_settings(str(file))
+    assert settings.data_centre == "huye"
+    assert settings.store_address == "127.0.0.1:8169"
+    assert (settings.grace_s, settings.drain_s, settings.heartbeat_s) == (6.0, 2.0, 1.5)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "setting"),
+    [
+        ('"127.0.0.1:8161"', '"127.0.0.1"', "network.listenAddresses.frontend"),
+        ('node = "frontend-huye-1"', "", "self.node"),
+        ('"2000ms"', '"2 minutes"', "terms.bounds.drainPeriod"),
+        ("0.2", '"much"', "terms.bounds.retryBudgetRatio"),
+    ],
+)
+def test_settings_error_names_field_and_remedy(
+    tmp_path: Path, old: str, new: str, setting: str
+) -> None:
+    """Guards against an operator who cannot tell which field is wrong."""
+    file = tmp_path / "settings.toml"
+    file.write_text(SETTINGS.replace(old, new))
+    with pytest.raises(SettingsError) as caught:
+        load_node_settings(str(file))
+    assert caught.value.setting == setting
+    assert caught.value.remedy
+
+
+def test_configuration() -> None:
+    """Guards against a route that is decoded with another meaning."""
+    version, policy = decode_configuration(CONFIGURATION)
+    assert version == 7
+    pay, look = policy.routes
+    assert (pay.host, pay.path_prefix, pay.service) == ("shop.example", "/pay/", "desk")
+    assert (pay.idempotent, pay.deadline_s, pay.latency_goal_s) == (False, 1.0, 0.4)
+    assert (pay.max_attempts, pay.priority, pay.max_body_bytes) == (2, -1, 1000)
+    assert look.idempotent
+    assert look.split == (WeightedService("desk", 90), WeightedService("shelf", 10))
+    assert look.deadline_s > 10
+    assert policy.services["desk"].probe_path == "/health"
+    assert policy.services["desk"].connections_per_upstream == 220
+
+
+def test_listing() -> None:
+    """Guards against an instance whose restart under the same id is not noticed."""
+    listing = decode_listing("i-1", 9, LISTING)
+    assert listing.member == Member(
+        "i-1", "127.0.0.1:9000", "huye", 1787798547120, UpstreamState.SERVING
+    )
+    assert (listing.service, listing.slots, listing.cold_s) == ("desk", 3, 1.5)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"state": 3},
+        {"address": "somewhere"},
+        {"address": None},
+        {"service": ""},
+        {"slots": "3"},
+        {"born": 1.5},
+        {"coldRemaining": 5},
+        {"zone": ["huye"]},
+    ],
+)
+def test_foreign_listing_names_no_instance(change: dict[str, Any]) -> None:
+    """Guards against an entry of another writer that takes traffic or stops the process."""
+    with pytest.raises(ValueError, match=r".+"):
+        decode_listing("i-1", 9, {**LISTING, **change})
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda values: st.lists(values) | st.dictionaries(st.text(), values),
+    max_leaves=10,
+)
+
+
+@given(JSON, st.sampled_from(sorted(LISTING)), st.sampled_from(sorted(CONFIGURATION)))
+def test_any_document_is_decoded_or_refused(value: Any, field: str, part: str) -> None:
+    """Guards against an entry that ends the watch by an unexpected exception."""
+    for decode in (
+        lambda: decode_listing("i-1", 9, value),
+        lambda: decode_listing("i-1", 9, {**LISTING, field: value}),
+        lambda: decode_configuration(value),
+        lambda: decode_configuration({**CONFIGURATION, part: value}),
+    ):
+        try:
+            decode()
+        except ValueError:
+            continue
+
+
+@pytest.mark.parametrize(("text", "seconds"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0)])
+def test_durations(text: str, seconds: float) -> None:
+    """Guards against milliseconds taken for seconds."""
+    assert parse_duration(text) == seconds
+
+
+@pytest.mark.parametrize("text", ["5", "5 s", "-1s", "1m", "", None, 3])
+def test_unknown_durations_are_refused(text: Any) -> None:
+    """Guards against a guess at the unit."""
+    with pytest.raises(ValueError, match="duration"):
+        parse_duration(text)
+
+
+def test_signed_success_is_passed_on() -> None:
+    """Guards against dropping a good response."""
+    reading = PlatformDialect().read_response(make_head(200, ID, SIGNATURE, LOAD), "abc", MEMBER)
+    assert reading.fault is None
+    assert not reading.is_refusal
+    assert reading.report == LoadReport(2, 1, 3, UpstreamState.SERVING, 5, 5.0)
+
+
+@pytest.mark.parametrize(
+    ("status", "fields"),
+    [
+        (200, (SIGNATURE,)),
+        (200, (ID,)),
+        (200, (SIGNATURE, (b"X-Amaranthbend-Attempt-Id", b"other"))),
+        (500, (SIGNATURE, (b"X-Amaranthbend-Attempt-Id", b"other"))),
+        (503, (SIGNATURE, (b"X-Amaranthbend-Attempt-Id", b"other"), NOT_EXECUTED)),
+        (200, (ID, SIGNATURE, (b"Content-Encoding", b"gzip"))),
+        (503, (ID, SIGNATURE)),
+        (429, (ID, SIGNATURE)),
+        (408, (ID, SIGNATURE)),
+    ],
+)
+def test_response_that_must_not_reach_the_caller(
+    status: int, fields: tuple[tuple[bytes, bytes], ...]
+) -> None:
+    """Guards against another request's response, and against a promise nobody gave."""
+    reading = PlatformDialect().read_response(make_head(status, *fields), "abc", MEMBER)
+    assert reading.fault is OutcomeReason.MALFORMED_ANSWER
+    assert not reading.is_refusal
+
+
+@pytest.mark.parametrize("status", [400, 429, 503])
+def test_not_executed_is_a_refusal(status: int) -> None:
+    """Guards against failing a request that can go elsewhere."""
+    reading = PlatformDialect().read_response(make_head(status, ID, NOT_EXECUTED), "abc", MEMBER)
+    assert reading.is_refusal
+    assert not reading.is_draining
+
+
+def test_another_instance_at_the_address() -> None:
+    """Guards against asking again where another service has taken over the address."""
+    reading = PlatformDialect().read_response(make_head(421, INSTANCE), "abc", MEMBER)
+    assert reading.is_refusal
+    assert reading.is_draining
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "is_report"),
+    [
+        (200, (INSTANCE, LOAD), True),
+        (503, (INSTANCE, LOAD), False),
+        (200, (LOAD,), False),
+        (200, ((b"X-Amaranthbend-Instance-Id", b"i-2"), LOAD), False),
+        (200, (INSTANCE, LOAD, ID), False),
+        (200, (INSTANCE, (b"X-Amaranthbend-Instance-Load", b"x,1,3")), False),
+        (200, (INSTANCE, (b"X-Amaranthbend-Instance-Load", b"0,1,0")), False),
+    ],
+)
+def test_probe(status: int, fields: tuple[tuple[bytes, bytes], ...], is_report: bool) -> None:
+    """Guards against believing another instance's answer, or a late one to a request."""
+    report = PlatformDialect().read_probe(make_head(status, *fields), MEMBER)
+    assert (report is not None) is is_report
+
+
+def test_retry_after_has_fractions() -> None:
+    """Guards against callers told to wait a second when a tenth would do."""
+    assert PlatformDialect().format_retry_after(0.15) == "0.150"
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -23,6 +23,7 @@
     """The part of a request that the count of its end uses."""
 
     arrived_at = 0.0
+    is_running = False
 
 
 def count_end(refusal: Refusal) -> Counters:
--- /dev/null
+++ b/tests/test_watching.py
@@ -0,0 +1,64 @@
+"""When a watcher lists, watches and pauses."""
+
+from amaranthbend.core.watching import (
+    LONGEST_DELAY_S,
+    ObjectEvent,
+    StoreChanges,
+    StoredObject,
+    StoreError,
+    StoreErrorKind,
+    WatchPlan,
+)
+
+PAUSE_S = 0.3
+EVENT = ObjectEvent(StoredObject("u0", 7, {}), False)
+DOWN = StoreError(StoreErrorKind.UNAVAILABLE, "503")
+
+
+def make_plan() -> WatchPlan:
+    """Return a plan that has listed up to revision 7, with the longest delays."""
+    plan = WatchPlan(lambda: 1.0, PAUSE_S)
+    plan.note_changes(StoreChanges([EVENT], 7))
+    return plan
+
+
+def test_first_call_lists_and_then_watches() -> None:
+    """Guards against a watch from a revision that was never listed."""
+    plan = WatchPlan(lambda: 1.0, PAUSE_S)
+    assert plan.revision is None
+    assert plan.note_changes(StoreChanges([EVENT], 7)) == 0.0
+    assert plan.revision == 7
+
+
+def test_changes_gather_before_the_next_call() -> None:
+    """Guards against a priced call for each of many changes."""
+    plan = make_plan()
+    assert plan.note_changes(StoreChanges([EVENT], 8)) == PAUSE_S
+    assert plan.note_changes(StoreChanges([], 8)) == 0.0
+
+
+def test_lost_history_lists_at_once() -> None:
+    """Guards against missing changes that the store has forgotten."""
+    plan = make_plan()
+    assert plan.note_failure(StoreError(StoreErrorKind.HISTORY_LOST, "410"), 1.0) == 0.0
+    assert plan.revision is None
+    assert plan.is_reachable
+
+
+def test_outage_delays_stay_short() -> None:
+    """Guards against noticing the store's return seconds later, and against hammering it."""
+    plan = make_plan()
+    delays = [plan.note_failure(DOWN, 1.0 + n) for n in range(8)]
+    assert not plan.is_reachable
+    assert delays[0] > 0.0
+    assert max(delays) == LONGEST_DELAY_S
+    assert plan.revision == 7
+    plan.note_changes(StoreChanges([], 9))
+    assert plan.is_reachable
+
+
+def test_unreadable_answer_lists_again() -> None:
+    """Guards against skipping the changes in an answer that could not be read."""
+    plan = make_plan()
+    plan.note_failure(StoreError(StoreErrorKind.MALFORMED, "not JSON"), 1.0)
+    assert plan.revision is None
