Refuse what arrives while the node leaves, and decide without late probes

The gate now closes first, then idle connections. Also: on a slow machine all probes are late, so a request went unsent although nothing was full; a fresh process had no retry saved up; Retry-After was a second where a tenth lets callers come back in time. Adds stand-ins of the store and of instances, and the tests that failed first.

--- a/amaranthbend/controllers/node_state.py
+++ b/amaranthbend/controllers/node_state.py
@@ -19,6 +19,10 @@
 ASSUMED_HOSTS = 16
 # Part of the shared ratio that is spent; requests of a window may end in the next one.
 RATIO_SHARE = 0.75
+# Part of the saved retries that a new process has; it may have spent as many before its restart.
+INITIAL_SHARE = 0.5
+# About the time in which an instance frees a slot; a caller has time for one more try.
+RETRY_AFTER_S = 0.1
 # Leaves time for a change to arrive before a leaving upstream stops serving.
 KEEP_MARGIN_S = 0.6
 # Live upstreams are listed again within about two seconds of the store's return.
@@ -31,8 +35,10 @@
     burst = max(1.0, settings.retry_slack / ASSUMED_HOSTS)
     services: dict[str, ServicePolicy] = {}
     for name, service in policy.services.items():
-        retries = RetryPolicy(ratio=ratio, floor_per_s=0.0, max_attempts=1, burst=burst)
-        services[name] = service._replace(retries=retries, asking=AskPolicy())
+        retries = RetryPolicy(ratio, 0.0, 1, burst, INITIAL_SHARE * burst)
+        services[name] = service._replace(
+            retries=retries, asking=AskPolicy(), retry_after_s=RETRY_AFTER_S
+        )
     return policy._replace(services=services)
 
 
--- a/amaranthbend/core/asked_dispatching.py
+++ b/amaranthbend/core/asked_dispatching.py
@@ -134,7 +134,7 @@
             # All were tried before; a new attempt at one of them is better than none.
             candidates = choose_candidates(loads, policy, frozenset(), self._draw, now)
         if not candidates:
-            return [] if record.running else self._give_up(record, OutcomeReason.CONCURRENCY_LIMIT)
+            return [] if record.running else self._end_asking(record, asked, now)
         ask_round = AskRound(record.info.request_id, candidates, asked, number, is_second, now)
         probes = self._rounds.begin(ask_round, now)
         return [Probe(upstream) for upstream in probes]
@@ -163,9 +163,24 @@
             return []
         if ask_round.number < self._rounds.policy.rounds:
             return self._ask(record, ask_round.asked, ask_round.number + 1, False, now)
-        if load is None:
+        return self._end_asking(record, ask_round.asked, now)
+
+    def _end_asking(self, record: RequestState, asked: frozenset[str], now: float) -> list[Action]:
+        """Refuse a request that found no room, or send it although nobody answered in time.
+
+        On a machine that is slow itself, all answers come too late to decide.
+        """
+        answered_after = now - self._rounds.policy.rounds * self._rounds.policy.timeout_s
+        if any(load.report_at > answered_after for load in self._list_loads(asked)):
+            return self._give_up(record, OutcomeReason.CONCURRENCY_LIMIT)
+        limit = max(1, self._policy.connections_per_upstream // self._processes)
+        load = self._router.choose(limit, record.tried, None, self._ejector.mean_s, now)
+        if load is None or load.paused_until > now:
             return self._give_up(record, OutcomeReason.UPSTREAM_UNREACHABLE)
-        return self._give_up(record, OutcomeReason.CONCURRENCY_LIMIT)
+        return [self._send_first(record, load, now)]
+
+    def _list_loads(self, upstreams: frozenset[str]) -> list[UpstreamLoad]:
+        return [self._loads[name] for name in upstreams if name in self._loads]
 
     def _has_room_at(self, load: UpstreamLoad, record: RequestState, now: float) -> bool:
         """Return whether the queue at an upstream is short enough for a request."""
--- a/amaranthbend/core/attempts.py
+++ b/amaranthbend/core/attempts.py
@@ -13,8 +13,6 @@
     "make_end",
 ]
 
-# Callers are asked to come back after this time; the entry process adds jitter.
-RETRY_AFTER_S = 1.0
 SERVER_ERROR = 500
 
 
@@ -59,12 +57,14 @@
         self.is_long = is_long
 
 
-def make_end(record: RequestState, reason: OutcomeReason) -> Complete | Refuse:
+def make_end(
+    record: RequestState, reason: OutcomeReason, retry_after_s: float
+) -> Complete | Refuse:
     """Return the action that ends a request without a complete answer."""
     request_id = record.info.request_id
     if record.may_have_run:
         return Complete(request_id, Outcome.UNKNOWN, reason)
-    return Refuse(request_id, reason, RETRY_AFTER_S)
+    return Refuse(request_id, reason, retry_after_s)
 
 
 def describe_failure(result: AttemptResult) -> OutcomeReason:
--- a/amaranthbend/core/dispatching.py
+++ b/amaranthbend/core/dispatching.py
@@ -92,7 +92,7 @@
         actions = self._expire(now)
         reason = self._find_refusal(request, now)
         if reason is not None:
-            actions.append(make_end(RequestState(request), reason))
+            actions.append(make_end(RequestState(request), reason, self._policy.retry_after_s))
             return actions
         record = RequestState(request)
         self._requests[request.request_id] = record
@@ -425,4 +425,4 @@
     def _end(self, record: RequestState, reason: OutcomeReason) -> Action:
         """End a request that has no complete answer."""
         del self._requests[record.info.request_id]
-        return make_end(record, reason)
+        return make_end(record, reason, self._policy.retry_after_s)
--- a/amaranthbend/core/policy.py
+++ b/amaranthbend/core/policy.py
@@ -43,12 +43,15 @@
     burst : float
         Most retries that can be saved up. The default covers one host's requests in flight at
         one upstream.
+    initial : float
+        Retries saved up at the start of a process.
     """
 
     ratio: float = 0.1
     floor_per_s: float = 1.0
     max_attempts: int = 3
     burst: float = 20.0
+    initial: float = 0.0
 
 
 class AskPolicy(NamedTuple):
@@ -120,6 +123,8 @@
         How upstreams are asked before each attempt; None chooses by earlier reports only.
     probe_path : str
         Path at which upstreams report their load.
+    retry_after_s : float
+        Time after which refused callers are asked to come back; jitter is added.
     """
 
     name: str
@@ -129,6 +134,7 @@
     limits: LimitPolicy = LimitPolicy()
     asking: AskPolicy | None = None
     probe_path: str = "/load"
+    retry_after_s: float = 1.0
 
 
 class WeightedService(NamedTuple):
--- a/amaranthbend/core/retries.py
+++ b/amaranthbend/core/retries.py
@@ -64,7 +64,7 @@
 
     def __init__(self, policy: RetryPolicy) -> None:
         self._policy = policy
-        self._earned = 0.0
+        self._earned = policy.initial
         self._floor = policy.floor_per_s
         self._floor_at: float | None = None
 
--- a/amaranthbend/programs/node.py
+++ b/amaranthbend/programs/node.py
@@ -57,6 +57,9 @@
 STALL_TIMEOUT_S = 30.0
 SWEEP_S = 1.0
 STOP_POLL_S = 0.02
+# Time at the end for requests that were on their way when the process decided to leave; within
+# the margin that the shutdown plan keeps before the kill.
+LAST_REFUSALS_S = 0.2
 # New container objects between two collections of the youngest generation; some 100 requests.
 COLLECTION_THRESHOLDS = (20_000, 20, 20)
 
@@ -184,10 +187,19 @@
             self.gate.is_closed = plan.find_step(elapsed_s) is not ShutdownStep.ACCEPT
             await asyncio.sleep(STOP_POLL_S)
             elapsed_s = time.monotonic() - started_at
+        log_event("node_leaving", elapsed_ms=int(elapsed_s * 1000), cut=self.chain.running)
+        await self.close_connections()
+        log_event("node_stopped")
+
+    async def close_connections(self) -> None:
+        """End what is in flight, refuse what still arrives, and close the connections."""
+        self.gate.is_closed = True
         self.server.stop()
         self.dispatch.end_all()
-        await asyncio.sleep(STOP_POLL_S)
-        log_event("node_stopped", elapsed_ms=int(elapsed_s * 1000), cut=self.chain.running)
+        deadline = time.monotonic() + LAST_REFUSALS_S
+        while self.server.count_connections() > 0 and time.monotonic() < deadline:
+            self.server.close_idle()
+            await asyncio.sleep(STOP_POLL_S)
 
 
 async def serve(settings: NodeSettings, metrics_address: str, output: NonBlockingOutput) -> None:
--- /dev/null
+++ b/standins/instance.py
@@ -0,0 +1,166 @@
+"""Stand-in for an instance on the platform: slots, load header, signature, and faults.
+
+A request with the id X whose path ends in `/NAME` meets the fault NAME, if it is one of:
+
+- `cut`: the response breaks off; `extra`: another response follows it; `late`: the response of
+  another request comes first; `unsigned`, `encoded`, `error`, `shed`, `plain503`, `hang`;
+- `slow`: the run takes a second.
+"""
+
+import asyncio
+from typing import Any
+
+__all__ = ["Instance"]
+
+REASONS = {200: "OK", 421: "Misdirected Request", 500: "Error", 503: "Unavailable"}
+RUN_S = 0.01
+SLOW_S = 1.0
+HANG_S = 30.0
+
+
+class Instance:
+    """One instance, on raw sockets, so that it can break the protocol.
+
+    Parameters
+    ----------
+    name : str
+        Id under which it registers.
+    service : str
+        Service that it belongs to.
+    data_centre : str
+        Data centre in which it runs.
+    """
+
+    def __init__(self, name: str, service: str, data_centre: str) -> None:
+        self.name = name
+        self.service = service
+        self.data_centre = data_centre
+        self.slots = 4
+        self.running = 0
+        self.percent = 100
+        self.is_healthy = True
+        self.born = 1
+        # Ids of the requests that ran, in order, with their deadlines in milliseconds.
+        self.ran: list[tuple[str, int]] = []
+        self.cancelled: list[str] = []
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, address: str, port: int) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, address, port)
+        self.address = f"{address}:{port}"
+
+    async def stop(self) -> None:
+        """Crash: close everything without a word."""
+        assert self._server is not None
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def describe(self, state: str = "ready") -> dict[str, Any]:
+        """Return the entry under which it registers."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.data_centre,
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "coldRemaining": "0ms",
+            "sequence": 1,
+            "born": self.born,
+        }
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+        start, *lines = head.strip().split("\r\n")
+        fields = dict(line.split(": ", 1) for line in lines if ": " in line)
+        fields = {name.lower(): value for name, value in fields.items()}
+        await reader.readexactly(int(fields.get("content-length", "0")))
+        path = start.split(" ")[1]
+        if path == "/health":
+            self._answer(writer, 200 if self.is_healthy else 503, b"", self._describe_self())
+            return True
+        request_id = fields.get("x-amaranthbend-attempt-id", "")
+        expected = fields.get("x-amaranthbend-expected-instance", self.name)
+        echo = {"X-Amaranthbend-Attempt-Id": request_id}
+        if expected != self.name:
+            self._answer(writer, 421, b"", {"X-Amaranthbend-Instance-Id": self.name})
+            return True
+        fault = path.rpartition("/")[2]
+        if fault == "shed":
+            self._answer(writer, 503, b"", {**echo, "X-Amaranthbend-Not-Executed": "1"})
+            return True
+        self.ran.append((request_id, int(fields.get("x-amaranthbend-request-deadline", "0"))))
+        if not await self._run(reader, fault):
+            self.cancelled.append(request_id)
+            return False
+        return self._finish(writer, fault, request_id, {**echo, **self._sign(request_id)})
+
+    async def _run(self, reader: asyncio.StreamReader, fault: str) -> bool:
+        """Hold a slot; return whether the caller is still there."""
+        self.running += 1
+        duration_s = {"slow": SLOW_S, "hang": HANG_S}.get(fault, RUN_S)
+        try:
+            left = asyncio.ensure_future(reader.read(1))
+            done, _ = await asyncio.wait({left}, timeout=duration_s)
+            left.cancel()
+            return not done
+        finally:
+            self.running -= 1
+
+    def _finish(
+        self, writer: asyncio.StreamWriter, fault: str, request_id: str, fields: dict[str, str]
+    ) -> bool:
+        body = f"{self.name} {request_id}".encode()
+        if fault == "late":
+            other = {**fields, **self._sign("other"), "X-Amaranthbend-Attempt-Id": "other"}
+            self._answer(writer, 200, b"other", other)
+        if fault == "unsigned":
+            fields.pop("X-Amaranthbend-Response-Signature")
+        if fault == "encoded":
+            fields["Content-Encoding"] = "gzip"
+        status = {"error": 500, "plain503": 503}.get(fault, 200)
+        if fault == "cut":
+            self._answer(writer, status, body, fields, length=len(body) + 5)
+            return False
+        self._answer(writer, status, body, fields)
+        if fault == "extra":
+            self._answer(writer, 200, b"extra", {**fields, **self._sign("extra")})
+        return True
+
+    def _describe_self(self) -> dict[str, str]:
+        load = f"{self.running},0,{self.slots},{self.percent}"
+        return {
+            "X-Amaranthbend-Instance-Id": self.name,
+            "X-Amaranthbend-Instance-Load": load,
+        }
+
+    def _sign(self, request_id: str) -> dict[str, str]:
+        return {"X-Amaranthbend-Response-Signature": f"{self.name}.{request_id}"}
+
+    def _answer(
+        self,
+        writer: asyncio.StreamWriter,
+        status: int,
+        body: bytes,
+        fields: dict[str, str],
+        length: int | None = None,
+    ) -> None:
+        lines = [f"HTTP/1.1 {status} {REASONS[status]}"]
+        lines += [f"{name}: {value}" for name, value in fields.items()]
+        lines.append(f"Content-Length: {len(body) if length is None else length}")
+        writer.write("\r\n".join(lines).encode("latin1") + b"\r\n\r\n" + body)
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,201 @@
+"""Stand-in for the platform's metadata store: objects by kind, lists, watches and faults.
+
+Faults, set on `StoreFaults`:
+
+- `mode`: "none", "busy" (503), "many" (429), "reset" (connection closed) or "silent" (no answer
+  until it ends);
+- `delay_s`: delay of each answer;
+- `loses_writes`: writes take effect, but their connection is closed without an answer.
+"""
+
+import asyncio
+import json
+import time
+from typing import Any
+
+import tornado.web
+
+from .objects import Change, ObjectStore
+
+__all__ = ["StoreFaults", "StoreState", "make_store_app"]
+
+PAGE_ITEMS = 500
+MAX_WAIT_S = 30.0
+RECHECK_S = 0.02
+
+
+class StoreFaults:
+    """Faults in force."""
+
+    def __init__(self) -> None:
+        self.mode = "none"
+        self.delay_s = 0.0
+        self.loses_writes = False
+
+
+class StoreState:
+    """Everything the stand-in holds."""
+
+    def __init__(self) -> None:
+        self.objects = ObjectStore()
+        self.faults = StoreFaults()
+        self.changed = asyncio.Event()
+        # Changes up to this revision are forgotten.
+        self.compacted = 0
+        self.calls = 0
+
+    def put(self, kind: str, name: str, specification: Any) -> int:
+        """Write an object as its owner would, and return the revision."""
+        change = self.objects.write(kind, name, specification, time.monotonic())
+        self.notify()
+        return change.revision
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        self.put(kind, name, None)
+
+    def compact(self) -> None:
+        """Forget the history and cut the waiting watches."""
+        self.compacted = self.objects.revision + 1
+        self.objects.revision += 1
+        self.notify()
+
+    def notify(self) -> None:
+        """Wake the waiting watches."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+def describe(change: Change) -> dict[str, Any]:
+    """Return the JSON form of an object."""
+    metadata = {
+        "name": change.name,
+        "revision": change.revision,
+        "created": change.revision,
+        "finalizers": [],
+        "deletionRequested": False,
+    }
+    return {"metadata": metadata, "specification": change.value, "status": None}
+
+
+class _Handler(tornado.web.RequestHandler):
+    def initialize(self, state: StoreState) -> None:
+        self.state = state
+
+    def log_exception(self, *args: Any) -> None:
+        """Log nothing for the statuses that the stand-in gives on purpose."""
+        if not isinstance(args[1], tornado.web.HTTPError):
+            super().log_exception(*args)
+
+    async def prepare(self) -> None:
+        """Refuse, delay or hold a call as the faults demand."""
+        self.state.calls += 1
+        faults = self.state.faults
+        if faults.delay_s:
+            await asyncio.sleep(faults.delay_s)
+        while faults.mode == "silent":
+            await asyncio.sleep(RECHECK_S)
+        if faults.mode == "busy":
+            raise tornado.web.HTTPError(503)
+        if faults.mode == "many":
+            raise tornado.web.HTTPError(429)
+        if faults.mode == "reset":
+            self.cut()
+
+    def cut(self) -> None:
+        """Close the connection without an answer."""
+        self.request.connection.detach().close()  # type: ignore[union-attr]
+        self._finished = True
+        raise tornado.web.Finish
+
+    def answer(self, document: Any, status: int = 200) -> None:
+        """Send JSON."""
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(document))
+
+
+class _KindHandler(_Handler):
+    async def get(self, kind: str) -> None:
+        watch = self.get_query_argument("watch", "")
+        if watch:
+            await self.watch(kind, int(watch), int(self.get_query_argument("waitMs", "0")) / 1000)
+            return
+        after = self.get_query_argument("after", "")
+        changes = self.state.objects.list_changes(kind, time.monotonic())
+        found = sorted((c for c in changes if c.value is not None), key=lambda c: c.name)
+        found = [change for change in found if change.name > after]
+        items = [describe(change) for change in found[:PAGE_ITEMS]]
+        more = len(found) > PAGE_ITEMS
+        self.answer({"items": items, "hasMore": more, "at": self.state.objects.revision})
+
+    async def watch(self, kind: str, revision: int, wait_s: float) -> None:
+        """Answer as soon as there is a change after a revision."""
+        until = time.monotonic() + min(wait_s, MAX_WAIT_S)
+        while True:
+            if revision < self.state.compacted:
+                raise tornado.web.HTTPError(410)
+            now = time.monotonic()
+            changes = self.state.objects.list_changes(kind, now, revision)
+            if changes or now >= until:
+                break
+            changed = self.state.changed
+            try:
+                await asyncio.wait_for(changed.wait(), until - now)
+            except TimeoutError:
+                continue
+            await self.prepare()
+        events = [{"object": describe(c), "deleted": c.value is None} for c in changes]
+        self.answer({"events": events, "at": self.state.objects.revision})
+
+    async def post(self, kind: str) -> None:
+        document = json.loads(self.request.body)
+        name = document["metadata"]["name"]
+        found = self.state.objects.read(kind, name)
+        if found is not None:
+            self.answer(describe(found), 409)
+            return
+        await self.take_write(kind, name, document["specification"])
+
+    async def take_write(self, kind: str, name: str, value: Any) -> None:
+        """Take a write, and lose its answer if the faults say so."""
+        self.state.put(kind, name, value)
+        if self.state.faults.loses_writes:
+            self.cut()
+        found = self.state.objects.read(kind, name)
+        self.answer(describe(found) if found is not None else {})
+
+
+class _ObjectHandler(_KindHandler):
+    async def get(self, kind: str, name: str) -> None:  # type: ignore[override]
+        found = self.state.objects.read(kind, name)
+        if found is None:
+            raise tornado.web.HTTPError(404)
+        self.answer(describe(found))
+
+    async def put(self, kind: str, name: str) -> None:
+        document = json.loads(self.request.body)
+        found = self.state.objects.read(kind, name)
+        if found is None:
+            raise tornado.web.HTTPError(404)
+        expected = document.get("metadata", {}).get("revision")
+        if expected is not None and expected != found.revision:
+            self.answer(describe(found), 409)
+            return
+        await self.take_write(kind, name, document["specification"])
+
+    async def delete(self, kind: str, name: str) -> None:
+        if self.state.objects.read(kind, name) is None:
+            raise tornado.web.HTTPError(404)
+        await self.take_write(kind, name, None)
+
+
+def make_store_app(state: StoreState) -> tornado.web.Application:
+    """Return the application of the stand-in."""
+    return tornado.web.Application(
+        [
+            (r"/api/objects/([^/]+)", _KindHandler, {"state": state}),
+            (r"/api/objects/([^/]+)/([^/]+)", _ObjectHandler, {"state": state}),
+        ],
+        log_function=lambda _handler: None,
+    )
--- /dev/null
+++ b/tests/node_cases.py
@@ -0,0 +1,186 @@
+"""A node process with stand-ins of the store and of instances, in one event loop."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any, NamedTuple
+
+from tornado.httpserver import HTTPServer
+
+from amaranthbend.programs.node import NodeProcess
+from amaranthbend.settings.node import NodeSettings
+from standins.instance import Instance
+from standins.processes import pick_endpoint, pick_network
+from standins.store import StoreState, make_store_app
+
+__all__ = ["ADDRESS", "Answer", "NodeCase", "make_configuration", "run_node", "wait_until"]
+
+# A network of this test process alone, so that parallel ones do not compete for ports.
+ADDRESS = f"{pick_network()}.1"
+WAIT_S = 8.0
+DESK = "desk"
+
+
+class Answer(NamedTuple):
+    """What a caller got; status 0 if the connection ended without a whole response."""
+
+    status: int
+    fields: dict[str, str]
+    body: bytes
+
+
+def make_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a configuration with a safe and an unsafe route to the service `desk`."""
+    rules = [
+        {
+            "name": f"r-{kind}",
+            "kind": kind,
+            "latencyGoal": "300ms",
+            "priority": 1,
+            "match": {"pathPrefix": f"/{kind}/"},
+            "action": {"service": DESK, "timeout": "2s", "attempts": 2, **changes},
+        }
+        for kind in ("safe", "unsafe")
+    ]
+    return {
+        "version": version,
+        "limits": {"maxBodyBytes": 1_000_000},
+        "listeners": [{"host": "shop.example", "rules": rules}],
+        "clusters": [{"name": DESK, "healthCheckPath": "/health", "maxConnections": 200}],
+    }
+
+
+class NodeCase:
+    """What a test drives."""
+
+    def __init__(self, process: NodeProcess, store: StoreState, instances: list[Instance]) -> None:
+        self.process = process
+        self.store = store
+        self.instances = instances
+
+    async def call(
+        self, path: str, method: str = "GET", request_id: str = "abc", deadline_ms: int = 1500
+    ) -> Answer:
+        """Send one request on a new connection."""
+        reader, writer = await self.connect()
+        try:
+            return await exchange(reader, writer, path, method, request_id, deadline_ms)
+        finally:
+            writer.close()
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Return a new connection to the node."""
+        host, _, port = self.process.settings.caller_address.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+    def count_runs(self, request_id: str) -> int:
+        """Return how often a request ran."""
+        return sum(ran[0] == request_id for entry in self.instances for ran in entry.ran)
+
+    def register(self, instance: Instance, state: str = "ready") -> None:
+        """Write the entry of an instance."""
+        self.store.put("servers", instance.name, instance.describe(state))
+
+
+async def exchange(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    path: str,
+    method: str = "GET",
+    request_id: str = "abc",
+    deadline_ms: int = 1500,
+) -> Answer:
+    """Send one request, and read its response."""
+    length = "Content-Length: 2\r\n" if method == "POST" else ""
+    body = "{}" if method == "POST" else ""
+    writer.write(
+        f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
+        f"X-Amaranthbend-Attempt-Id: {request_id}\r\n"
+        f"X-Amaranthbend-Request-Deadline: {deadline_ms}\r\n{length}\r\n{body}".encode()
+    )
+    try:
+        head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), WAIT_S)).decode("latin1")
+        start, *lines = head.strip().split("\r\n")
+        fields = {line.split(": ")[0].lower(): line.split(": ", 1)[1] for line in lines}
+        data = await reader.readexactly(int(fields.get("content-length", "0")))
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Answer(0, {}, b"")
+    return Answer(int(start.split(" ")[1]), fields, data)
+
+
+async def wait_until(check: Callable[[], bool], timeout_s: float = WAIT_S) -> None:
+    """Wait for a condition.
+
+    Raises
+    ------
+    TimeoutError
+        If it does not hold in time.
+    """
+    async with asyncio.timeout(timeout_s):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+def make_settings(store_port: int) -> NodeSettings:
+    """Return the settings of a node on free ports."""
+    return NodeSettings(
+        host_id="host-1",
+        data_centre="huye",
+        caller_address=f"{ADDRESS}:{pick_endpoint(ADDRESS).port}",
+        readiness_address=f"{ADDRESS}:{pick_endpoint(ADDRESS).port}",
+        readiness_path="/api/readiness",
+        store_address=f"{ADDRESS}:{store_port}",
+        grace_s=6.0,
+        drain_s=2.0,
+        heartbeat_s=1.5,
+        retry_ratio=1.0,
+        retry_slack=160.0,
+        probes_per_s=60.0,
+    )
+
+
+@contextlib.asynccontextmanager
+async def start_node(instances: int, configured: bool) -> AsyncIterator[NodeCase]:
+    """Run a node, a store and instances."""
+    store = StoreState()
+    store_server = HTTPServer(make_store_app(store))
+    store_port = pick_endpoint(ADDRESS).port
+    store_server.listen(store_port, ADDRESS)
+    group = [Instance(f"i-{n}", DESK, "huye") for n in range(instances)]
+    process = NodeProcess(make_settings(store_port))
+    case = NodeCase(process, store, group)
+    for instance in group:
+        await instance.start(ADDRESS, pick_endpoint(ADDRESS).port)
+        case.register(instance)
+    if configured:
+        store.put("config", "main", make_configuration())
+    process.listen()
+    tasks = [asyncio.ensure_future(watch.run()) for watch in process.make_watches()]
+    try:
+        if configured:
+            await wait_until(lambda: not process.get_unreadiness())
+        yield case
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        process.server.stop()
+        process.readiness.stop()
+        store_server.stop()
+        for instance in group:
+            await instance.stop()
+
+
+def run_node(
+    check: Callable[[NodeCase], Coroutine[Any, Any, None]],
+    *,
+    instances: int = 3,
+    configured: bool = True,
+) -> None:
+    """Run a check against a node."""
+
+    async def run() -> None:
+        async with start_node(instances, configured) as case:
+            await check(case)
+
+    asyncio.run(run())
--- a/tests/test_asked_dispatching.py
+++ b/tests/test_asked_dispatching.py
@@ -238,3 +238,11 @@
     assert list_probes(first) and not list_probes(dispatcher.submit(make_request(2), 0.001))
     sends = answer_all(dispatcher, first, 0.002)
     assert {action.request_id for action in sends if isinstance(action, Send)} == {1, 2}
+
+
+def test_late_answers_do_not_refuse() -> None:
+    """Guards against a slow machine that refuses everything because no probe is fast enough."""
+    dispatcher = make_dispatcher(2)
+    dispatcher.submit(make_request(), 0.0)
+    actions = dispatcher.tick(AskPolicy().timeout_s)
+    assert get_send(actions).request_id == 1
