--- a/amaranthbend/controllers/store_watch.py
+++ b/amaranthbend/controllers/store_watch.py
@@ -3,21 +3,25 @@
 import asyncio
 import random
 import time
+from collections.abc import Sequence
 from typing import Protocol
 
-from result import Err
+from result import Err, Result
 
 from ..adapters.logs import log_event
 from ..adapters.metrics import Counters
-from ..core.watching import ObjectStore, StoreChanges, WatchPlan
+from ..core.watching import ObjectStore, StoreChanges, StoreError, WatchPlan
 
-__all__ = ["StoreWatch", "WatchSink"]
+__all__ = ["StoreWatch", "WatchSink", "look_after"]
 
-# A waiting watch that was cut silently is noticed after this time and the client's allowance;
-# together they stay below the 3 s after which a machine counts as in touch again.
-WAIT_S = 1.5
+# Time for which a watch waits. A longer one costs fewer calls; a watch that was cut silently is
+# found by the looks between.
+WAIT_S = 5.0
 # Changes become visible this late at most, out of 2 s in which they have to be in force.
-PAUSE_S = 0.3
+PAUSE_S = 0.5
+# Time between two looks; a silent connection is noticed within this time and a call's timeout,
+# before the 3 s are over after which a machine counts as in touch again.
+LOOK_S = 1.0
 
 
 class WatchSink(Protocol):
@@ -55,6 +59,7 @@
         self._counters = counters
         self._plan = WatchPlan(random.random, PAUSE_S)
         self._has_listed = False
+        self._pending: asyncio.Future[Result[StoreChanges, StoreError]] | None = None
 
     async def run(self) -> None:
         """Follow the kind until cancelled."""
@@ -63,6 +68,23 @@
             if pause_s > 0:
                 await asyncio.sleep(pause_s)
 
+    async def look(self) -> bool:
+        """Take a cheap look at the store, and return whether the watch is in doubt."""
+        revision = self._plan.revision
+        if revision is None or not self._plan.is_reachable:
+            return False
+        self._counters.incr(f"store.looks.{self._kind}")
+        return self._plan.is_doubtful(
+            revision, await self._store.peek_changes(self._kind, revision)
+        )
+
+    def restart(self) -> None:
+        """Make the watch that waits anew, on another connection."""
+        if self._pending is not None and not self._pending.done():
+            self._counters.incr("store.restarts")
+            log_event("watch_restarted", kind=self._kind, revision=self._plan.revision)
+            self._pending.cancel()
+
     async def _call(self) -> float:
         """Make one call, and return the pause after it."""
         plan = self._plan
@@ -70,9 +92,14 @@
         self._counters.incr(f"store.calls.{self._kind}")
         started_at = time.monotonic()
         if revision is None:
-            answer = await self._store.list_objects(self._kind)
+            call = self._store.list_objects(self._kind)
         else:
-            answer = await self._store.watch_objects(self._kind, revision, WAIT_S)
+            call = self._store.watch_objects(self._kind, revision, WAIT_S)
+        self._pending = asyncio.ensure_future(call)
+        await asyncio.wait({self._pending})
+        if self._pending.cancelled():
+            return 0.0
+        answer = self._pending.result()
         now = time.monotonic()
         was_reachable = plan.is_reachable
         if isinstance(answer, Err):
@@ -101,3 +128,14 @@
         elif changes.events:
             self._sink.apply_changes(changes, now)
         return pause_s
+
+
+async def look_after(watches: Sequence[StoreWatch]) -> None:
+    """Look at the store now and then, and restart the watches when one is in doubt."""
+    while True:
+        await asyncio.sleep(LOOK_S)
+        doubts = await asyncio.gather(*[watch.look() for watch in watches])
+        if not any(doubts):
+            continue
+        for watch in watches:
+            watch.restart()
--- a/amaranthbend/core/watching.py
+++ b/amaranthbend/core/watching.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import Any, NamedTuple, Protocol
 
-from result import Result
+from result import Err, Result
 
 from .backoff import Backoff
 
@@ -73,6 +73,9 @@
     ) -> Result[StoreChanges, StoreError]:
         """Return the changes after a revision."""
 
+    async def peek_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
+        """Return the changes after a revision that a replica knows, which may lag behind."""
+
 
 class WatchPlan:
     """Decides whether to list or to watch next, and after which pause.
@@ -86,7 +89,8 @@
     """
 
     def __init__(self, draw: Callable[[], float], pause_s: float) -> None:
-        self._backoff = Backoff(draw, FIRST_DELAY_S, LONGEST_DELAY_S)
+        # Half of the delay is fixed: every call has a price, refused ones too.
+        self._backoff = Backoff(lambda: 0.5 + 0.5 * draw(), FIRST_DELAY_S, LONGEST_DELAY_S)
         self._pause_s = pause_s
         self._failed_since = math.inf
         # Revision to watch from, None when everything has to be listed.
@@ -114,3 +118,24 @@
             self.revision = None
         self._failed_since = min(self._failed_since, now)
         return self._backoff.next_delay()
+
+    def is_doubtful(
+        self, asked_revision: int | None, peeked: Result[StoreChanges, StoreError]
+    ) -> bool:
+        """Return whether a watch that waits has to be made anew.
+
+        A connection can go silent without an end. A failed look at the store, and changes that
+        the watch should have brought, show it long before the watch itself times out.
+
+        Parameters
+        ----------
+        asked_revision : int or None
+            Revision from which the look was taken.
+        peeked : Result
+            What it brought.
+        """
+        if not self.is_reachable or self.revision is None or self.revision != asked_revision:
+            return False
+        if isinstance(peeked, Err):
+            return True
+        return bool(peeked.ok_value.events)
--- a/amaranthbend/platform/store.py
+++ b/amaranthbend/platform/store.py
@@ -15,7 +15,7 @@
 
 OBJECTS_PATH = "/api/objects/"
 # The store answers within a few milliseconds when well, and up to some hundred when slow.
-CALL_TIMEOUT_S = 2.0
+CALL_TIMEOUT_S = 1.5
 # Allowance on top of the waiting time of a watch, for its answer to arrive.
 WATCH_GRACE_S = 1.0
 MS_PER_S = 1000
@@ -60,12 +60,22 @@
             after = objects[-1].name
         return Err(StoreError(StoreErrorKind.MALFORMED, f"list of {kind} does not end"))
 
+    async def peek_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
+        """Return the changes after a revision that a replica knows, at a tenth of the price."""
+        query = {"watch": str(revision), "waitMs": "0", "serializable": "1"}
+        return await self._call_watch(kind, query, CALL_TIMEOUT_S)
+
     async def watch_objects(
         self, kind: str, revision: int, wait_s: float
     ) -> Result[StoreChanges, StoreError]:
         """Return the changes after a revision, as soon as there are any."""
         query = {"watch": str(revision), "waitMs": str(int(wait_s * MS_PER_S))}
-        answer = await self._call(kind, query, wait_s + WATCH_GRACE_S)
+        return await self._call_watch(kind, query, wait_s + WATCH_GRACE_S)
+
+    async def _call_watch(
+        self, kind: str, query: dict[str, str], timeout_s: float
+    ) -> Result[StoreChanges, StoreError]:
+        answer = await self._call(kind, query, timeout_s)
         if isinstance(answer, Err):
             return answer
         page = answer.ok_value
--- a/amaranthbend/programs/node.py
+++ b/amaranthbend/programs/node.py
@@ -6,7 +6,6 @@
 import signal
 import sys
 import time
-from typing import Any
 
 import fire
 from absl import logging
@@ -20,7 +19,7 @@
 from ..adapters.output import NonBlockingOutput
 from ..adapters.upstream import UpstreamClient
 from ..controllers.node_state import ConfigurationState, UpstreamState, complete_policy
-from ..controllers.store_watch import StoreWatch
+from ..controllers.store_watch import StoreWatch, look_after
 from ..core.errors import SettingsError
 from ..core.policy import DeploymentPolicy
 from ..core.shutdown import ShutdownStep, make_shutdown_plan
@@ -160,13 +159,16 @@
             address=self.settings.caller_address,
         )
 
-    def make_watches(self) -> list[StoreWatch]:
-        """Return the watches that bring configuration and upstreams."""
+    def follow_store(self) -> list["asyncio.Task[None]"]:
+        """Start to follow configuration and upstreams, and return the tasks."""
         store = StoreClient(self.settings.store_address)
-        return [
+        watches = [
             StoreWatch(store, CONFIGURATION_KIND, self.configuration, self.counters),
             StoreWatch(store, INSTANCES_KIND, self.upstreams, self.counters),
         ]
+        tasks = [asyncio.ensure_future(watch.run()) for watch in watches]
+        tasks.append(asyncio.ensure_future(look_after(watches)))
+        return tasks
 
     async def sweep(self) -> None:
         """Cut off stalled connections, until cancelled."""
@@ -227,9 +229,7 @@
     if metrics_address:
         host, port = split_address(metrics_address)
         process.admin.listen(port, host)
-    tasks: list[asyncio.Task[Any]] = [
-        asyncio.ensure_future(watch.run()) for watch in process.make_watches()
-    ]
+    tasks = process.follow_store()
     tasks.append(asyncio.ensure_future(process.sweep()))
     await stopped.wait()
     await process.shut_down()
--- a/tests/node_cases.py
+++ b/tests/node_cases.py
@@ -155,7 +155,7 @@
     if configured:
         store.put("config", "main", make_configuration())
     process.listen()
-    tasks = [asyncio.ensure_future(watch.run()) for watch in process.make_watches()]
+    tasks = process.follow_store()
     try:
         if configured:
             await wait_until(lambda: not process.get_unreadiness())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -289,3 +289,16 @@
 def test_addresses_stay_on_loopback() -> None:
     """Guards against tests that reach other machines."""
     assert ADDRESS.startswith("127.")
+
+
+def test_watch_on_a_dead_connection_is_replaced() -> None:
+    """Guards against changes that arrive only after the time for which a watch waits."""
+
+    async def check(case: NodeCase) -> None:
+        await asyncio.sleep(0.7)
+        # The watches that wait now are never woken again.
+        case.store.changed = asyncio.Event()
+        case.store.put("config", "main", make_configuration(2))
+        await wait_until(lambda: case.process.configuration.version == 2, 3.0)
+
+    run_node(check)
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -1,5 +1,7 @@
 """When a watcher lists, watches and pauses."""
 
+from result import Err, Ok
+
 from amaranthbend.core.watching import (
     LONGEST_DELAY_S,
     ObjectEvent,
@@ -62,3 +64,20 @@
     plan = make_plan()
     plan.note_failure(StoreError(StoreErrorKind.MALFORMED, "not JSON"), 1.0)
     assert plan.revision is None
+
+
+def test_silent_watch_is_doubted() -> None:
+    """Guards against a watch on a dead connection that brings nothing until it times out."""
+    plan = make_plan()
+    assert not plan.is_doubtful(7, Ok(StoreChanges([], 7)))
+    assert plan.is_doubtful(7, Ok(StoreChanges([EVENT], 8)))
+    assert plan.is_doubtful(7, Err(DOWN))
+
+
+def test_look_that_the_watch_overtook_means_nothing() -> None:
+    """Guards against restarting a watch that has brought the changes meanwhile."""
+    plan = make_plan()
+    plan.note_changes(StoreChanges([EVENT], 8))
+    assert not plan.is_doubtful(7, Ok(StoreChanges([EVENT], 8)))
+    plan.note_failure(DOWN, 1.0)
+    assert not plan.is_doubtful(8, Err(DOWN))
