--- a/amaranthbend/controllers/store_watch.py
+++ b/amaranthbend/controllers/store_watch.py
@@ -6,11 +6,11 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from result import Err, Result
+from result import Err
 
 from ..adapters.logs import log_event
 from ..adapters.metrics import Counters
-from ..core.watching import ObjectStore, StoreChanges, StoreError, WatchPlan
+from ..core.watching import ObjectStore, StoreChanges, WatchPlan
 
 __all__ = ["StoreWatch", "WatchSink", "look_after"]
 
@@ -59,7 +59,8 @@
         self._counters = counters
         self._plan = WatchPlan(random.random, PAUSE_S)
         self._has_listed = False
-        self._pending: asyncio.Future[Result[StoreChanges, StoreError]] | None = None
+        # Ends the wait for the call that is under way.
+        self._restarted: asyncio.Future[None] | None = None
 
     async def run(self) -> None:
         """Follow the kind until cancelled."""
@@ -80,10 +81,10 @@
 
     def restart(self) -> None:
         """Make the watch that waits anew, on another connection."""
-        if self._pending is not None and not self._pending.done():
+        if self._restarted is not None and not self._restarted.done():
             self._counters.incr("store.restarts")
             log_event("watch_restarted", kind=self._kind, revision=self._plan.revision)
-            self._pending.cancel()
+            self._restarted.set_result(None)
 
     async def _call(self) -> float:
         """Make one call, and return the pause after it."""
@@ -95,11 +96,13 @@
             call = self._store.list_objects(self._kind)
         else:
             call = self._store.watch_objects(self._kind, revision, WAIT_S)
-        self._pending = asyncio.ensure_future(call)
-        await asyncio.wait({self._pending})
-        if self._pending.cancelled():
+        # An abandoned call ends by its own time limit; cancelling it would leave its connection.
+        pending: asyncio.Future[Result[StoreChanges, StoreError]] = asyncio.ensure_future(call)
+        self._restarted = asyncio.get_running_loop().create_future()
+        await asyncio.wait({pending, self._restarted}, return_when=asyncio.FIRST_COMPLETED)
+        if not pending.done():
             return 0.0
-        answer = self._pending.result()
+        answer = pending.result()
         now = time.monotonic()
         was_reachable = plan.is_reachable
         if isinstance(answer, Err):
