Hold upstreams below their knee in a peak, and spend probes evenly

Ruled out: lack of slots; at 4 requests each the throughput is the same. Also: repeats use new connections, since an idle one may have died; hosts are counted through the store, which divides retries and probes.

--- a/amaranthbend/adapters/calls.py
+++ b/amaranthbend/adapters/calls.py
@@ -71,7 +71,7 @@
         Body if it is streamed.
     body_length : int or None
         Length of a streamed body, None if it is sent in chunks.
-    idempotent : bool
+    reuses_connection : bool
         Whether the request may use a connection that was used before.
     connect_timeout_s : float
         Longest time to connect.
@@ -86,7 +86,7 @@
     body: bytes | None
     source: BodySource | None
     body_length: int | None
-    idempotent: bool
+    reuses_connection: bool
     connect_timeout_s: float
     accepts_excess: bool = False
 
--- a/amaranthbend/adapters/upstream.py
+++ b/amaranthbend/adapters/upstream.py
@@ -146,7 +146,7 @@
             body = "streamed"
         elif request.body is not None:
             body = "held"
-        is_fresh = not request.idempotent and self.guards_resend
+        is_fresh = not request.reuses_connection and self.guards_resend
         kind = (request.method, body, is_fresh)
         idle = self._idle.setdefault(kind, [])
         handle = idle.pop() if idle else _Handle(kind)
--- a/amaranthbend/controllers/node_state.py
+++ b/amaranthbend/controllers/node_state.py
@@ -15,8 +15,6 @@
 
 __all__ = ["ConfigurationState", "UpstreamState", "complete_policy"]
 
-# Machines among which the shared retry budget is divided while their number is not known.
-ASSUMED_HOSTS = 16
 # Part of the shared ratio that is spent; requests of a window may end in the next one.
 RATIO_SHARE = 0.75
 # Part of the saved retries that a new process has; it may have spent as many before its restart.
@@ -29,17 +27,31 @@
 RETURN_S = 2.2
 
 
-def complete_policy(policy: DeploymentPolicy, settings: NodeSettings) -> DeploymentPolicy:
-    """Return a decoded configuration with the parts that the process itself decides."""
+def complete_policy(
+    policy: DeploymentPolicy, settings: NodeSettings, hosts: int
+) -> DeploymentPolicy:
+    """Return a decoded configuration with the parts that the process itself decides.
+
+    Parameters
+    ----------
+    policy : DeploymentPolicy
+        Decoded configuration.
+    settings : NodeSettings
+        Process settings.
+    hosts : int
+        Hosts among which retries, probes and connections of the deployment are divided.
+    """
     ratio = settings.retry_ratio * RATIO_SHARE
-    burst = max(1.0, settings.retry_slack / ASSUMED_HOSTS)
+    burst = max(1.0, settings.retry_slack / hosts)
     services: dict[str, ServicePolicy] = {}
     for name, service in policy.services.items():
         retries = RetryPolicy(ratio, 0.0, 1, burst, INITIAL_SHARE * burst)
         services[name] = service._replace(
-            retries=retries, asking=AskPolicy(), retry_after_s=RETRY_AFTER_S
+            retries=retries,
+            asking=AskPolicy(asks_per_s=settings.probes_per_s),
+            retry_after_s=RETRY_AFTER_S,
         )
-    return policy._replace(services=services)
+    return policy._replace(services=services, entry_hosts_max=hosts)
 
 
 class ConfigurationState:
--- a/amaranthbend/controllers/store_watch.py
+++ b/amaranthbend/controllers/store_watch.py
@@ -4,13 +4,13 @@
 import random
 import time
 from collections.abc import Sequence
-from typing import Protocol
+from typing import Any, Protocol
 
-from result import Err
+from result import Err, Result
 
 from ..adapters.logs import log_event
 from ..adapters.metrics import Counters
-from ..core.watching import ObjectStore, StoreChanges, WatchPlan
+from ..core.watching import ObjectStore, StoreChanges, StoreError, WatchPlan
 
 __all__ = ["StoreWatch", "WatchSink", "look_after"]
 
@@ -99,7 +99,8 @@
         # An abandoned call ends by its own time limit; cancelling it would leave its connection.
         pending: asyncio.Future[Result[StoreChanges, StoreError]] = asyncio.ensure_future(call)
         self._restarted = asyncio.get_running_loop().create_future()
-        await asyncio.wait({pending, self._restarted}, return_when=asyncio.FIRST_COMPLETED)
+        waits: set[asyncio.Future[Any]] = {pending, self._restarted}
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
         if not pending.done():
             return 0.0
         answer = pending.result()
--- a/amaranthbend/core/asked_dispatching.py
+++ b/amaranthbend/core/asked_dispatching.py
@@ -1,16 +1,36 @@
 """Dispatcher that asks a few upstreams for their load before each attempt."""
 
 import heapq
+import math
 import random
 from collections.abc import Iterable
 
-from .actions import Action, LoadReport, Member, Probe, RequestInfo
-from .asking import AskRound, AskRounds, choose_candidates, count_ahead, estimate_time
-from .attempts import RequestState
+from .actions import (
+    Action,
+    AttemptResult,
+    AttemptStatus,
+    LoadReport,
+    Member,
+    Probe,
+    RequestInfo,
+    Send,
+)
+from .asking import (
+    AskBudget,
+    AskRound,
+    AskRounds,
+    choose_candidates,
+    choose_unasked,
+    count_ahead,
+    count_held,
+    estimate_time,
+)
+from .attempts import RequestState, is_upstream_failure
 from .dispatching import Dispatcher
 from .outcomes import OutcomeReason, RetryReason
 from .policy import ProbePolicy, ServicePolicy
 from .routing import UpstreamLoad
+from .saturation import OccupancyProfile
 
 __all__ = ["AskedDispatcher"]
 
@@ -18,10 +38,15 @@
 # row up to the limit: long enough to spare requests the wait, short enough for a brief outage.
 SILENCE_PAUSE_S = 0.2
 SILENCE_PAUSE_MAX_S = 1.6
-# Requests that may wait at an upstream, as a share of its slots: the most urgent ones of the
-# service, and all others, so that a peak costs the less urgent first.
-URGENT_QUEUE_SHARE = 1.0
-QUEUE_SHARE = 0.5
+# Requests that an upstream may hold beyond what it runs best, as a share of that: for the most
+# urgent ones of the service, and for all others, so that a peak costs the less urgent first.
+URGENT_QUEUE_SHARE = 0.67
+QUEUE_SHARE = 0.34
+# Part of the saved probes below which requests ask only once, and below which they ask fewer
+# upstreams.
+AMPLE_SHARE = 0.4
+SCARCE_SHARE = 0.1
+LEAST_ASKED = 2
 # A second attempt pays only on an upstream that will probably finish sooner than the first.
 SECOND_GAIN = 0.8
 
@@ -44,6 +69,8 @@
         Seed of random choices.
     processes : int
         Entry processes among which the connections to one upstream are divided.
+    budget : AskBudget or None
+        Limit on probes, shared by the dispatchers of all services.
     """
 
     def __init__(
@@ -54,6 +81,7 @@
         seed: int,
         *,
         processes: int = 1,
+        budget: AskBudget | None = None,
     ) -> None:
         super().__init__(policy, probing, data_centre, seed, processes=processes)
         assert policy.asking is not None
@@ -63,6 +91,10 @@
         # Times at which requests in flight may get a second attempt.
         self._seconds: list[tuple[float, int]] = []
         self._top_priority = -(10**9)
+        self._profile = OccupancyProfile()
+        # What an attempt met when it was sent: requests held with it, slots, slowdown.
+        self._met: dict[tuple[int, int], tuple[int, int, float]] = {}
+        self._asks = budget or AskBudget()
 
     def report(self, upstream: str, report: LoadReport, now: float) -> list[Action]:
         """Record a load report, and decide the rounds that waited for it."""
@@ -71,6 +103,21 @@
         self._rounds.note_end(upstream)
         return actions + self._drain(now)
 
+    def finish(
+        self, request_id: int, attempt: int, result: AttemptResult, now: float
+    ) -> list[Action]:
+        """Record the end of an attempt, and learn how the upstream's load told on it."""
+        met = self._met.pop((request_id, attempt), None)
+        state = self._attempts.get((request_id, attempt))
+        if state is not None and state.load.report_at <= state.started_at:
+            # No report since it was sent tells that it has ended.
+            state.load.sent_since_report = max(0, state.load.sent_since_report - 1)
+        if met is not None and state is not None and result.status is AttemptStatus.ANSWERED:
+            held, slots, slowdown = met
+            if slowdown <= 1.0 and not is_upstream_failure(result):
+                self._profile.note_answer(held, slots, now - state.started_at)
+        return super().finish(request_id, attempt, result, now)
+
     def probe_failed(self, upstream: str, now: float) -> list[Action]:
         """Record that a probe brought no report, and leave the upstream alone for a while."""
         load = self._loads.get(upstream)
@@ -92,6 +139,14 @@
         actions = super().set_members(members, now)
         for upstream in self._silences.keys() - self._loads.keys():
             del self._silences[upstream]
+        self._asks.set_upstreams(self._policy.name, len(self._loads), now)
+        return actions
+
+    def set_policy(self, policy: ServicePolicy, processes: int, now: float) -> list[Action]:
+        """Use other settings from now on; requests already accepted are kept."""
+        actions = super().set_policy(policy, processes, now)
+        if policy.asking is not None:
+            self._rounds.policy = policy.asking
         return actions
 
     def tick(self, now: float) -> list[Action]:
@@ -129,16 +184,28 @@
         policy = self._rounds.policy
         avoid = asked | record.tried
         loads = self._router.list_loads()
-        candidates = choose_candidates(loads, policy, avoid, self._draw, now)
+        most = self._count_asks(number, now)
+        candidates = choose_candidates(loads, policy, avoid, most, self._draw, now)
         if not candidates and not asked and not is_second:
             # All were tried before; a new attempt at one of them is better than none.
-            candidates = choose_candidates(loads, policy, frozenset(), self._draw, now)
+            candidates = choose_candidates(loads, policy, frozenset(), most, self._draw, now)
         if not candidates:
             return [] if record.running else self._end_asking(record, asked, now)
         ask_round = AskRound(record.info.request_id, candidates, asked, number, is_second, now)
         probes = self._rounds.begin(ask_round, now)
+        self._asks.spend(len(probes), now)
         return [Probe(upstream) for upstream in probes]
 
+    def _count_asks(self, number: int, now: float) -> int:
+        """Return how many upstreams a round may ask; further rounds only with many probes saved."""
+        most = self._rounds.policy.near + self._rounds.policy.far
+        saved_share = self._asks.measure_saved(now)
+        if number > 1 and saved_share < AMPLE_SHARE:
+            return 0
+        # Two answers bring most of the gain, so that scarce probes are spread over the requests.
+        wanted = max(LEAST_ASKED, math.ceil(most * min(1.0, saved_share / SCARCE_SHARE)))
+        return int(min(most, wanted, self._asks.count(now)))
+
     def _drain(self, now: float) -> list[Action]:
         """Decide the rounds that have their answers."""
         actions: list[Action] = []
@@ -166,17 +233,23 @@
         return self._end_asking(record, ask_round.asked, now)
 
     def _end_asking(self, record: RequestState, asked: frozenset[str], now: float) -> list[Action]:
-        """Refuse a request that found no room, or send it although nobody answered in time.
+        """Refuse a request that found no room, or choose by older news.
 
-        On a machine that is slow itself, all answers come too late to decide.
+        On a machine that is slow itself, all answers come too late to decide; and the probes of
+        a long peak are limited.
         """
         answered_after = now - self._rounds.policy.rounds * self._rounds.policy.timeout_s
         if any(load.report_at > answered_after for load in self._list_loads(asked)):
             return self._give_up(record, OutcomeReason.CONCURRENCY_LIMIT)
-        limit = max(1, self._policy.connections_per_upstream // self._processes)
-        load = self._router.choose(limit, record.tried, None, self._ejector.mean_s, now)
-        if load is None or load.paused_until > now:
+        # An upstream that was silent when it was asked last is no choice without asking again.
+        avoid = record.tried | self._silences.keys()
+        load = choose_unasked(
+            self._router.list_loads(), avoid, self._router.slots, self._ejector.mean_s, now
+        )
+        if load is None:
             return self._give_up(record, OutcomeReason.UPSTREAM_UNREACHABLE)
+        if not self._has_room_at(load, record, now):
+            return self._give_up(record, OutcomeReason.CONCURRENCY_LIMIT)
         return [self._send_first(record, load, now)]
 
     def _list_loads(self, upstreams: frozenset[str]) -> list[UpstreamLoad]:
@@ -187,7 +260,8 @@
         slots = self._router.slots if load.report is None else load.report.slots
         is_urgent = record.info.priority >= self._top_priority
         share = URGENT_QUEUE_SHARE if is_urgent else QUEUE_SHARE
-        if count_ahead(load, slots) > share * slots:
+        best = self._profile.find_best(slots)
+        if count_ahead(load, best) > share * best:
             return False
         wait_s = estimate_time(load, slots, self._ejector.mean_s, now)
         return now + 0.5 * wait_s < record.info.deadline
@@ -209,6 +283,16 @@
             most = self._policy.retries.max_attempts
         return len(record.running) == 1 and record.attempts < most
 
+    def _send(self, record: RequestState, load: UpstreamLoad, now: float) -> Send:
+        """Start an attempt."""
+        met = None
+        if load.report is not None:
+            met = (count_held(load) + 1, load.report.slots, load.report.slowdown)
+        send = super()._send(record, load, now)
+        if met is not None:
+            self._met[send.request_id, send.attempt] = met
+        return send
+
     def _begin_seconds(self, now: float) -> list[Action]:
         """Ask upstreams for requests whose only attempt is slow."""
         actions: list[Action] = []
@@ -227,8 +311,9 @@
     def _send_second(self, record: RequestState, load: UpstreamLoad, now: float) -> list[Action]:
         """Send a second attempt if it will probably end within the goal."""
         info = record.info
-        slots = self._router.slots
-        if not self._may_send_second(record) or count_ahead(load, slots) > 0:
+        slots = self._router.slots if load.report is None else load.report.slots
+        best = self._profile.find_best(slots)
+        if not self._may_send_second(record) or count_ahead(load, best) > 0:
             return []
         time_s = estimate_time(load, slots, self._ejector.mean_s, now)
         if now + SECOND_GAIN * time_s >= info.deadline or not self._budget.take(now):
--- a/amaranthbend/core/asking.py
+++ b/amaranthbend/core/asking.py
@@ -7,36 +7,57 @@
 
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from .actions import UpstreamState
+from .backoff import TokenBucket
 from .policy import AskPolicy
 from .routing import UpstreamLoad
+from .saturation import NEARLY_FULL_SHARE
 
-__all__ = ["AskRound", "AskRounds", "choose_candidates", "estimate_time"]
+__all__ = [
+    "AskRound",
+    "AskRounds",
+    "choose_candidates",
+    "choose_unasked",
+    "count_ahead",
+    "count_held",
+    "estimate_time",
+]
 
 # Answers of this age still decide, so that requests that arrive together share them.
 SHARED_ANSWER_S = 0.003
-# An upstream that was full or slow this recently is asked only if no other is left.
-BUSY_MEMORY_S = 0.04
+# An upstream that was full or slow this recently is asked only if no other is left. Longer than
+# the time in which one slot becomes free, shorter than a slow spell of its machine.
+BUSY_MEMORY_S = 0.08
+SLOW = 2.0
+# An upstream whose probe is under way may be silent; others are chosen if they are not far worse.
+PENDING_FACTOR = 4.0
 # The distance to another data centre is paid in traffic between them as well as in time.
 REMOTE_FACTOR = 1.1
 # Work on a starting instance takes about twice as long until it is warm (platform's pages).
 COLD_FACTOR = 2.0
-# Instances may slow down when nearly full; applies above this share of the slots.
-NEARLY_FULL_SHARE = 0.8
+# Slowdown of a nearly full upstream as far as it is not measured yet.
 NEARLY_FULL_FACTOR = 1.5
+# Part of the probes of the deployment that is spent; hosts get uneven shares of the requests.
+BUDGET_SHARE = 0.95
+# Time for which unspent probes are saved up.
+SAVED_S = 15.0
 # Weight of the observed share of failures: a failure costs the caller far more than waiting.
 FAILURE_WEIGHT = 8.0
 
 
-def count_ahead(load: UpstreamLoad, slots: int) -> int:
-    """Return how many requests a new one would wait for, 0 if a slot is free."""
+def count_held(load: UpstreamLoad) -> int:
+    """Return how many requests an upstream holds, as far as is known."""
     report = load.report
     if report is None:
-        return max(0, load.in_flight - slots + 1)
-    held = report.in_flight + report.queued + load.sent_since_report
-    return max(0, held - report.slots + 1)
+        return load.in_flight
+    return report.in_flight + report.queued + load.sent_since_report
+
+
+def count_ahead(load: UpstreamLoad, best: int) -> int:
+    """Return by how many requests a new one would exceed what the upstream runs best."""
+    return max(0, count_held(load) + 1 - best)
 
 
 def estimate_time(load: UpstreamLoad, slots: int, service_s: float, now: float) -> float:
@@ -62,7 +83,7 @@
         run_s *= NEARLY_FULL_FACTOR
     if load.member.state is UpstreamState.COLD:
         run_s *= COLD_FACTOR
-    time_s = run_s * (1.0 + count_ahead(load, slots) / max(1, slots))
+    time_s = run_s * (1.0 + max(0, count_held(load) + 1 - slots) / max(1, slots))
     time_s *= 1.0 + FAILURE_WEIGHT * load.health.read_failure_share(now)
     return time_s * REMOTE_FACTOR if load.is_remote else time_s
 
@@ -72,13 +93,14 @@
     report = load.report
     if report is None or now - load.report_at > BUSY_MEMORY_S:
         return False
-    return report.in_flight >= report.slots or report.slowdown > 2.0
+    return count_held(load) >= NEARLY_FULL_SHARE * report.slots or report.slowdown > SLOW
 
 
 def choose_candidates(
     loads: Sequence[UpstreamLoad],
     policy: AskPolicy,
     avoid: frozenset[str],
+    most: int,
     draw: random.Random,
     now: float,
 ) -> list[UpstreamLoad]:
@@ -92,6 +114,8 @@
         How many to ask.
     avoid : frozenset of str
         Upstreams that were asked or tried for this request before.
+    most : int
+        Most upstreams to return.
     draw : random.Random
         Source of the draw.
     now : float
@@ -99,6 +123,7 @@
     """
     near: list[tuple[float, UpstreamLoad]] = []
     far: list[tuple[float, UpstreamLoad]] = []
+    rest: list[tuple[float, UpstreamLoad]] = []
     for load in loads:
         if not load.usable or load.member.upstream in avoid:
             continue
@@ -106,24 +131,95 @@
             continue
         # Lower ranks are asked first; the random part spreads the processes.
         rank = draw.random()
-        if is_busy(load, now):
-            rank += 1.0
-        if load.ejected:
-            rank += 2.0
         if load.paused_until > now:
-            rank += 4.0
-        (far if load.is_remote else near).append((rank, load))
-    near.sort(key=lambda entry: entry[0])
-    far.sort(key=lambda entry: entry[0])
-    count = policy.near + policy.far
-    promising = [entry for entry in near if entry[0] < 2.0][: policy.near]
-    promising += [entry for entry in far if entry[0] < 2.0][: count - len(promising)]
-    if len(promising) < count:
-        chosen = {id(entry[1]) for entry in promising}
-        rest = [entry for entry in near + far if id(entry[1]) not in chosen]
-        rest.sort(key=lambda entry: entry[0])
-        promising += rest[: count - len(promising)]
-    return [load for _, load in promising]
+            rest.append((rank + 3.0, load))
+        elif load.ejected:
+            rest.append((rank + 2.0, load))
+        elif is_busy(load, now):
+            rest.append((rank + (1.0 if load.is_remote else 0.5), load))
+        else:
+            (far if load.is_remote else near).append((rank, load))
+    for group in (near, far, rest):
+        group.sort(key=lambda entry: entry[0])
+    count = min(most, policy.near + policy.far)
+    chosen = near[: min(count, policy.near)]
+    chosen += far[: count - len(chosen)]
+    chosen += near[policy.near :][: count - len(chosen)]
+    chosen += rest[: count - len(chosen)]
+    return [load for _, load in chosen]
+
+
+class AskBudget:
+    """Limits probes before attempts to what upstreams should bear from all hosts together.
+
+    Unspent probes are saved up, since the limit holds on average, and a peak needs more.
+    """
+
+    def __init__(self) -> None:
+        self._per_upstream = 0.0
+        self._hosts = 1
+        self._counts: dict[str, int] = {}
+        self._bucket: TokenBucket | None = None
+
+    def set_limit(self, per_upstream: float, hosts: int, now: float) -> None:
+        """Set the probes to one upstream in a second, and the hosts that share them."""
+        self._per_upstream = per_upstream
+        self._hosts = max(1, hosts)
+        self._update(now)
+
+    def set_upstreams(self, service: str, count: int, now: float) -> None:
+        """Set how many upstreams a service has."""
+        self._counts[service] = count
+        self._update(now)
+
+    def count(self, now: float) -> float:
+        """Return how many probes are left; infinite without a limit."""
+        return math.inf if self._bucket is None else self._bucket.count(now)
+
+    def measure_saved(self, now: float) -> float:
+        """Return the part of the probes that can be saved up which is left, 0 to 1."""
+        if self._bucket is None:
+            return 1.0
+        return self._bucket.count(now) / max(1.0, self._bucket.burst)
+
+    def spend(self, probes: int, now: float) -> None:
+        """Record probes."""
+        if self._bucket is None:
+            return
+        for _ in range(probes):
+            self._bucket.take(now)
+
+    def _update(self, now: float) -> None:
+        if self._per_upstream <= 0.0 or not any(self._counts.values()):
+            self._bucket = None
+            return
+        rate = BUDGET_SHARE * self._per_upstream * sum(self._counts.values()) / self._hosts
+        if self._bucket is None:
+            self._bucket = TokenBucket(rate, rate, now)
+        self._bucket.set_rate(rate, SAVED_S * rate, now)
+
+
+def choose_unasked(
+    loads: Sequence[UpstreamLoad],
+    avoid: Collection[str],
+    slots: int,
+    service_s: float,
+    now: float,
+) -> UpstreamLoad | None:
+    """Return the upstream with the least expected time by the news that is there."""
+    best: UpstreamLoad | None = None
+    best_s = math.inf
+    for load in loads:
+        if not load.usable or load.member.upstream in avoid:
+            continue
+        if load.most_in_flight is not None and load.in_flight >= load.most_in_flight:
+            continue
+        time_s = estimate_time(load, slots, service_s, now)
+        if load.probe_pending:
+            time_s *= PENDING_FACTOR
+        if time_s < best_s:
+            best, best_s = load, time_s
+    return best
 
 
 class AskRound:
--- a/amaranthbend/core/policy.py
+++ b/amaranthbend/core/policy.py
@@ -73,6 +73,8 @@
     second_share : float
         Part of the latency goal after which an idempotent request may be sent to a second
         upstream; 0 never sends a second one.
+    asks_per_s : float
+        Most probes to one upstream in a second on average, over all hosts; 0 for no limit.
     """
 
     near: int = 3
@@ -81,6 +83,7 @@
     timeout_s: float = 0.06
     rounds: int = 3
     second_share: float = 0.6
+    asks_per_s: float = 0.0
 
 
 class LimitPolicy(NamedTuple):
--- a/amaranthbend/core/shutdown.py
+++ b/amaranthbend/core/shutdown.py
@@ -13,8 +13,8 @@
 BALANCER_LAG_S = 2.3
 # Requests taken until here have half of the time left to finish.
 REFUSE_SHARE = 0.5
-# Before the kill, so that requests still in flight get an answer.
-MARGIN_S = 0.3
+# Before the kill, so that requests still in flight get an answer, also from a slow machine.
+MARGIN_S = 0.6
 
 
 class ShutdownStep(IntEnum):
--- a/amaranthbend/core/watching.py
+++ b/amaranthbend/core/watching.py
@@ -30,6 +30,7 @@
 
     UNAVAILABLE = "unavailable"
     HISTORY_LOST = "history_lost"
+    CONFLICT = "conflict"
     MALFORMED = "malformed"
 
 
@@ -65,7 +66,12 @@
 class ObjectStore(Protocol):
     """What a watcher needs of the store's client."""
 
-    async def list_objects(self, kind: str) -> Result[StoreChanges, StoreError]:
+    async def create_object(self, kind: str, name: str, value: Any) -> Result[bool, StoreError]:
+        """Create an object, and return whether it is new."""
+
+    async def list_objects(
+        self, kind: str, *, may_lag: bool = False
+    ) -> Result[StoreChanges, StoreError]:
         """Return all objects of a kind."""
 
     async def watch_objects(
--- a/amaranthbend/filters/attempts.py
+++ b/amaranthbend/filters/attempts.py
@@ -253,6 +253,8 @@
     timeout_s: float,
     connect_timeout_s: float,
     dialect: Dialect,
+    *,
+    is_repeat: bool = False,
 ) -> UpstreamRequest:
     """Return what is sent to an upstream.
 
@@ -268,6 +270,8 @@
         Longest time to connect.
     dialect : Dialect
         Names the fields that this process sets.
+    is_repeat : bool
+        Whether an attempt was made before, which may have met a connection that had died idle.
     """
     address = member.address
     deadline_field = dialect.deadline_field
@@ -300,7 +304,7 @@
         body=body.get_held() if body is not None and not streamed else None,
         source=body if streamed else None,
         body_length=body.length if body is not None else None,
-        idempotent=request.is_idempotent,
+        reuses_connection=request.is_idempotent and not is_repeat,
         connect_timeout_s=min(connect_timeout_s, timeout_s),
         accepts_excess=dialect.holds_responses,
     )
--- a/amaranthbend/filters/dispatch.py
+++ b/amaranthbend/filters/dispatch.py
@@ -10,10 +10,11 @@
 from ..adapters.upstream import UpstreamClient
 from ..core.actions import Member
 from ..core.asked_dispatching import AskedDispatcher
+from ..core.asking import AskBudget
 from ..core.departures import Departure
 from ..core.dispatching import Dispatcher
 from ..core.outcomes import Outcome, OutcomeReason
-from ..core.policy import DeploymentPolicy, RoutePolicy
+from ..core.policy import DeploymentPolicy, ProbePolicy, RoutePolicy, ServicePolicy
 from ..core.probing import divide_budget
 from .refusals import Refusal, make_refusal
 from .services import DispatchSettings, ServiceDispatch, ignore_probe
@@ -59,6 +60,7 @@
         self._members: dict[str, tuple[Member, ...]] = {}
         self._share = 0.0
         self._random = random.Random()
+        self._ask_budget = AskBudget()
         self._last_id = 0
         self.note_probe: Callable[[int], None] = ignore_probe
 
@@ -68,6 +70,11 @@
             if name not in policy.services:
                 del self.services[name]
         processes = policy.entry_hosts_max * self._settings.entry_processes
+        asks_per_s = max(
+            (service.asking.asks_per_s for service in policy.services.values() if service.asking),
+            default=0.0,
+        )
+        self._ask_budget.set_limit(asks_per_s, processes, now)
         probing = divide_budget(policy.probing, max(1, len(policy.services)))
         for name, service_policy in policy.services.items():
             service = self.services.get(name)
@@ -76,14 +83,7 @@
                 service.apply(service.dispatcher.set_policy(service_policy, processes, now))
                 service.apply(service.dispatcher.set_probing(probing, now))
                 continue
-            kind = Dispatcher if service_policy.asking is None else AskedDispatcher
-            dispatcher = kind(
-                service_policy,
-                probing,
-                self._settings.data_centre,
-                random.getrandbits(32),
-                processes=processes,
-            )
+            dispatcher = self._make_dispatcher(service_policy, probing, processes)
             service = ServiceDispatch(dispatcher, self._client, self._counters, self._settings)
             service.note_probe = self.note_probe
             service.probe_path = service_policy.probe_path
@@ -92,6 +92,17 @@
             service.apply(dispatcher.set_probe_share(self._share, now))
             log_event("service_added", service=name)
 
+    def _make_dispatcher(
+        self, policy: ServicePolicy, probing: ProbePolicy, processes: int
+    ) -> Dispatcher:
+        data_centre = self._settings.data_centre
+        seed = random.getrandbits(32)
+        if policy.asking is None:
+            return Dispatcher(policy, probing, data_centre, seed, processes=processes)
+        return AskedDispatcher(
+            policy, probing, data_centre, seed, processes=processes, budget=self._ask_budget
+        )
+
     def set_members(self, members: dict[str, tuple[Member, ...]], now: float) -> None:
         """Replace the members of all services."""
         self._members = members
--- a/amaranthbend/filters/services.py
+++ b/amaranthbend/filters/services.py
@@ -187,6 +187,7 @@
             action.timeout_s,
             self._settings.connect_timeout_s,
             dialect,
+            is_repeat=action.attempt > 1,
         )
         request.is_sent = True
         loop = asyncio.get_running_loop()
--- a/amaranthbend/platform/store.py
+++ b/amaranthbend/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store: lists and watches objects of one kind."""
 
 import json
+from http import HTTPStatus
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -19,7 +20,6 @@
 # Allowance on top of the waiting time of a watch, for its answer to arrive.
 WATCH_GRACE_S = 1.0
 MS_PER_S = 1000
-GONE = 410
 # More pages than any deployment has objects; bounds the list of a store that repeats itself.
 MAX_PAGES = 1000
 
@@ -37,13 +37,30 @@
         self._base = f"http://{address}{OBJECTS_PATH}"
         self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=16)
 
-    async def list_objects(self, kind: str) -> Result[StoreChanges, StoreError]:
-        """Return all objects of a kind, and the revision from which to watch for changes."""
+    async def create_object(self, kind: str, name: str, value: Any) -> Result[bool, StoreError]:
+        """Create an object, and return whether it is new."""
+        document = {"metadata": {"name": name}, "specification": value}
+        answer = await self._call(kind, {}, CALL_TIMEOUT_S, json.dumps(document))
+        if isinstance(answer, Ok):
+            return Ok(True)
+        error = answer.err_value
+        return Ok(False) if error.kind is StoreErrorKind.CONFLICT else Err(error)
+
+    async def list_objects(
+        self, kind: str, *, may_lag: bool = False
+    ) -> Result[StoreChanges, StoreError]:
+        """Return all objects of a kind, and the revision from which to watch for changes.
+
+        With `may_lag` the answer comes from a replica, at a tenth of the price.
+        """
         events: list[ObjectEvent] = []
         revision: int | None = None
         after = ""
         for _ in range(MAX_PAGES):
-            answer = await self._call(kind, {"after": after} if after else {}, CALL_TIMEOUT_S)
+            query = {"after": after} if after else {}
+            if may_lag:
+                query["serializable"] = "1"
+            answer = await self._call(kind, query, CALL_TIMEOUT_S)
             if isinstance(answer, Err):
                 return answer
             page = answer.ok_value
@@ -89,19 +106,28 @@
             return Err(StoreError(StoreErrorKind.MALFORMED, f"watch of {kind}: {error!r}"))
 
     async def _call(
-        self, kind: str, query: dict[str, str], timeout_s: float
+        self, kind: str, query: dict[str, str], timeout_s: float, body: str | None = None
     ) -> Result[dict[str, Any], StoreError]:
         url = self._base + quote(kind, safe="")
         if query:
             url += "?" + urlencode(query)
-        request = HTTPRequest(url, connect_timeout=timeout_s, request_timeout=timeout_s)
+        request = HTTPRequest(
+            url,
+            method="GET" if body is None else "POST",
+            headers=None if body is None else {"Content-Type": "application/json"},
+            body=body,
+            connect_timeout=timeout_s,
+            request_timeout=timeout_s,
+        )
         try:
             response = await self._client.fetch(request)
             document = json.loads(response.body)
         except HTTPClientError as error:
             kind_of_error = StoreErrorKind.UNAVAILABLE
-            if error.code == GONE:
+            if error.code == HTTPStatus.GONE:
                 kind_of_error = StoreErrorKind.HISTORY_LOST
+            if error.code == HTTPStatus.CONFLICT:
+                kind_of_error = StoreErrorKind.CONFLICT
             return Err(StoreError(kind_of_error, f"{kind}: {error.code} {error.message}"))
         except OSError as error:
             return Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{kind}: {error!r}"))
--- a/amaranthbend/programs/node.py
+++ b/amaranthbend/programs/node.py
@@ -18,6 +18,7 @@
 from ..adapters.metrics import Counters
 from ..adapters.output import NonBlockingOutput
 from ..adapters.upstream import UpstreamClient
+from ..controllers.host_count import HostCount
 from ..controllers.node_state import ConfigurationState, UpstreamState, complete_policy
 from ..controllers.store_watch import StoreWatch, look_after
 from ..core.errors import SettingsError
@@ -120,6 +121,9 @@
             CONFIGURATION_NAME, decode_configuration, self.put_in_force, self.counters
         )
         self.upstreams = UpstreamState(decode_listing, self.dispatch, settings, self.counters)
+        self._policy: DeploymentPolicy | None = None
+        self._store = StoreClient(settings.store_address)
+        self.hosts = HostCount(self._store, settings.host_id, self.divide_budgets)
         self.admin = make_admin_server(
             AdminSources(
                 self.get_unreadiness,
@@ -131,11 +135,17 @@
 
     def put_in_force(self, version: int, policy: DeploymentPolicy, now: float) -> None:
         """Use a configuration from now on."""
-        complete = complete_policy(policy, self.settings)
+        self._policy = policy
+        complete = complete_policy(policy, self.settings, self.hosts.count)
         self.dispatch.set_policy(complete, now)
         self.routes.set_policy(complete)
         self.request_log.version = version
 
+    def divide_budgets(self, hosts: int, now: float) -> None:
+        """Divide the budgets of the deployment among another number of hosts."""
+        if self._policy is not None:
+            self.dispatch.set_policy(complete_policy(self._policy, self.settings, hosts), now)
+
     def get_unreadiness(self) -> str:
         """Return why the process should get no new connections, empty if it should."""
         if self.chain.is_draining:
@@ -161,13 +171,13 @@
 
     def follow_store(self) -> list["asyncio.Task[None]"]:
         """Start to follow configuration and upstreams, and return the tasks."""
-        store = StoreClient(self.settings.store_address)
         watches = [
-            StoreWatch(store, CONFIGURATION_KIND, self.configuration, self.counters),
-            StoreWatch(store, INSTANCES_KIND, self.upstreams, self.counters),
+            StoreWatch(self._store, CONFIGURATION_KIND, self.configuration, self.counters),
+            StoreWatch(self._store, INSTANCES_KIND, self.upstreams, self.counters),
         ]
         tasks = [asyncio.ensure_future(watch.run()) for watch in watches]
         tasks.append(asyncio.ensure_future(look_after(watches)))
+        tasks.append(asyncio.ensure_future(self.hosts.run()))
         return tasks
 
     async def sweep(self) -> None:
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -108,7 +108,8 @@
         if not await self._run(reader, fault):
             self.cancelled.append(request_id)
             return False
-        return self._finish(writer, fault, request_id, {**echo, **self._sign(request_id)})
+        fields = {**echo, **self._sign(request_id), **self._describe_self()}
+        return self._finish(writer, fault, request_id, fields)
 
     async def _run(self, reader: asyncio.StreamReader, fault: str) -> bool:
         """Hold a slot; return whether the caller is still there."""
@@ -118,6 +119,8 @@
             left = asyncio.ensure_future(reader.read(1))
             done, _ = await asyncio.wait({left}, timeout=duration_s)
             left.cancel()
+            # The reader serves one waiter at a time.
+            await asyncio.wait({left})
             return not done
         finally:
             self.running -= 1
