Show what each choice rests on, serve metrics, follow the settings file

Each request's line names the upstream, the requests it held, its slowdown and the age of that news; the metrics page has counters and latency histograms; the settings file is read again on SIGHUP and when it changes. Log output never blocks and counts what it drops.

--- a/amaranthbend/adapters/admin.py
+++ b/amaranthbend/adapters/admin.py
@@ -7,6 +7,8 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from .metrics_page import MetricsPage, MetricsPageHandler
+
 __all__ = ["AdminSources", "make_admin_server"]
 
 UNAVAILABLE = 503
@@ -54,13 +56,15 @@
         self.finish((problem or "ready") + "\n")
 
 
-def make_admin_server(sources: AdminSources) -> HTTPServer:
+def make_admin_server(sources: AdminSources, page: MetricsPage | None = None) -> HTTPServer:
     """Return a server that still has to listen.
 
     Parameters
     ----------
     sources : AdminSources
         Where the API finds what it shows.
+    page : MetricsPage or None
+        What `/metrics` shows, if anything.
     """
     handlers: list[Any] = [
         ("/livez", _ReadyHandler, {"source": lambda: ""}),
@@ -69,4 +73,6 @@
         ("/upstreamz", _JsonHandler, {"source": sources.get_upstreams}),
         ("/counterz", _JsonHandler, {"source": sources.get_counters}),
     ]
+    if page is not None:
+        handlers.append(("/metrics", MetricsPageHandler, {"page": page}))
     return HTTPServer(Application(handlers, log_function=lambda _handler: None))
--- a/amaranthbend/core/actions.py
+++ b/amaranthbend/core/actions.py
@@ -168,13 +168,14 @@
 
 
 class Send(NamedTuple):
-    """Send the request to an upstream."""
+    """Send the request to an upstream; `basis` tells in a log what the choice rests on."""
 
     request_id: int
     attempt: int
     upstream: str
     timeout_s: float
     retry_reason: RetryReason | None = None
+    basis: str = ""
 
 
 class Complete(NamedTuple):
@@ -190,11 +191,12 @@
 
 
 class Refuse(NamedTuple):
-    """Refuse the request, which has not run."""
+    """Refuse the request, which has not run; `basis` tells in a log what that rests on."""
 
     request_id: int
     reason: OutcomeReason
     retry_after_s: float
+    basis: str = ""
 
 
 class Cancel(NamedTuple):
--- a/amaranthbend/core/asked_dispatching.py
+++ b/amaranthbend/core/asked_dispatching.py
@@ -23,6 +23,7 @@
     choose_unasked,
     count_ahead,
     count_held,
+    describe_load,
     estimate_time,
 )
 from .attempts import RequestState, is_upstream_failure
@@ -257,6 +258,7 @@
 
     def _has_room_at(self, load: UpstreamLoad, record: RequestState, now: float) -> bool:
         """Return whether the queue at an upstream is short enough for a request."""
+        record.basis = describe_load(load, now)
         slots = self._router.slots if load.report is None else load.report.slots
         is_urgent = record.info.priority >= self._top_priority
         share = URGENT_QUEUE_SHARE if is_urgent else QUEUE_SHARE
@@ -286,12 +288,13 @@
     def _send(self, record: RequestState, load: UpstreamLoad, now: float) -> Send:
         """Start an attempt."""
         met = None
+        record.basis = describe_load(load, now)
         if load.report is not None:
             met = (count_held(load) + 1, load.report.slots, load.report.slowdown)
         send = super()._send(record, load, now)
         if met is not None:
             self._met[send.request_id, send.attempt] = met
-        return send
+        return send._replace(basis=record.basis)
 
     def _begin_seconds(self, now: float) -> list[Action]:
         """Ask upstreams for requests whose only attempt is slow."""
--- a/amaranthbend/core/asking.py
+++ b/amaranthbend/core/asking.py
@@ -22,6 +22,7 @@
     "choose_unasked",
     "count_ahead",
     "count_held",
+    "describe_load",
     "estimate_time",
 ]
 
@@ -88,6 +89,16 @@
     return time_s * REMOTE_FACTOR if load.is_remote else time_s
 
 
+def describe_load(load: UpstreamLoad, now: float) -> str:
+    """Return what is known of an upstream: requests held, slots, slowdown, age of the report."""
+    report = load.report
+    if report is None:
+        return f"{load.member.upstream}/unknown"
+    age_ms = int((now - load.report_at) * 1000)
+    held = f"{count_held(load)}of{report.slots}"
+    return f"{load.member.upstream}/{held}/{report.slowdown:g}x/{age_ms}ms"
+
+
 def is_busy(load: UpstreamLoad, now: float) -> bool:
     """Return whether the upstream was full or slow a moment ago."""
     report = load.report
--- a/amaranthbend/core/attempts.py
+++ b/amaranthbend/core/attempts.py
@@ -21,6 +21,7 @@
 
     __slots__ = (
         "attempts",
+        "basis",
         "fallback",
         "info",
         "may_have_run",
@@ -32,6 +33,8 @@
     def __init__(self, info: RequestInfo) -> None:
         self.info = info
         self.attempts = 0
+        # What the last decision on the request rests on, for the log.
+        self.basis = ""
         # Attempts in flight.
         self.running: set[int] = set()
         # Attempt whose failed but whole response is passed on if no other succeeds.
@@ -64,7 +67,7 @@
     request_id = record.info.request_id
     if record.may_have_run:
         return Complete(request_id, Outcome.UNKNOWN, reason)
-    return Refuse(request_id, reason, retry_after_s)
+    return Refuse(request_id, reason, retry_after_s, record.basis)
 
 
 def describe_failure(result: AttemptResult) -> OutcomeReason:
--- a/amaranthbend/filters/attempts.py
+++ b/amaranthbend/filters/attempts.py
@@ -66,9 +66,12 @@
         Where it is sent.
     dialect : Dialect
         Reads the response's header fields.
+    basis : str
+        What the choice of the upstream rests on, for the log.
     """
 
     __slots__ = (
+        "_basis",
         "_dialect",
         "_held",
         "_held_bytes",
@@ -95,8 +98,10 @@
         number: int,
         member: Member,
         dialect: Dialect,
+        basis: str = "",
     ) -> None:
         self.request = request
+        self._basis = basis
         self.number = number
         self.upstream = member.upstream
         self.sent_at = time.monotonic()
@@ -237,7 +242,8 @@
         self.stop_timer()
         duration_ms = (time.monotonic() - self.sent_at) * MS_PER_S
         cause = result.reason or result.http_status or ""
-        self.request.trace.append(f"{self.upstream}:{result.status}:{cause}:{duration_ms:.0f}ms")
+        where = self._basis or self.upstream
+        self.request.trace.append(f"{where}:{result.status}:{cause}:{duration_ms:.0f}ms")
         self._owner.finish_attempt(self, result)
 
     def stop_timer(self) -> None:
--- a/amaranthbend/filters/request_log.py
+++ b/amaranthbend/filters/request_log.py
@@ -5,6 +5,7 @@
 from ..adapters.caller import CallerRequest
 from ..adapters.logs import log_event
 from ..adapters.metrics import Counters
+from ..adapters.metrics_page import MetricsPage
 from ..core.backoff import TokenBucket
 from ..core.outcomes import Outcome
 
@@ -22,16 +23,21 @@
     ----------
     counters : Counters
         Where dropped lines are counted.
+    page : MetricsPage
+        Where durations are recorded.
     """
 
-    def __init__(self, counters: Counters) -> None:
+    def __init__(self, counters: Counters, page: MetricsPage) -> None:
         self._counters = counters
+        self._page = page
         self._bucket = TokenBucket(LINES_PER_S, LINES_PER_S, time.monotonic())
         # Version of the configuration in force.
         self.version = 0
 
     def write(self, request: CallerRequest, outcome: Outcome, reason: str, now: float) -> None:
         """Write the line, or count it as dropped when there are too many."""
+        if request.arrived_at:
+            self._page.observe(request.service, outcome, now - request.arrived_at)
         if not self._bucket.take(now):
             self._counters.incr("log.dropped")
             return
--- a/amaranthbend/filters/services.py
+++ b/amaranthbend/filters/services.py
@@ -179,7 +179,7 @@
             self._counters.incr(f"retry.{action.retry_reason}")
         member = self.members[action.upstream]
         dialect = self._settings.dialect
-        attempt = Attempt(self, request, action.attempt, member, dialect)
+        attempt = Attempt(self, request, action.attempt, member, dialect, action.basis)
         running.attempts[action.attempt] = attempt
         message = build_upstream_request(
             request,
@@ -215,6 +215,8 @@
     def _refuse(self, action: Refuse) -> None:
         request = self.running.pop(action.request_id).request
         request.is_sent = False
+        if action.basis:
+            request.trace.append(f"refused:{action.basis}")
         delay_s = action.retry_after_s * random.uniform(1.0, RETRY_AFTER_SPREAD)
         request.refuse(make_refusal(action.reason, delay_s))
 
--- a/amaranthbend/programs/node.py
+++ b/amaranthbend/programs/node.py
@@ -1,6 +1,7 @@
 """Node process: serves callers on a machine by itself, following the platform's store."""
 
 import asyncio
+import contextlib
 import gc
 import os
 import signal
@@ -16,6 +17,7 @@
 from ..adapters.caller_server import CallerServer
 from ..adapters.logs import log_event, set_up_logs
 from ..adapters.metrics import Counters
+from ..adapters.metrics_page import MetricsPage
 from ..adapters.output import NonBlockingOutput
 from ..adapters.upstream import UpstreamClient
 from ..controllers.host_count import HostCount
@@ -56,6 +58,8 @@
 # A caller that neither sends nor takes anything for this long is cut off.
 STALL_TIMEOUT_S = 30.0
 SWEEP_S = 1.0
+# The settings file may change without a signal.
+SETTINGS_POLL_S = 2.0
 STOP_POLL_S = 0.02
 # Time at the end for requests that were on their way when the process decided to leave; within
 # the margin that the shutdown plan keeps before the kill.
@@ -64,6 +68,20 @@
 COLLECTION_THRESHOLDS = (20_000, 20, 20)
 
 
+# Settings that are used once, at the start.
+FIXED_SETTINGS = frozenset(
+    {
+        "host_id",
+        "data_centre",
+        "caller_address",
+        "readiness_address",
+        "readiness_path",
+        "store_address",
+        "drain_s",
+    }
+)
+
+
 class _ReadinessHandler(RequestHandler):
     """Answers the platform's question whether the process takes new connections."""
 
@@ -101,7 +119,8 @@
         self.dispatch = DispatchFilter(client, self.counters, dispatch_settings)
         self.routes = RouteMatch()
         self.gate = ShutdownGate()
-        self.request_log = RequestLog(self.counters)
+        page = MetricsPage(self.counters)
+        self.request_log = RequestLog(self.counters, page)
         self.chain = FilterChain(
             (InputChecks(), self.gate, self.routes, IdempotencyAndDeadline(dialect)),
             (self.dispatch,),
@@ -130,7 +149,8 @@
                 lambda: {"version": self.configuration.version},
                 lambda: self.dispatch.snapshot(time.monotonic()),
                 self.counters.list_all,
-            )
+            ),
+            page,
         )
 
     def put_in_force(self, version: int, policy: DeploymentPolicy, now: float) -> None:
@@ -180,11 +200,31 @@
         tasks.append(asyncio.ensure_future(self.hosts.run()))
         return tasks
 
-    async def sweep(self) -> None:
-        """Cut off stalled connections, until cancelled."""
+    def replace_settings(self, settings: NodeSettings, now: float) -> None:
+        """Use other settings from now on; addresses stay until the process starts anew."""
+        changed = [
+            name
+            for name, before, after in zip(settings._fields, self.settings, settings, strict=True)
+            if before != after
+        ]
+        self.counters.incr("settings.reloaded")
+        log_event(
+            "settings_reloaded",
+            changed=",".join(changed),
+            needs_restart=",".join(name for name in changed if name in FIXED_SETTINGS),
+        )
+        self.settings = settings
+        self.divide_budgets(self.hosts.count, now)
+
+    async def sweep(self, output: NonBlockingOutput) -> None:
+        """Cut off stalled connections and count dropped log lines, until cancelled."""
+        dropped = 0
         while True:
             await asyncio.sleep(SWEEP_S)
             now = time.monotonic()
+            self.counters.incr("log.dropped", output.dropped - dropped)
+            dropped = output.dropped
+            output.flush()
             self.dispatch.cut_stalled(now)
             self.server.close_stalled(STALL_TIMEOUT_S, now)
 
@@ -214,13 +254,46 @@
             await asyncio.sleep(STOP_POLL_S)
 
 
-async def serve(settings: NodeSettings, metrics_address: str, output: NonBlockingOutput) -> None:
+def read_modification_time(file: str) -> float:
+    """Return when a file was changed last, 0 while it cannot be read."""
+    try:
+        return os.stat(file).st_mtime
+    except OSError:
+        return 0.0
+
+
+async def follow_settings(process: NodeProcess, file: str, signalled: asyncio.Event) -> None:
+    """Read the settings again after SIGHUP and when the file has changed without a signal."""
+    modified_at = read_modification_time(file)
+    while True:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(signalled.wait(), SETTINGS_POLL_S)
+        found_at = read_modification_time(file)
+        if not signalled.is_set() and found_at == modified_at:
+            continue
+        signalled.clear()
+        modified_at = found_at
+        try:
+            settings = load_node_settings(file)
+        except SettingsError as error:
+            # The file may be half written; the settings in force stay.
+            process.counters.incr("settings.rejected")
+            log_event("settings_invalid", error=error)
+            continue
+        process.replace_settings(settings, time.monotonic())
+
+
+async def serve(
+    settings: NodeSettings, file: str, metrics_address: str, output: NonBlockingOutput
+) -> None:
     """Serve until SIGTERM or SIGINT.
 
     Parameters
     ----------
     settings : NodeSettings
         Process settings.
+    file : str
+        Path of their file.
     metrics_address : str
         `address:port` of the administration API, empty for none.
     output : NonBlockingOutput
@@ -230,7 +303,8 @@
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, log_event, "settings_signal")
+    signalled = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, signalled.set)
     process = NodeProcess(settings)
     gc.collect()
     gc.freeze()
@@ -240,7 +314,8 @@
         host, port = split_address(metrics_address)
         process.admin.listen(port, host)
     tasks = process.follow_store()
-    tasks.append(asyncio.ensure_future(process.sweep()))
+    tasks.append(asyncio.ensure_future(process.sweep(output)))
+    tasks.append(asyncio.ensure_future(follow_settings(process, file, signalled)))
     await stopped.wait()
     await process.shut_down()
     for task in tasks:
@@ -272,7 +347,7 @@
         return
     output = NonBlockingOutput(sys.stdout.fileno())
     logging.get_absl_handler().python_handler.stream = output
-    asyncio.run(serve(loaded, metrics, output))
+    asyncio.run(serve(loaded, file, metrics, output))
     # Skips the teardown of libraries, which takes longer than all of the shutdown's last step.
     os._exit(0)
 
