Earn probes by requests, and wait for the other attempt after a 500

And a 500 of the second attempt cancelled the first one, which still ran. Ruled out: full instances; 5 of 6 slots and 12x are reports of 1 to 3 instances.

--- a/amaranthbend/core/asked_dispatching.py
+++ b/amaranthbend/core/asked_dispatching.py
@@ -141,7 +141,7 @@
         actions = super().set_members(members, now)
         for upstream in self._silences.keys() - self._loads.keys():
             del self._silences[upstream]
-        self._asks.set_upstreams(self._policy.name, len(self._loads), now)
+        self._asks.set_upstreams(self._policy.name, len(self._loads))
         return actions
 
     def set_policy(self, policy: ServicePolicy, processes: int, now: float) -> list[Action]:
@@ -173,6 +173,9 @@
     def _enqueue(self, record: RequestState, now: float) -> list[Action]:
         """Ask the first upstreams for a request."""
         record.asked_since = now - SHARED_ANSWER_S
+        if record.attempts == 0:
+            held = sum(count_held(load) for load in self._loads.values() if load.usable)
+            self._asks.earn(self._policy.name, held, self._ejector.mean_s)
         return self._ask(record, frozenset(), 1, False, now)
 
     def _ask(
@@ -187,7 +190,7 @@
         policy = self._rounds.policy
         avoid = asked | record.tried
         loads = self._router.list_loads()
-        most = self._count_asks(number, now)
+        most = self._count_asks(number)
         candidates = choose_candidates(loads, policy, avoid, most, self._draw, now)
         if not candidates and not asked and not is_second:
             # All were tried before; a new attempt at one of them is better than none.
@@ -196,18 +199,18 @@
             return [] if record.running else self._end_asking(record, asked, now)
         ask_round = AskRound(record.info.request_id, candidates, asked, number, is_second, now)
         probes = self._rounds.begin(ask_round, now)
-        self._asks.spend(len(probes), now)
+        self._asks.spend(len(probes))
         return [Probe(upstream) for upstream in probes]
 
-    def _count_asks(self, number: int, now: float) -> int:
+    def _count_asks(self, number: int) -> int:
         """Return how many upstreams a round may ask; further rounds only with many probes saved."""
         most = self._rounds.policy.near + self._rounds.policy.far
-        saved_share = self._asks.measure_saved(now)
+        saved_share = self._asks.measure_saved()
         if number > 1 and saved_share < AMPLE_SHARE:
             return 0
         # Two answers bring most of the gain, so that scarce probes are spread over the requests.
         wanted = max(LEAST_ASKED, math.ceil(most * min(1.0, saved_share / SCARCE_SHARE)))
-        return int(min(most, wanted, self._asks.count(now)))
+        return int(min(most, wanted, self._asks.count()))
 
     def _drain(self, now: float) -> list[Action]:
         """Decide the rounds that have their answers."""
@@ -293,6 +296,8 @@
         if load.report is not None:
             met = (count_held(load) + 1, load.report.slots, load.report.slowdown)
         send = super()._send(record, load, now)
+        if send.attempt == 1:
+            self._asks.note_send()
         if met is not None:
             self._met[send.request_id, send.attempt] = met
         return send._replace(basis=record.basis)
--- a/amaranthbend/core/asking.py
+++ b/amaranthbend/core/asking.py
@@ -10,7 +10,6 @@
 from collections.abc import Collection, Sequence
 
 from .actions import UpstreamState
-from .backoff import TokenBucket
 from .policy import AskPolicy
 from .routing import UpstreamLoad
 from .saturation import NEARLY_FULL_SHARE
@@ -42,10 +41,16 @@
 COLD_FACTOR = 2.0
 # Slowdown of a nearly full upstream as far as it is not measured yet.
 NEARLY_FULL_FACTOR = 1.5
-# Part of the probes of the deployment that is spent; hosts get uneven shares of the requests.
-BUDGET_SHARE = 0.95
-# Time for which unspent probes are saved up.
-SAVED_S = 15.0
+# Part of the allowed probes that is spent; the demand is an estimate.
+BUDGET_SHARE = 0.8
+# Probes that a host can save up, some seconds of a peak; and those that a new process has, which
+# may have spent as many just before it was restarted.
+MOST_SAVED = 1000.0
+START_SHARE = 0.3
+# Probes that one request earns at most: as many as it can ask.
+MOST_EARNED = 12.0
+# Counts of submitted and sent requests cover about the last hundred.
+COUNT_DECAY = 0.99
 # Weight of the observed share of failures: a failure costs the caller far more than waiting.
 FAILURE_WEIGHT = 8.0
 
@@ -165,51 +170,67 @@
 class AskBudget:
     """Limits probes before attempts to what upstreams should bear from all hosts together.
 
-    Unspent probes are saved up, since the limit holds on average, and a peak needs more.
+    Load pattern: requests are spread unevenly over the hosts, and one host may get all of a
+    data centre's while others restart. Equal shares would leave it blind. So each request earns
+    probes in proportion to what the deployment's requests leave for it; their rate follows from
+    Little's law, as requests held at the upstreams over the mean time that they stay. Unspent
+    probes are saved up, since the limit holds on average, and a peak needs more.
     """
 
     def __init__(self) -> None:
         self._per_upstream = 0.0
-        self._hosts = 1
-        self._counts: dict[str, int] = {}
-        self._bucket: TokenBucket | None = None
-
-    def set_limit(self, per_upstream: float, hosts: int, now: float) -> None:
-        """Set the probes to one upstream in a second, and the hosts that share them."""
+        self._upstreams: dict[str, int] = {}
+        # Estimated requests a second of all hosts, by service.
+        self._demands: dict[str, float] = {}
+        self._saved = START_SHARE * MOST_SAVED
+        self._submitted = 1.0
+        self._sent = 1.0
+
+    def set_limit(self, per_upstream: float) -> None:
+        """Set the probes to one upstream in a second on average; 0 for no limit."""
         self._per_upstream = per_upstream
-        self._hosts = max(1, hosts)
-        self._update(now)
 
-    def set_upstreams(self, service: str, count: int, now: float) -> None:
+    def set_upstreams(self, service: str, count: int) -> None:
         """Set how many upstreams a service has."""
-        self._counts[service] = count
-        self._update(now)
+        self._upstreams[service] = count
+
+    def note_send(self) -> None:
+        """Record that a request was sent; refused ones ask too, but hold nothing anywhere."""
+        self._sent += 1.0
+
+    def earn(self, service: str, held: int, stay_s: float) -> None:
+        """Record a new request, and save up the probes that it may spend.
+
+        Parameters
+        ----------
+        service : str
+            Service of the request.
+        held : int
+            Requests that all upstreams of the service hold.
+        stay_s : float
+            Mean time that a request stays there.
+        """
+        self._submitted = 1.0 + COUNT_DECAY * self._submitted
+        self._sent *= COUNT_DECAY
+        self._demands[service] = max(1.0, held) / max(stay_s, 0.001)
+        if not self._per_upstream:
+            return
+        asked_share = max(1.0, self._submitted / max(1.0, self._sent))
+        demand = sum(self._demands.values()) * asked_share
+        allowed = BUDGET_SHARE * self._per_upstream * sum(self._upstreams.values())
+        self._saved = min(MOST_SAVED, self._saved + min(MOST_EARNED, allowed / demand))
 
-    def count(self, now: float) -> float:
+    def count(self) -> float:
         """Return how many probes are left; infinite without a limit."""
-        return math.inf if self._bucket is None else self._bucket.count(now)
+        return self._saved if self._per_upstream else math.inf
 
-    def measure_saved(self, now: float) -> float:
+    def measure_saved(self) -> float:
         """Return the part of the probes that can be saved up which is left, 0 to 1."""
-        if self._bucket is None:
-            return 1.0
-        return self._bucket.count(now) / max(1.0, self._bucket.burst)
+        return self._saved / MOST_SAVED if self._per_upstream else 1.0
 
-    def spend(self, probes: int, now: float) -> None:
+    def spend(self, probes: int) -> None:
         """Record probes."""
-        if self._bucket is None:
-            return
-        for _ in range(probes):
-            self._bucket.take(now)
-
-    def _update(self, now: float) -> None:
-        if self._per_upstream <= 0.0 or not any(self._counts.values()):
-            self._bucket = None
-            return
-        rate = BUDGET_SHARE * self._per_upstream * sum(self._counts.values()) / self._hosts
-        if self._bucket is None:
-            self._bucket = TokenBucket(rate, rate, now)
-        self._bucket.set_rate(rate, SAVED_S * rate, now)
+        self._saved = max(0.0, self._saved - probes)
 
 
 def choose_unasked(
--- a/amaranthbend/core/dispatching.py
+++ b/amaranthbend/core/dispatching.py
@@ -393,7 +393,8 @@
         if not proves_not_run(result.status):
             record.may_have_run = True
         reason = decide_retry(request, result, record.attempts, self._policy.retries, now)
-        if is_answer and reason is None:
+        is_failure = is_upstream_failure(result)
+        if is_answer and not (is_failure and record.running) and reason is None:
             return self._complete(record, attempt)
         if is_answer:
             record.fallback = attempt
--- a/amaranthbend/filters/dispatch.py
+++ b/amaranthbend/filters/dispatch.py
@@ -74,7 +74,7 @@
             (service.asking.asks_per_s for service in policy.services.values() if service.asking),
             default=0.0,
         )
-        self._ask_budget.set_limit(asks_per_s, processes, now)
+        self._ask_budget.set_limit(asks_per_s)
         probing = divide_budget(policy.probing, max(1, len(policy.services)))
         for name, service_policy in policy.services.items():
             service = self.services.get(name)
