--- a/amaranthbend/core/asked_dispatching.py
+++ b/amaranthbend/core/asked_dispatching.py
@@ -46,7 +46,7 @@
 QUEUE_SHARE = 0.34
 # Part of the saved probes below which requests ask only once, and below which they ask fewer
 # upstreams.
-AMPLE_SHARE = 0.4
+AMPLE_SHARE = 0.8
 SCARCE_SHARE = 0.1
 LEAST_ASKED = 2
 # A second attempt pays only on an upstream that will probably finish sooner than the first.
--- a/amaranthbend/core/asking.py
+++ b/amaranthbend/core/asking.py
@@ -41,11 +41,11 @@
 COLD_FACTOR = 2.0
 # Slowdown of a nearly full upstream as far as it is not measured yet.
 NEARLY_FULL_FACTOR = 1.5
-# Part of the allowed probes that is spent; the demand is an estimate.
-BUDGET_SHARE = 0.8
+# Part of the allowed probes that is earned; a sustained peak spends no more than is allowed.
+BUDGET_SHARE = 1.0
 # Probes that a host can save up, some seconds of a peak; and those that a new process has, which
 # may have spent as many just before it was restarted.
-MOST_SAVED = 1000.0
+MOST_SAVED = 1500.0
 START_SHARE = 0.3
 # Probes that one request earns at most: as many as it can ask.
 MOST_EARNED = 12.0
