Share the start of the server programs, and name what follows the store

No change of behaviour: collections, signals and the exit code come from programs/runtime.py; the classes that follow the store no longer share their names with the enumeration of upstream states; an unused setting is gone.

--- a/amaranthbend/controllers/node_state.py
+++ b/amaranthbend/controllers/store_followers.py
@@ -13,7 +13,7 @@
 from ..filters.dispatch import DispatchFilter
 from ..settings.node import NodeSettings
 
-__all__ = ["ConfigurationState", "UpstreamState", "complete_policy"]
+__all__ = ["ConfigurationFollower", "UpstreamFollower", "complete_policy"]
 
 # Part of the shared ratio that is spent; requests of a window may end in the next one.
 RATIO_SHARE = 0.75
@@ -54,7 +54,7 @@
     return policy._replace(services=services, entry_hosts_max=hosts)
 
 
-class ConfigurationState:
+class ConfigurationFollower:
     """Puts stored configurations in force, never an older one after a newer one.
 
     Parameters
@@ -121,7 +121,7 @@
         )
 
 
-class UpstreamState:
+class UpstreamFollower:
     """Keeps the dispatchers' members in step with the registry.
 
     Parameters
--- a/amaranthbend/core/asked_dispatching.py
+++ b/amaranthbend/core/asked_dispatching.py
@@ -49,8 +49,10 @@
 AMPLE_SHARE = 0.8
 SCARCE_SHARE = 0.1
 LEAST_ASKED = 2
-# A second attempt pays only on an upstream that will probably finish sooner than the first.
-SECOND_GAIN = 0.8
+# Part of the expected time that has to be left before the deadline. Runs vary, so that a first
+# attempt is worth a risk; a second one draws on a shared budget.
+FIRST_TIME_SHARE = 0.5
+SECOND_TIME_SHARE = 0.8
 
 
 class AskedDispatcher(Dispatcher):
@@ -89,10 +91,12 @@
         assert policy.asking is not None
         self._rounds = AskRounds(policy.asking)
         self._draw = random.Random(seed)
+        # Probes in a row that brought nothing, by upstream; those that answered are not listed.
         self._silences: dict[str, int] = {}
         # Times at which requests in flight may get a second attempt.
         self._seconds: list[tuple[float, int]] = []
-        self._top_priority = -(10**9)
+        # Priority of the most urgent request seen so far.
+        self._top_priority = -math.inf
         self._profile = OccupancyProfile()
         # What an attempt met when it was sent: requests held with it, slots, slowdown.
         self._met: dict[tuple[int, int], tuple[int, int, float]] = {}
@@ -125,8 +129,8 @@
         load = self._loads.get(upstream)
         if load is not None:
             failures = self._silences.get(upstream, 0)
-            self._silences[upstream] = min(8, failures + 1)
-            pause_s = min(SILENCE_PAUSE_MAX_S, SILENCE_PAUSE_S * 2.0**failures)
+            self._silences[upstream] = failures + 1
+            pause_s = min(SILENCE_PAUSE_MAX_S, SILENCE_PAUSE_S * 2.0 ** min(failures, 8))
             load.paused_until = max(load.paused_until, now + pause_s)
         self._rounds.note_end(upstream)
         return super().probe_failed(upstream, now)
@@ -269,8 +273,8 @@
         best = self._profile.find_best(slots)
         if count_ahead(load, best) > share * best:
             return False
-        wait_s = estimate_time(load, slots, self._ejector.mean_s, now)
-        return now + 0.5 * wait_s < record.info.deadline
+        time_s = estimate_time(load, slots, self._ejector.mean_s, now)
+        return now + FIRST_TIME_SHARE * time_s < record.info.deadline
 
     def _send_first(self, record: RequestState, load: UpstreamLoad, now: float) -> Action:
         """Send an attempt, and plan a second one for the case that it is slow."""
@@ -325,7 +329,7 @@
         if not self._may_send_second(record) or count_ahead(load, best) > 0:
             return []
         time_s = estimate_time(load, slots, self._ejector.mean_s, now)
-        if now + SECOND_GAIN * time_s >= info.deadline or not self._budget.take(now):
+        if now + SECOND_TIME_SHARE * time_s >= info.deadline or not self._budget.take(now):
             return []
         record.retry_reason = RetryReason.SLOW_ATTEMPT
         return [self._send(record, load, now)]
--- a/amaranthbend/platform/settings.py
+++ b/amaranthbend/platform/settings.py
@@ -49,7 +49,6 @@
         store_address=reader.get_address("platform.platform.address"),
         grace_s=reader.get_duration("terms.bounds.gracePeriod", 6.0),
         drain_s=reader.get_duration("terms.bounds.drainPeriod", 2.0),
-        heartbeat_s=reader.get_duration("platform.heartbeat", 1.5),
         retry_ratio=reader.get_number("terms.bounds.retryBudgetRatio", 0.1),
         retry_slack=reader.get_number("terms.bounds.retryBudgetSlack", 0.0),
         probes_per_s=reader.get_number("terms.bounds.probesPerS", 0.0),
--- a/amaranthbend/programs/entry.py
+++ b/amaranthbend/programs/entry.py
@@ -1,7 +1,6 @@
 """Entry process: serves callers through a chain of filters."""
 
 import asyncio
-import gc
 import time
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
@@ -31,7 +30,7 @@
 from ..rpc.messages import MembersByService
 from ..settings.acceptance import Approvers, accept_envelope
 from ..settings.process import EntrySettings
-from .runtime import load_or_exit, make_stop_event
+from .runtime import load_or_exit, make_stop_event, spare_collections
 
 __all__ = ["EntryProcess", "main"]
 
@@ -43,8 +42,6 @@
 # end of its connection for a cancellation.
 UPSTREAM_LINGER_S = 0.5
 BACKLOG = 1024
-# New container objects between two collections of the youngest generation; some 100 requests.
-COLLECTION_THRESHOLDS = (20_000, 20, 20)
 PLATFORM_CLIENTS = 32
 # Has to exceed the process's share of the claim writes, which is the real limit.
 PLATFORM_CALLS_PER_S = 200.0
@@ -267,11 +264,7 @@
     process = EntryProcess(settings)
     link = make_link(process)
     process.dispatch.note_probe = link.count_probe
-    # Objects of the start live as long as the process; later collections skip them and run
-    # rarely, since each one delays every request that is under way.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*COLLECTION_THRESHOLDS)
+    spare_collections()
     process.listen()
     tasks = [
         asyncio.ensure_future(link.run()),
--- a/amaranthbend/programs/node.py
+++ b/amaranthbend/programs/node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import gc
 import os
 import signal
 import sys
@@ -21,7 +20,11 @@
 from ..adapters.output import NonBlockingOutput
 from ..adapters.upstream import UpstreamClient
 from ..controllers.host_count import HostCount
-from ..controllers.node_state import ConfigurationState, UpstreamState, complete_policy
+from ..controllers.store_followers import (
+    ConfigurationFollower,
+    UpstreamFollower,
+    complete_policy,
+)
 from ..controllers.store_watch import StoreWatch, look_after
 from ..core.errors import SettingsError
 from ..core.policy import DeploymentPolicy
@@ -45,10 +48,10 @@
 from ..platform.settings import find_settings_file, load_node_settings
 from ..platform.store import StoreClient
 from ..settings.node import NodeSettings
+from .runtime import EXIT_BAD_SETTINGS, make_stop_event, spare_collections
 
 __all__ = ["NodeProcess", "main"]
 
-EXIT_BAD_SETTINGS = 2
 BACKLOG = 1024
 # Bodies up to this size are held whole, so that they can be sent again.
 HELD_BODY_BYTES = 1024 * 1024
@@ -64,8 +67,6 @@
 # Time at the end for requests that were on their way when the process decided to leave; within
 # the margin that the shutdown plan keeps before the kill.
 LAST_REFUSALS_S = 0.2
-# New container objects between two collections of the youngest generation; some 100 requests.
-COLLECTION_THRESHOLDS = (20_000, 20, 20)
 
 
 # Settings that are used once, at the start.
@@ -136,10 +137,10 @@
                 log_function=lambda _handler: None,
             )
         )
-        self.configuration = ConfigurationState(
+        self.configuration = ConfigurationFollower(
             CONFIGURATION_NAME, decode_configuration, self.put_in_force, self.counters
         )
-        self.upstreams = UpstreamState(decode_listing, self.dispatch, settings, self.counters)
+        self.upstreams = UpstreamFollower(decode_listing, self.dispatch, settings, self.counters)
         self._policy: DeploymentPolicy | None = None
         self._store = StoreClient(settings.store_address)
         self.hosts = HostCount(self._store, settings.host_id, self.divide_budgets)
@@ -300,15 +301,11 @@
         Where logs go.
     """
     loop = asyncio.get_running_loop()
-    stopped = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
+    stopped = make_stop_event()
     signalled = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, signalled.set)
     process = NodeProcess(settings)
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*COLLECTION_THRESHOLDS)
+    spare_collections()
     process.listen()
     if metrics_address:
         host, port = split_address(metrics_address)
--- a/amaranthbend/programs/runtime.py
+++ b/amaranthbend/programs/runtime.py
@@ -1,6 +1,7 @@
-"""What both server programs do at the start: settings and signals."""
+"""What the server programs do at the start: settings, signals and memory."""
 
 import asyncio
+import gc
 import signal
 import sys
 from typing import TypeVar
@@ -9,9 +10,11 @@
 from ..core.errors import SettingsError
 from ..settings.process import load_process_settings
 
-__all__ = ["load_or_exit", "make_stop_event"]
+__all__ = ["EXIT_BAD_SETTINGS", "load_or_exit", "make_stop_event", "spare_collections"]
 
 EXIT_BAD_SETTINGS = 2
+# New container objects between two collections of the youngest generation; some 100 requests.
+COLLECTION_THRESHOLDS = (20_000, 20, 20)
 
 T = TypeVar("T")
 
@@ -25,6 +28,16 @@
     return stopped
 
 
+def spare_collections() -> None:
+    """Keep garbage collections rare and short, since each one delays all requests under way.
+
+    Objects of the start live as long as the process; later collections skip them.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTION_THRESHOLDS)
+
+
 def load_or_exit(file: str, kind: type[T]) -> T:
     """Return the process settings in a file; log the error and exit if they are not valid.
 
--- a/amaranthbend/settings/node.py
+++ b/amaranthbend/settings/node.py
@@ -26,8 +26,6 @@
         Time from SIGTERM until the process is killed.
     drain_s : float
         Time for which a leaving upstream still serves after its departure is known.
-    heartbeat_s : float
-        Interval at which upstreams register themselves.
     retry_ratio : float
         Retries of the deployment allowed as a share of its requests.
     retry_slack : float
@@ -44,7 +42,6 @@
     store_address: str
     grace_s: float
     drain_s: float
-    heartbeat_s: float
     retry_ratio: float
     retry_slack: float
     probes_per_s: float
--- a/tests/node_cases.py
+++ b/tests/node_cases.py
@@ -132,7 +132,6 @@
         store_address=f"{ADDRESS}:{store_port}",
         grace_s=6.0,
         drain_s=2.0,
-        heartbeat_s=1.5,
         retry_ratio=1.0,
         retry_slack=160.0,
         probes_per_s=60.0,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -97,7 +97,8 @@
     settings = load_node_settings(str(file))
     assert settings.data_centre == "huye"
     assert settings.store_address == "127.0.0.1:8169"
-    assert (settings.grace_s, settings.drain_s, settings.heartbeat_s) == (6.0, 2.0, 1.5)
+    assert (settings.grace_s, settings.drain_s) == (6.0, 2.0)
+    assert (settings.retry_ratio, settings.retry_slack, settings.probes_per_s) == (0.2, 56.0, 60.0)
 
 
 @pytest.mark.parametrize(
