Start the node process without the settings parser

Ruled out: a stale build; lark is not in deploy/requirements.txt. The signals and memory settings moved to programs/startup.py; a test compares what the program imports with deploy/requirements.txt and failed first.

--- a/amaranthbend/programs/entry.py
+++ b/amaranthbend/programs/entry.py
@@ -30,7 +30,8 @@
 from ..rpc.messages import MembersByService
 from ..settings.acceptance import Approvers, accept_envelope
 from ..settings.process import EntrySettings
-from .runtime import load_or_exit, make_stop_event, spare_collections
+from .runtime import load_or_exit
+from .startup import make_stop_event, spare_collections
 
 __all__ = ["EntryProcess", "main"]
 
--- a/amaranthbend/programs/node.py
+++ b/amaranthbend/programs/node.py
@@ -48,7 +48,7 @@
 from ..platform.settings import find_settings_file, load_node_settings
 from ..platform.store import StoreClient
 from ..settings.node import NodeSettings
-from .runtime import EXIT_BAD_SETTINGS, make_stop_event, spare_collections
+from .startup import EXIT_BAD_SETTINGS, make_stop_event, spare_collections
 
 __all__ = ["NodeProcess", "main"]
 
--- /dev/null
+++ b/amaranthbend/programs/startup.py
@@ -0,0 +1,33 @@
+"""What all server programs do at the start: signals and memory.
+
+Imports nothing of the settings parser, which the node process does without.
+"""
+
+import asyncio
+import gc
+import signal
+
+__all__ = ["EXIT_BAD_SETTINGS", "make_stop_event", "spare_collections"]
+
+EXIT_BAD_SETTINGS = 2
+# New container objects between two collections of the youngest generation; some 100 requests.
+COLLECTION_THRESHOLDS = (20_000, 20, 20)
+
+
+def make_stop_event() -> asyncio.Event:
+    """Return an event that SIGTERM and SIGINT set, in the running event loop."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    return stopped
+
+
+def spare_collections() -> None:
+    """Keep garbage collections rare and short, since each one delays all requests under way.
+
+    Objects of the start live as long as the process; later collections skip them.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTION_THRESHOLDS)
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -2,7 +2,7 @@
 
 import tornado.web
 
-from amaranthbend.programs.runtime import make_stop_event
+from amaranthbend.programs.startup import make_stop_event
 
 __all__ = ["serve"]
 
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -208,3 +208,27 @@
     finally:
         os.close(reading)
         os.close(writing)
+
+
+def test_imports_only_what_a_machine_has() -> None:
+    """Guards against a process that does not start for want of a library.
+
+    Seen on the bench (hunt 86c2, 40 days): a shared module brought in the settings parser,
+    whose library deploy/requirements.txt does not list.
+    """
+    listed = (Path(__file__).parent.parent / "deploy" / "requirements.txt").read_text()
+    code = (
+        "import sys, importlib.metadata as m; before = set(sys.modules); "
+        "import amaranthbend.programs.node; "
+        "tops = {name.partition('.')[0] for name in set(sys.modules) - before}; "
+        "found = m.packages_distributions(); "
+        "print(*sorted({d for t in tops for d in found.get(t, ())}))"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True, timeout=60
+    )
+    names = {line.partition(">=")[0] for line in listed.splitlines() if not line.startswith("#")}
+    loaded = {name.replace("_", "-") for name in done.stdout.split()}
+    # What the listed ones need in turn, and this project itself.
+    indirect = {"amaranthbend", "termcolor", "certifi", "setuptools"}
+    assert loaded - names - indirect == set()
