Give the ends of requests a module of their own, and share what was written twice

One check of an upstream's own limits, one choice by expected time, one count of allowed attempts, one test for an upstream's failure, one reader of addresses and one way from a bad setting to its error, where each stood twice or three times. Gone: the unused counts of TokenBucket, a share of 1, the time of a failure that only served as a flag. Pages no longer say that probes and connections are divided by hosts. A test of the registry's timer now asks for the exact answer.

--- a/amaranthbend/controllers/store_followers.py
+++ b/amaranthbend/controllers/store_followers.py
@@ -39,7 +39,7 @@
     settings : NodeSettings
         Process settings.
     hosts : int
-        Hosts among which retries, probes and connections of the deployment are divided.
+        Hosts among which the retries of the deployment are divided.
     """
     ratio = settings.retry_ratio * RATIO_SHARE
     burst = max(1.0, settings.retry_slack / hosts)
--- a/amaranthbend/controllers/store_watch.py
+++ b/amaranthbend/controllers/store_watch.py
@@ -108,7 +108,7 @@
         was_reachable = plan.is_reachable
         if isinstance(answer, Err):
             error = answer.err_value
-            pause_s = plan.note_failure(error, now)
+            pause_s = plan.note_failure(error)
             self._counters.incr(f"store.failures.{error.kind}")
             if was_reachable:
                 log_event(
--- a/amaranthbend/core/asked_dispatching.py
+++ b/amaranthbend/core/asked_dispatching.py
@@ -31,6 +31,7 @@
 from .dispatching import Dispatcher
 from .outcomes import OutcomeReason, RetryReason
 from .policy import ProbePolicy, ServicePolicy
+from .retries import count_attempts_allowed
 from .routing import UpstreamLoad
 from .saturation import OccupancyProfile
 
@@ -220,7 +221,7 @@
         """Decide the rounds that have their answers."""
         actions: list[Action] = []
         for ask_round in self._rounds.pop_decided(now):
-            record = self._requests.get(ask_round.request_id)
+            record = self._book.get(ask_round.request_id)
             if record is not None:
                 actions += self._decide(record, ask_round, now)
         return actions
@@ -229,7 +230,9 @@
         """Send to the best candidate, ask others, or refuse."""
         if now >= record.info.deadline:
             return (
-                [] if record.running else self._give_up(record, OutcomeReason.DEADLINE_UNREACHABLE)
+                []
+                if record.running
+                else self._book.give_up(record, OutcomeReason.DEADLINE_UNREACHABLE)
             )
         load = ask_round.choose(self._router.slots, self._ejector.mean_s, now)
         if load is not None and ask_round.is_second:
@@ -248,22 +251,21 @@
         On a machine that is slow itself, all answers come too late to decide; and the probes of
         a long peak are limited.
         """
-        if any(load.report_at >= record.asked_since for load in self._list_loads(asked)):
-            return self._give_up(record, OutcomeReason.CONCURRENCY_LIMIT)
+        if any(
+            self._loads[name].report_at >= record.asked_since for name in asked & self._loads.keys()
+        ):
+            return self._book.give_up(record, OutcomeReason.CONCURRENCY_LIMIT)
         # An upstream that was silent when it was asked last is no choice without asking again.
         avoid = record.tried | self._silences.keys()
         load = choose_unasked(
             self._router.list_loads(), avoid, self._router.slots, self._ejector.mean_s, now
         )
         if load is None:
-            return self._give_up(record, OutcomeReason.UPSTREAM_UNREACHABLE)
+            return self._book.give_up(record, OutcomeReason.UPSTREAM_UNREACHABLE)
         if not self._has_room_at(load, record, now):
-            return self._give_up(record, OutcomeReason.CONCURRENCY_LIMIT)
+            return self._book.give_up(record, OutcomeReason.CONCURRENCY_LIMIT)
         return [self._send_first(record, load, now)]
 
-    def _list_loads(self, upstreams: frozenset[str]) -> list[UpstreamLoad]:
-        return [self._loads[name] for name in upstreams if name in self._loads]
-
     def _has_room_at(self, load: UpstreamLoad, record: RequestState, now: float) -> bool:
         """Return whether the queue at an upstream is short enough for a request."""
         record.basis = describe_load(load, now)
@@ -288,9 +290,7 @@
 
     def _may_send_second(self, record: RequestState) -> bool:
         """Return whether the only attempt in flight may get another one beside it."""
-        most = record.info.max_attempts
-        if most is None:
-            most = self._policy.retries.max_attempts
+        most = count_attempts_allowed(record.info, self._policy.retries)
         return len(record.running) == 1 and record.attempts < most
 
     def _send(self, record: RequestState, load: UpstreamLoad, now: float) -> Send:
@@ -311,7 +311,7 @@
         actions: list[Action] = []
         while self._seconds and self._seconds[0][0] <= now:
             _, request_id = heapq.heappop(self._seconds)
-            record = self._requests.get(request_id)
+            record = self._book.get(request_id)
             if record is None or self._rounds.get(request_id) is not None:
                 continue
             if not self._may_send_second(record):
--- a/amaranthbend/core/asking.py
+++ b/amaranthbend/core/asking.py
@@ -7,7 +7,7 @@
 
 import math
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from .actions import UpstreamState
 from .policy import AskPolicy
@@ -41,8 +41,6 @@
 COLD_FACTOR = 2.0
 # Slowdown of a nearly full upstream as far as it is not measured yet.
 NEARLY_FULL_FACTOR = 1.5
-# Part of the allowed probes that is earned; a sustained peak spends no more than is allowed.
-BUDGET_SHARE = 1.0
 # Probes that a host can save up, some seconds of a peak; and those that a new process has, which
 # may have spent as many just before it was restarted.
 MOST_SAVED = 1500.0
@@ -143,9 +141,7 @@
     far: list[tuple[float, UpstreamLoad]] = []
     rest: list[tuple[float, UpstreamLoad]] = []
     for load in loads:
-        if not load.usable or load.member.upstream in avoid:
-            continue
-        if load.most_in_flight is not None and load.in_flight >= load.most_in_flight:
+        if load.member.upstream in avoid or not load.has_room():
             continue
         # Lower ranks are asked first; the random part spreads the processes.
         rank = draw.random()
@@ -217,7 +213,7 @@
             return
         asked_share = max(1.0, self._submitted / max(1.0, self._sent))
         demand = sum(self._demands.values()) * asked_share
-        allowed = BUDGET_SHARE * self._per_upstream * sum(self._upstreams.values())
+        allowed = self._per_upstream * sum(self._upstreams.values())
         self._saved = min(MOST_SAVED, self._saved + min(MOST_EARNED, allowed / demand))
 
     def count(self) -> float:
@@ -233,6 +229,19 @@
         self._saved = max(0.0, self._saved - probes)
 
 
+def choose_fastest(
+    weighted: Iterable[tuple[UpstreamLoad, float]], slots: int, service_s: float, now: float
+) -> UpstreamLoad | None:
+    """Return the upstream whose expected time, times its weight, is the least."""
+    best: UpstreamLoad | None = None
+    best_s = math.inf
+    for load, weight in weighted:
+        time_s = weight * estimate_time(load, slots, service_s, now)
+        if time_s < best_s:
+            best, best_s = load, time_s
+    return best
+
+
 def choose_unasked(
     loads: Sequence[UpstreamLoad],
     avoid: Collection[str],
@@ -241,19 +250,12 @@
     now: float,
 ) -> UpstreamLoad | None:
     """Return the upstream with the least expected time by the news that is there."""
-    best: UpstreamLoad | None = None
-    best_s = math.inf
-    for load in loads:
-        if not load.usable or load.member.upstream in avoid:
-            continue
-        if load.most_in_flight is not None and load.in_flight >= load.most_in_flight:
-            continue
-        time_s = estimate_time(load, slots, service_s, now)
-        if load.probe_pending:
-            time_s *= PENDING_FACTOR
-        if time_s < best_s:
-            best, best_s = load, time_s
-    return best
+    eligible = [
+        (load, PENDING_FACTOR if load.probe_pending else 1.0)
+        for load in loads
+        if load.member.upstream not in avoid and load.has_room()
+    ]
+    return choose_fastest(eligible, slots, service_s, now)
 
 
 class AskRound:
@@ -288,15 +290,11 @@
 
     def choose(self, slots: int, service_s: float, now: float) -> UpstreamLoad | None:
         """Return the upstream with the least expected time among those that answered."""
-        best: UpstreamLoad | None = None
-        best_s = math.inf
-        for load in self.candidates:
-            if not load.usable or load.report_at < self.started_at - SHARED_ANSWER_S:
-                continue
-            time_s = estimate_time(load, slots, service_s, now)
-            if time_s < best_s:
-                best, best_s = load, time_s
-        return best
+        oldest = self.started_at - SHARED_ANSWER_S
+        answered = [
+            (load, 1.0) for load in self.candidates if load.usable and load.report_at >= oldest
+        ]
+        return choose_fastest(answered, slots, service_s, now)
 
 
 class AskRounds:
--- a/amaranthbend/core/backoff.py
+++ b/amaranthbend/core/backoff.py
@@ -70,16 +70,6 @@
         self._burst = burst
         self._tokens = min(self._tokens, burst)
 
-    @property
-    def burst(self) -> float:
-        """Most tokens held."""
-        return self._burst
-
-    def count(self, now: float) -> int:
-        """Return how many whole tokens are left."""
-        self._fill(now)
-        return int(self._tokens)
-
     def take(self, now: float) -> bool:
         """Take one token.
 
--- a/amaranthbend/core/dispatching.py
+++ b/amaranthbend/core/dispatching.py
@@ -6,8 +6,6 @@
     Action,
     AttemptResult,
     AttemptStatus,
-    Cancel,
-    Complete,
     LoadReport,
     Member,
     Probe,
@@ -17,14 +15,15 @@
     UpstreamView,
     WorkClass,
 )
-from .attempts import AttemptState, RequestState, describe_failure, is_upstream_failure, make_end
+from .attempts import AttemptState, RequestState, describe_failure, is_upstream_failure
 from .ejection import Ejector
 from .limits import ConcurrencyLimit, find_refusal
 from .membership import Departure, Membership
-from .outcomes import Outcome, OutcomeReason
+from .outcomes import OutcomeReason
 from .policy import ProbePolicy, ServicePolicy
 from .probing import ProbePlanner
 from .queueing import ClassQueues
+from .request_book import RequestBook, cancel_attempts
 from .retries import RetryBudget, decide_retry, proves_not_run
 from .routing import REFUSAL_PAUSE_S, Router, UpstreamLoad
 from .workclass import LongWorkLimit, OverdueWatch
@@ -73,7 +72,7 @@
         self._long_limit = LongWorkLimit(policy.limits.long_share, self._processes)
         self._overdue = OverdueWatch()
         self._loads: dict[str, UpstreamLoad] = {}
-        self._requests: dict[int, RequestState] = {}
+        self._book = RequestBook(policy.retry_after_s)
         self._attempts: dict[tuple[int, int], AttemptState] = {}
         self._queues = ClassQueues()
         self._running = {WorkClass.SHORT: 0, WorkClass.LONG: 0}
@@ -86,17 +85,14 @@
         ValueError
             If a request with the same identifier has not ended.
         """
-        if request.request_id in self._requests:
-            raise ValueError(f"request {request.request_id} is already submitted; use a new id")
+        self._book.check_new(request)
         self._mark_overdue(now)
         actions = self._expire(now)
         reason = self._find_refusal(request, now)
         if reason is not None:
-            actions.append(make_end(RequestState(request), reason, self._policy.retry_after_s))
+            actions.append(self._book.refuse(request, reason))
             return actions
-        record = RequestState(request)
-        self._requests[request.request_id] = record
-        actions += self._enqueue(record, now)
+        actions += self._enqueue(self._book.add(request), now)
         return actions + self._drain(now)
 
     def finish(
@@ -108,7 +104,7 @@
             return []
         self._release(ended, result, now)
         actions: list[Action] = []
-        record = self._requests.get(request_id)
+        record = self._book.get(request_id)
         if record is not None and attempt in record.running:
             record.running.discard(attempt)
             actions += self._settle(record, attempt, result, now)
@@ -143,15 +139,14 @@
 
     def abandon(self, request_id: int, now: float) -> list[Action]:
         """End a request whose caller went away."""
-        record = self._requests.get(request_id)
+        record = self._book.get(request_id)
         if record is None:
             return []
         self._queues.get(record.info.work_class).remove(request_id)
-        actions: list[Action] = []
         if record.running:
             record.may_have_run = True
-        actions += self._cancel_running(record)
-        actions.append(self._end(record, OutcomeReason.CALLER_GONE))
+        actions = cancel_attempts(record)
+        actions.append(self._book.end(record, OutcomeReason.CALLER_GONE))
         return actions + self._expire(now)
 
     def tick(self, now: float) -> list[Action]:
@@ -212,6 +207,7 @@
         """Use other settings from now on; requests already accepted are kept."""
         self._policy = policy
         self._processes = max(1, processes)
+        self._book.retry_after_s = policy.retry_after_s
         self._budget.set_policy(policy.retries)
         self._long_limit.set_share(policy.limits.long_share, self._processes)
         self._router.slots = policy.slots_per_upstream
@@ -291,10 +287,6 @@
                 self._refresh(load)
             load.most_in_flight = self._ejector.count_allowed(load.member.upstream)
 
-    def _cancel_running(self, record: RequestState) -> list[Action]:
-        """Return the actions that cancel the attempts in flight."""
-        return [Cancel(record.info.request_id, number) for number in sorted(record.running)]
-
     def _enqueue(self, record: RequestState, now: float) -> list[Action]:  # noqa: ARG002
         """Let a request wait for an upstream; one that was sent before goes ahead."""
         queue = self._queues.get(record.info.work_class)
@@ -303,15 +295,12 @@
 
     def _expire(self, now: float) -> list[Action]:
         """End the queued requests whose deadline has passed."""
-        return self._end_all(self._queues.pop_expired(now), OutcomeReason.QUEUE_TIMEOUT)
+        return self._book.end_all(self._queues.pop_expired(now), OutcomeReason.QUEUE_TIMEOUT)
 
     def _refuse_all_if_unusable(self) -> list[Action]:
         """End the queued requests when no upstream is left to serve them."""
         waiting = [] if self._router.count_usable() else self._queues.pop_all()
-        return self._end_all(waiting, OutcomeReason.NO_UPSTREAM)
-
-    def _end_all(self, request_ids: list[int], reason: OutcomeReason) -> list[Action]:
-        return [self._end(self._requests[request_id], reason) for request_id in request_ids]
+        return self._book.end_all(waiting, OutcomeReason.NO_UPSTREAM)
 
     def _drain(self, now: float) -> list[Action]:
         """Send queued requests while upstreams accept them, short work first."""
@@ -319,7 +308,7 @@
         for work_class in (WorkClass.SHORT, WorkClass.LONG):
             queue = self._queues.get(work_class)
             while (request := queue.peek()) is not None and self._has_room(work_class):
-                record = self._requests[request.request_id]
+                record = self._book.require(request.request_id)
                 load = self._choose(record, now)
                 if load is None:
                     break
@@ -395,35 +384,16 @@
         reason = decide_retry(request, result, record.attempts, self._policy.retries, now)
         is_failure = is_upstream_failure(result)
         if is_answer and not (is_failure and record.running) and reason is None:
-            return self._complete(record, attempt)
+            return self._book.complete(record, attempt)
         if is_answer:
             record.fallback = attempt
         if record.running:
             return []
         if reason is None:
-            return self._give_up(record, describe_failure(result))
+            return self._book.give_up(record, describe_failure(result))
         if not self._budget.take(now):
-            return self._give_up(record, OutcomeReason.RETRY_BUDGET)
+            return self._book.give_up(record, OutcomeReason.RETRY_BUDGET)
         record.retry_reason = reason
         if not self._router.count_usable():
-            return self._give_up(record, OutcomeReason.NO_UPSTREAM)
+            return self._book.give_up(record, OutcomeReason.NO_UPSTREAM)
         return self._enqueue(record, now)
-
-    def _complete(self, record: RequestState, attempt: int) -> list[Action]:
-        """End the request with the response of an attempt; others still running are cancelled."""
-        request_id = record.info.request_id
-        del self._requests[request_id]
-        actions = self._cancel_running(record)
-        actions.append(Complete(request_id, Outcome.ANSWERED, None, attempt))
-        return actions
-
-    def _give_up(self, record: RequestState, reason: OutcomeReason) -> list[Action]:
-        """End the request with the upstream's own failure if there is one."""
-        if record.fallback:
-            return self._complete(record, record.fallback)
-        return [*self._cancel_running(record), self._end(record, reason)]
-
-    def _end(self, record: RequestState, reason: OutcomeReason) -> Action:
-        """End a request that has no complete answer."""
-        del self._requests[record.info.request_id]
-        return make_end(record, reason, self._policy.retry_after_s)
--- a/amaranthbend/core/retries.py
+++ b/amaranthbend/core/retries.py
@@ -1,12 +1,11 @@
 """Decides whether a request may be sent again, within a budget."""
 
 from .actions import AttemptResult, AttemptStatus, RequestInfo
+from .attempts import is_upstream_failure
 from .outcomes import RetryReason
 from .policy import RetryPolicy
 
-__all__ = ["RetryBudget", "decide_retry", "proves_not_run"]
-
-SERVER_ERROR = 500
+__all__ = ["RetryBudget", "count_attempts_allowed", "decide_retry", "proves_not_run"]
 
 
 def proves_not_run(status: AttemptStatus) -> bool:
@@ -14,6 +13,11 @@
     return status is AttemptStatus.REFUSED or status is AttemptStatus.NEVER_CONNECTED
 
 
+def count_attempts_allowed(request: RequestInfo, policy: RetryPolicy) -> int:
+    """Return the most attempts of a request, by its route or else by its service."""
+    return policy.max_attempts if request.max_attempts is None else request.max_attempts
+
+
 def decide_retry(
     request: RequestInfo, result: AttemptResult, attempts: int, policy: RetryPolicy, now: float
 ) -> RetryReason | None:
@@ -39,8 +43,7 @@
     """
     if result.answer_begun or not request.replayable:
         return None
-    most = policy.max_attempts if request.max_attempts is None else request.max_attempts
-    if attempts >= most or now >= request.deadline:
+    if attempts >= count_attempts_allowed(request, policy) or now >= request.deadline:
         return None
     if result.status is AttemptStatus.REFUSED:
         return RetryReason.UPSTREAM_REFUSED
@@ -48,7 +51,7 @@
         return RetryReason.NEVER_CONNECTED
     if result.status is AttemptStatus.FAILED and request.idempotent:
         return RetryReason.IDEMPOTENT_FAILURE
-    if result.status is AttemptStatus.ANSWERED and result.http_status >= SERVER_ERROR:
+    if result.status is AttemptStatus.ANSWERED and is_upstream_failure(result):
         return RetryReason.SERVER_ERROR if request.idempotent else None
     return None
 
--- a/amaranthbend/core/routing.py
+++ b/amaranthbend/core/routing.py
@@ -100,6 +100,12 @@
         self.var_others = 2.0
         self.doubt = 0.0
 
+    def has_room(self) -> bool:
+        """Return whether it has not departed and its slow start allows another own request."""
+        if not self.usable:
+            return False
+        return self.most_in_flight is None or self.in_flight < self.most_in_flight
+
     def note_report(self, report: LoadReport, own: int, now: float) -> None:
         """Take in a report.
 
@@ -211,9 +217,7 @@
             # All that follow are remote too, and cost at least the distance.
             if load.is_remote and best_cost <= REMOTE_COST:
                 break
-            if not load.usable or load.ejected or load.in_flight >= connection_limit:
-                continue
-            if load.most_in_flight is not None and load.in_flight >= load.most_in_flight:
+            if load.ejected or load.in_flight >= connection_limit or not load.has_room():
                 continue
             if long_limit is not None and load.long_in_flight >= long_limit:
                 continue
--- a/amaranthbend/core/watching.py
+++ b/amaranthbend/core/watching.py
@@ -1,6 +1,5 @@
 """How a watcher follows one kind of object in a store that fails at times."""
 
-import math
 from collections.abc import Callable
 from enum import StrEnum
 from typing import Any, NamedTuple, Protocol
@@ -98,31 +97,27 @@
         # Half of the delay is fixed: every call has a price, refused ones too.
         self._backoff = Backoff(lambda: 0.5 + 0.5 * draw(), FIRST_DELAY_S, LONGEST_DELAY_S)
         self._pause_s = pause_s
-        self._failed_since = math.inf
+        # Whether the last call succeeded.
+        self.is_reachable = True
         # Revision to watch from, None when everything has to be listed.
         self.revision: int | None = None
 
-    @property
-    def is_reachable(self) -> bool:
-        """Whether the last call succeeded."""
-        return self._failed_since == math.inf
-
     def note_changes(self, changes: StoreChanges) -> float:
         """Record an answer, and return the pause before the next call."""
         was_list = self.revision is None
         self.revision = changes.revision
-        self._failed_since = math.inf
+        self.is_reachable = True
         self._backoff.reset()
         return 0.0 if was_list or not changes.events else self._pause_s
 
-    def note_failure(self, error: StoreError, now: float) -> float:
+    def note_failure(self, error: StoreError) -> float:
         """Record a failed call, and return the pause before the next one."""
         if error.kind is StoreErrorKind.HISTORY_LOST:
             self.revision = None
             return 0.0
         if error.kind is StoreErrorKind.MALFORMED:
             self.revision = None
-        self._failed_since = min(self._failed_since, now)
+        self.is_reachable = False
         return self._backoff.next_delay()
 
     def is_doubtful(
--- a/amaranthbend/filters/chain.py
+++ b/amaranthbend/filters/chain.py
@@ -142,9 +142,10 @@
         self._counters.incr(f"outcome.{outcome}")
         if reason:
             self._counters.incr(f"reason.{reason}")
+        now = time.monotonic()
         if request.arrived_at:
-            self._counters.record("request", time.monotonic() - request.arrived_at)
+            self._counters.record("request", now - request.arrived_at)
         if self._request_log is not None:
-            self._request_log.write(request, outcome, reason, time.monotonic())
+            self._request_log.write(request, outcome, reason, now)
         for run_filter in self._run_filters:
             run_filter.end(request, outcome)
--- a/amaranthbend/platform/documents.py
+++ b/amaranthbend/platform/documents.py
@@ -5,7 +5,7 @@
 from ..core.actions import Member, UpstreamState
 from ..core.policy import DeploymentPolicy, RoutePolicy, ServicePolicy, WeightedService
 from ..core.registry import Listing
-from .quantities import get_text, get_whole_number, parse_duration
+from .quantities import get_address, get_text, get_whole_number, parse_duration
 
 __all__ = [
     "CONFIGURATION_KIND",
@@ -100,10 +100,7 @@
     state = get_text(document, "state")
     if state not in STATES:
         raise ValueError(f"state {state!r} is not one of {', '.join(STATES)}")
-    address = get_text(document, "address")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"address {address!r} is not IP:PORT")
+    address = get_address(document, "address")
     cold = document.get("coldRemaining")
     cold_s = 0.0 if cold is None else parse_duration(cold)
     # Unix milliseconds of the instance's start: one that starts again under its id is new.
--- a/amaranthbend/platform/quantities.py
+++ b/amaranthbend/platform/quantities.py
@@ -3,7 +3,7 @@
 import re
 from typing import Any
 
-__all__ = ["get_text", "get_whole_number", "parse_duration"]
+__all__ = ["get_address", "get_text", "get_whole_number", "parse_duration"]
 
 DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 SECONDS = {"ms": 0.001, "s": 1.0}
@@ -39,6 +39,21 @@
     return value
 
 
+def get_address(document: dict[str, Any], key: str) -> str:
+    """Return a field that must be an IP number and a port.
+
+    Raises
+    ------
+    ValueError
+        If the field is missing or something else.
+    """
+    address = get_text(document, key)
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"{key!r} is {address!r}, not IP:PORT")
+    return address
+
+
 def get_whole_number(document: dict[str, Any], key: str, default: int | None = None) -> int:
     """Return a field that must be a whole number of at least 0.
 
--- a/amaranthbend/platform/settings.py
+++ b/amaranthbend/platform/settings.py
@@ -2,15 +2,18 @@
 
 import os
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from ..core.errors import SettingsError
 from ..settings.node import NodeSettings
-from .quantities import get_text, parse_duration
+from .quantities import get_address, get_text, parse_duration
 
 __all__ = ["SETTINGS_VARIABLE", "find_settings_file", "load_node_settings"]
 
+T = TypeVar("T")
+
 SETTINGS_VARIABLE = "AMARANTHBEND_CONFIG"
 DEFAULT_FILE = "/etc/amaranthbend/settings.toml"
 READINESS_PATH = "/api/readiness"
@@ -72,31 +75,28 @@
     def _refuse(self, name: str, problem: object, remedy: str) -> SettingsError:
         return SettingsError(self._file, 0, name, str(problem), remedy)
 
-    def get_text(self, name: str) -> str:
-        """Return a string."""
+    def _read(self, name: str, read: Callable[[dict[str, Any], str], T], remedy: str) -> T:
         table, key = self._find(name)
         try:
-            return get_text(table, key)
+            return read(table, key)
         except ValueError as error:
-            raise self._refuse(name, error, "give a string") from error
+            raise self._refuse(name, error, remedy) from error
+
+    def get_text(self, name: str) -> str:
+        """Return a string."""
+        return self._read(name, get_text, "give a string")
 
     def get_address(self, name: str) -> str:
         """Return an address."""
-        text = self.get_text(name)
-        host, _, port = text.rpartition(":")
-        if not host or not port.isdigit():
-            raise self._refuse(name, f"{text!r} is not an address", "give ADDRESS:PORT")
-        return text
+        return self._read(name, get_address, "give ADDRESS:PORT")
 
     def get_duration(self, name: str, default_s: float) -> float:
         """Return a duration in seconds."""
-        table, key = self._find(name)
-        if key not in table:
-            return default_s
-        try:
-            return parse_duration(table[key])
-        except ValueError as error:
-            raise self._refuse(name, error, "give a duration such as '2s'") from error
+
+        def read(table: dict[str, Any], key: str) -> float:
+            return parse_duration(table[key]) if key in table else default_s
+
+        return self._read(name, read, "give a duration such as '2s'")
 
     def get_number(self, name: str, default: float) -> float:
         """Return a number of at least 0."""
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -1,7 +1,5 @@
 """Use of upstreams that a lossy registry lists."""
 
-import math
-
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -134,5 +132,4 @@
 def test_without_pending_changes_there_is_no_timer(now: float) -> None:
     """Guards against a process that wakes up for nothing."""
     registry = make_registry()
-    due = registry.next_time(now)
-    assert due is None or due < math.inf
+    assert registry.next_time(now) is None
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -42,7 +42,7 @@
 def test_lost_history_lists_at_once() -> None:
     """Guards against missing changes that the store has forgotten."""
     plan = make_plan()
-    assert plan.note_failure(StoreError(StoreErrorKind.HISTORY_LOST, "410"), 1.0) == 0.0
+    assert plan.note_failure(StoreError(StoreErrorKind.HISTORY_LOST, "410")) == 0.0
     assert plan.revision is None
     assert plan.is_reachable
 
@@ -50,7 +50,7 @@
 def test_outage_delays_stay_short() -> None:
     """Guards against noticing the store's return seconds later, and against hammering it."""
     plan = make_plan()
-    delays = [plan.note_failure(DOWN, 1.0 + n) for n in range(8)]
+    delays = [plan.note_failure(DOWN) for _ in range(8)]
     assert not plan.is_reachable
     assert delays[0] > 0.0
     assert max(delays) == LONGEST_DELAY_S
@@ -62,7 +62,7 @@
 def test_unreadable_answer_lists_again() -> None:
     """Guards against skipping the changes in an answer that could not be read."""
     plan = make_plan()
-    plan.note_failure(StoreError(StoreErrorKind.MALFORMED, "not JSON"), 1.0)
+    plan.note_failure(StoreError(StoreErrorKind.MALFORMED, "not JSON"))
     assert plan.revision is None
 
 
@@ -79,5 +79,5 @@
     plan = make_plan()
     plan.note_changes(StoreChanges([EVENT], 8))
     assert not plan.is_doubtful(7, Ok(StoreChanges([EVENT], 8)))
-    plan.note_failure(DOWN, 1.0)
+    plan.note_failure(DOWN)
     assert not plan.is_doubtful(8, Err(DOWN))
