--- a/amaranthbend/core/retries.py
+++ b/amaranthbend/core/retries.py
@@ -95,6 +95,15 @@
             return True
         return False
 
+    def borrow(self, now: float) -> bool:
+        """Spend one retry, from those still to be earned if need be; False at the most of these."""
+        if self.take(now):
+            return True
+        if self._earned <= -self._policy.burst:
+            return False
+        self._earned -= 1.0
+        return True
+
     def _refill_floor(self, now: float) -> None:
         """Add the floor's retries since the last refill, at most one second's worth."""
         rate = self._policy.floor_per_s
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -17,7 +17,8 @@
 )
 from amaranthbend.core.dispatching import Dispatcher
 from amaranthbend.core.outcomes import Outcome, OutcomeReason, RetryReason
-from amaranthbend.core.policy import LimitPolicy, ProbePolicy, ServicePolicy
+from amaranthbend.core.policy import LimitPolicy, ProbePolicy, RetryPolicy, ServicePolicy
+from amaranthbend.core.retries import RetryBudget
 
 ANSWERED = AttemptResult(AttemptStatus.ANSWERED, 200)
 
@@ -107,6 +108,44 @@
     assert 0 < retries <= 100 * 0.1 + 1.0
 
 
+def refuse_all(dispatcher: Dispatcher, sends: list[Send], result: AttemptResult) -> list:
+    """Refuse attempts at the same moment, and return all actions that follow."""
+    return [
+        action
+        for send in sends
+        for action in dispatcher.finish(send.request_id, send.attempt, result, 0.1)
+    ]
+
+
+def test_requests_at_a_leaving_upstream_go_elsewhere_together() -> None:
+    """Guards against a budget still empty after the start that fails requests of a departure.
+
+    The retries are borrowed: they are missing afterwards, and no more than can be saved up.
+    """
+    dispatcher = make_dispatcher(2, slots_per_upstream=12)
+    sends = [get_send(dispatcher.submit(make_request(n), 0.0)) for n in range(8)]
+    leaving = [send for send in sends if send.upstream == "u0"]
+    assert len(leaving) > 2
+    refused = AttemptResult(AttemptStatus.REFUSED, 503, is_draining=True)
+    actions = refuse_all(dispatcher, leaving, refused)
+    retries = [action for action in actions if isinstance(action, Send)]
+    assert len(retries) == len(leaving)
+    assert {retry.upstream for retry in retries} == {"u1"}
+    staying = [send for send in sends if send.upstream == "u1"]
+    actions = refuse_all(dispatcher, staying, AttemptResult(AttemptStatus.REFUSED, 503))
+    assert {type(action) for action in actions} == {Refuse}
+
+
+def test_borrowed_retries_are_bounded() -> None:
+    """Guards against upstreams that all claim to leave, and so multiply their load."""
+    budget = RetryBudget(RetryPolicy(floor_per_s=0.0, burst=3.0))
+    assert [budget.borrow(0.0) for _ in range(5)] == [True] * 3 + [False] * 2
+    for _ in range(31):
+        budget.note_first_attempt()
+    assert not budget.take(0.0)
+    assert budget.borrow(0.0)
+
+
 def test_abandoned_request_is_cancelled() -> None:
     """Guards against work that goes on for a caller who left."""
     dispatcher = make_dispatcher()
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -7,7 +7,9 @@
 import pytest
 
 from .entry_cases import (
+    MERGED,
     OK,
+    SERVICE,
     WAIT_S,
     Entry,
     ScriptedUpstream,
@@ -306,7 +308,12 @@
             mismatches.append((path, body[:40]))
 
     async def check() -> None:
-        async with ScriptedUpstream(script) as upstream, run_entry([upstream.address]) as entry:
+        # With a slot for each caller none waits, so that a slow machine refuses none.
+        merged = {**MERGED, "services": {SERVICE: {"slots_per_upstream": 30}}}
+        async with (
+            ScriptedUpstream(script) as upstream,
+            run_entry([upstream.address], merged=merged) as entry,
+        ):
             for start in range(0, 300, 30):
                 await asyncio.gather(*(call_or_leave(entry, start + n) for n in range(30)))
             assert entry.process.counters.get("outcome.answered") > 100
--- a/tests/test_standin_upstream.py
+++ b/tests/test_standin_upstream.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+from collections.abc import Callable
 
 import pytest
 import tornado.testing
@@ -10,6 +11,7 @@
 from standins.upstream import Options, UpstreamState, make_app
 
 OPTIONS = Options(name="u1", incarnation=3, service_ms=1.0, cold_s=0.0, cold_factor=5.0)
+WAIT_S = 5.0
 
 
 class UpstreamTest(tornado.testing.AsyncHTTPTestCase):
@@ -20,6 +22,12 @@
         self.state = UpstreamState(OPTIONS, slots=1, queue=1)
         return make_app(self.state)
 
+    async def wait_until(self, condition: Callable[[], bool]) -> None:
+        """Wait for a state of the stand-in; the order of connections is not that of the calls."""
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                await asyncio.sleep(0)
+
     def test_own_answer_and_execution_log(self) -> None:
         """An execution log that misses a run would hide a request run twice."""
         headers = {"X-Request-Id": "r1", "Idempotency-Key": "k1"}
@@ -34,11 +42,12 @@
     async def test_shed_and_deadline_are_not_run(self) -> None:
         """A refused request in the execution log would make true refusals look false."""
         fetch = self.http_client.fetch
-        first = fetch(self.get_url("/a?ms=200"))
-        await asyncio.sleep(0.05)
+        first = fetch(self.get_url("/a?ms=1000"))
+        await self.wait_until(lambda: self.state.pool.in_flight == 1)
         waits = fetch(
             self.get_url("/b"), headers={"X-Request-Deadline-Ms": "50"}, raise_error=False
         )
+        await self.wait_until(lambda: self.state.pool.history.get(0).queued == 1)
         shed = await fetch(self.get_url("/c"), raise_error=False)
         assert (shed.code, shed.headers["X-Not-Run"]) == (503, "shed")
         assert (await waits).headers["X-Not-Run"] == "deadline"
