Pass the store's news between the hosts of large deployments

Now two hosts of each data centre read the store, and the others ask them (core/news.py); a host that finds fewer than two usable ones in front of it reads the store itself, so nobody is appointed and news cannot go round in a circle. Deployments below 30 hosts read the store as before. Readers whose last confirmation is older than 1.8 s pass nothing on. The first list may lag: the watch that follows catches up.

--- /dev/null
+++ b/amaranthbend/adapters/peer_news.py
@@ -0,0 +1,117 @@
+"""HTTP exchange of the store's news between hosts."""
+
+import json
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Any
+
+from result import Err, Ok, Result
+from tornado.httpclient import HTTPClientError
+from tornado.httpserver import HTTPServer
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+from tornado.web import Application, RequestHandler
+
+from ..core.news import PeerNews
+from ..core.watching import ObjectEvent, StoreChanges, StoredObject, StoreError, StoreErrorKind
+
+__all__ = ["PEER_WAIT_S", "NewsSource", "PeerNewsClient", "make_news_server"]
+
+NEWS_PATH = "/news/"
+# Time for which a host waits for changes. Short, so that one that has stopped is noticed soon.
+PEER_WAIT_S = 0.5
+# Allowance on top of the wait; several times a round trip within a data centre.
+PEER_GRACE_S = 0.3
+CONNECT_TIMEOUT_S = 0.3
+
+NewsSource = Callable[[str, int], Awaitable[Result[PeerNews, StoreError]]]
+
+
+def encode_news(news: PeerNews) -> str:
+    """Return the JSON form of news."""
+    events = [
+        {
+            "name": event.object.name,
+            "revision": event.object.revision,
+            "value": event.object.value,
+            "is_removal": event.is_removal,
+        }
+        for event in news.changes.events
+    ]
+    return json.dumps({"events": events, "revision": news.changes.revision, "age_s": news.age_s})
+
+
+def decode_news(text: bytes) -> PeerNews:
+    """Return news from its JSON form.
+
+    Raises
+    ------
+    ValueError
+        If a part is missing or of the wrong type.
+    """
+    try:
+        document: dict[str, Any] = json.loads(text)
+        events = [
+            ObjectEvent(
+                StoredObject(str(event["name"]), int(event["revision"]), event["value"]),
+                bool(event["is_removal"]),
+            )
+            for event in document["events"]
+        ]
+        changes = StoreChanges(events, int(document["revision"]))
+        return PeerNews(changes, max(0.0, float(document["age_s"])))
+    except (KeyError, TypeError, RecursionError) as error:
+        raise ValueError(f"not news of a host: {error!r}") from error
+
+
+class PeerNewsClient:
+    """Asks other hosts for news. Each call uses a connection of its own, as kept ones go silent."""
+
+    def __init__(self) -> None:
+        self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=4)
+
+    async def fetch(self, address: str, kind: str, after: int) -> Result[PeerNews, StoreError]:
+        """Return the changes after a revision, as soon as there are any."""
+        url = f"http://{address}{NEWS_PATH}{kind}?after={after}"
+        call = self._client.fetch(
+            url, connect_timeout=CONNECT_TIMEOUT_S, request_timeout=PEER_WAIT_S + PEER_GRACE_S
+        )
+        try:
+            return Ok(decode_news((await call).body))
+        except HTTPClientError as error:
+            is_lost = error.code == HTTPStatus.GONE
+            kind_of_error = StoreErrorKind.HISTORY_LOST if is_lost else StoreErrorKind.UNAVAILABLE
+            return Err(StoreError(kind_of_error, f"{address}: {error.code} {error.message}"))
+        except OSError as error:
+            return Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{address}: {error!r}"))
+        except ValueError as error:
+            return Err(StoreError(StoreErrorKind.MALFORMED, f"{address}: {error}"))
+
+
+class _NewsHandler(RequestHandler):
+    def initialize(self, source: NewsSource) -> None:
+        self._source = source
+
+    async def get(self, kind: str) -> None:
+        after = self.get_query_argument("after", "")
+        if not after.isdecimal():
+            self.set_status(HTTPStatus.BAD_REQUEST)
+            return
+        news = await self._source(kind, int(after))
+        if isinstance(news, Err):
+            is_lost = news.err_value.kind is StoreErrorKind.HISTORY_LOST
+            self.set_status(HTTPStatus.GONE if is_lost else HTTPStatus.SERVICE_UNAVAILABLE)
+            return
+        self.set_header("Content-Type", "application/json")
+        self.finish(encode_news(news.ok_value))
+
+
+def make_news_server(source: NewsSource) -> HTTPServer:
+    """Return a server that still has to listen.
+
+    Parameters
+    ----------
+    source : callable
+        Takes a kind of object and a revision, and returns the changes after it.
+    """
+    handlers = [(NEWS_PATH + r"([a-z]+)", _NewsHandler, {"source": source})]
+    return HTTPServer(Application(handlers, log_function=lambda _handler: None))
--- a/amaranthbend/controllers/host_directory.py
+++ b/amaranthbend/controllers/host_directory.py
@@ -1,16 +1,18 @@
-"""Counts the hosts among which budgets of the deployment are divided."""
+"""Directory of the deployment's hosts, kept in the store."""
 
 import asyncio
 import random
 import time
 from collections.abc import Callable
+from typing import Any
 
 from result import Err
 
 from ..adapters.logs import log_event
-from ..core.watching import ObjectStore
+from ..core.news import HostEntry
+from ..core.watching import ObjectStore, StoredObject
 
-__all__ = ["HostCount"]
+__all__ = ["ASSUMED_HOSTS", "HostDirectory"]
 
 HOSTS_KIND = "hosts"
 # Until the others are counted; the smaller of the known deployments has 13 hosts.
@@ -22,35 +24,52 @@
 RETRY_S = 1.5
 
 
-class HostCount:
-    """Registers this host in the store once, and counts all that ever did.
+class HostDirectory:
+    """Registers this host in the store once, and lists all that ever did.
 
     Parameters
     ----------
     store : ObjectStore
         Client of the store.
-    host_id : str
-        Name of this host.
+    host : HostEntry
+        This host.
     on_change : callable
-        Takes a new count and the present time.
+        Takes the hosts when they have changed, and the present time.
+    is_first_start : bool
+        Whether the other hosts start at this moment too.
     """
 
     def __init__(
-        self, store: ObjectStore, host_id: str, on_change: Callable[[int, float], None]
+        self,
+        store: ObjectStore,
+        host: HostEntry,
+        on_change: Callable[[list[HostEntry], float], None],
+        *,
+        is_first_start: bool = True,
     ) -> None:
         self._store = store
-        self._host_id = host_id
+        self._host = host
         self._on_change = on_change
-        self.count = ASSUMED_HOSTS
+        self._first_pause_s = FIRST_PAUSE_S if is_first_start else 0.0
+        self._hosts: list[HostEntry] = []
+
+    @property
+    def count(self) -> int:
+        """Number of hosts, an assumption until they are known."""
+        return len(self._hosts) or ASSUMED_HOSTS
 
     async def run(self) -> None:
-        """Register and count until cancelled."""
+        """Register and list until cancelled."""
+        entry = {
+            "data_centre": self._host.data_centre,
+            "peer_address": self._host.peer_address,
+        }
         while True:
-            created = await self._store.create_object(HOSTS_KIND, self._host_id, {})
+            created = await self._store.create_object(HOSTS_KIND, self._host.name, entry)
             if not isinstance(created, Err):
                 break
             await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
-        await asyncio.sleep(FIRST_PAUSE_S)
+        await asyncio.sleep(self._first_pause_s)
         while True:
             await self._update()
             await asyncio.sleep(PAUSE_S * random.uniform(0.8, 1.2))
@@ -58,12 +77,20 @@
     async def _update(self) -> None:
         listed = await self._store.list_objects(HOSTS_KIND, may_lag=True)
         if isinstance(listed, Err):
-            # The last count holds; hosts are added rarely.
-            log_event("hosts_not_counted", error=listed.err_value.kind, kept=self.count)
+            # The hosts known so far hold; they change rarely.
+            log_event("hosts_not_listed", error=listed.err_value.kind, kept=self.count)
             return
-        count = len(listed.ok_value.events)
-        if count == 0 or count == self.count:
+        hosts = [_read_entry(event.object) for event in listed.ok_value.events]
+        if not hosts or hosts == self._hosts:
             return
-        log_event("hosts_counted", count=count, before=self.count)
-        self.count = count
-        self._on_change(count, time.monotonic())
+        log_event("hosts_listed", count=len(hosts), before=self.count)
+        self._hosts = hosts
+        self._on_change(hosts, time.monotonic())
+
+
+def _read_entry(stored: StoredObject) -> HostEntry:
+    """Return a host; one that gives no address passes no news on, but counts."""
+    value: dict[str, Any] = stored.value if isinstance(stored.value, dict) else {}
+    return HostEntry(
+        stored.name, str(value.get("data_centre", "")), str(value.get("peer_address", ""))
+    )
--- /dev/null
+++ b/amaranthbend/controllers/shared_store.py
@@ -0,0 +1,166 @@
+"""Access to the store that goes through other hosts where it can."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Iterable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from ..adapters.logs import log_event
+from ..adapters.metrics import Counters
+from ..adapters.peer_news import PEER_WAIT_S, PeerNewsClient
+from ..core.news import HostEntry, NewsLog, NewsSources, PeerNews
+from ..core.watching import ObjectStore, StoreChanges, StoreError, StoreErrorKind
+
+__all__ = ["SharedStore"]
+
+# Longest wait for the list of hosts before the first watch: the time until hosts that start
+# together have registered, and a call.
+HOSTS_WAIT_S = 2.5
+# Timers may ring this much early.
+LIMIT_MARGIN_S = 0.002
+
+
+class SharedStore:
+    """An `ObjectStore` that follows another host's watch, and lets hosts follow its own.
+
+    Revisions are those of the store, so the source may change between two calls.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Client of the store.
+    sources : NewsSources
+        Chooses the host to follow.
+    counters : Counters
+        Where calls are counted.
+    """
+
+    def __init__(self, store: ObjectStore, sources: NewsSources, counters: Counters) -> None:
+        self._store = store
+        self._sources = sources
+        self._counters = counters
+        self._peers = PeerNewsClient()
+        self._logs: dict[str, NewsLog] = {}
+        self._hosts_known = asyncio.Event()
+        self._changed = asyncio.Event()
+        # The host followed last, empty while the store is read directly.
+        self._followed = ""
+
+    def set_hosts(self, hosts: Iterable[HostEntry]) -> None:
+        """Replace the known hosts."""
+        self._sources.set_hosts(hosts)
+        self._hosts_known.set()
+
+    async def create_object(self, kind: str, name: str, value: Any) -> Result[bool, StoreError]:
+        """Create an object, and return whether it is new."""
+        return await self._store.create_object(kind, name, value)
+
+    async def list_objects(
+        self, kind: str, *, may_lag: bool = False
+    ) -> Result[StoreChanges, StoreError]:
+        """Return all objects of a kind; the first list may lag, since a watch follows it."""
+        log = self._logs.setdefault(kind, NewsLog())
+        may_lag = may_lag or log.is_starting
+        self._counters.incr(f"store.lists.{kind}")
+        answer = await self._store.list_objects(kind, may_lag=may_lag)
+        if isinstance(answer, Ok):
+            confirmed_at = log.confirmed_at if may_lag else time.monotonic()
+            log.note_list(answer.ok_value.revision, confirmed_at)
+        return answer
+
+    async def watch_objects(
+        self, kind: str, revision: int, wait_s: float
+    ) -> Result[StoreChanges, StoreError]:
+        """Return the changes after a revision, from a host that is followed or from the store."""
+        await self._wait_for_hosts()
+        while (peer := self._sources.choose(time.monotonic())) is not None:
+            self._counters.incr(f"peers.calls.{kind}")
+            news = await self._peers.fetch(peer.peer_address, kind, revision)
+            if isinstance(news, Ok):
+                self._note_source(peer.name)
+                changes, age_s = news.ok_value
+                self._note_changes(kind, changes, time.monotonic() - age_s)
+                return Ok(changes)
+            if news.err_value.kind is StoreErrorKind.HISTORY_LOST:
+                # The store's history reaches further back; one call catches up.
+                wait_s = 0.0
+                break
+            self._counters.incr("peers.failures")
+            log_event("peer_failed", peer=peer.name, kind=kind, detail=news.err_value.detail)
+            self._sources.note_failure(peer.name, time.monotonic())
+        else:
+            self._note_source("")
+        log = self._logs.setdefault(kind, NewsLog())
+        if log.is_starting:
+            # Hosts that follow this one wait for the first confirmation.
+            wait_s = 0.0
+        self._counters.incr(f"store.watches.{kind}")
+        answer = await self._store.watch_objects(kind, revision, wait_s)
+        if isinstance(answer, Ok):
+            self._note_changes(kind, answer.ok_value, time.monotonic())
+        return answer
+
+    async def peek_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
+        """Return the changes that a replica knows; none while another host is followed."""
+        if self._sources.choose(time.monotonic()) is not None:
+            return Ok(StoreChanges([], revision))
+        asked_at = time.monotonic()
+        self._counters.incr(f"store.looks.{kind}")
+        answer = await self._store.peek_changes(kind, revision)
+        log = self._logs.get(kind)
+        if log is not None and isinstance(answer, Ok) and not answer.ok_value.events:
+            log.confirm(asked_at)
+        return answer
+
+    async def wait_for_news(self, kind: str, after: int) -> Result[PeerNews, StoreError]:
+        """Return the changes after a revision for a host that follows this one.
+
+        Waits for changes, and for the first news of a host that has just started.
+        """
+        log = self._logs.get(kind)
+        if log is None:
+            return Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{kind} is not known here"))
+        until = time.monotonic() + PEER_WAIT_S
+        while True:
+            now = time.monotonic()
+            news = log.get_news(after, now)
+            if now >= until:
+                return news
+            if isinstance(news, Err):
+                if not log.is_starting:
+                    return news
+                wait_s = until - now
+            elif news.ok_value.changes.events:
+                return news
+            else:
+                wait_s = max(0.0, min(until, log.get_fresh_until()) - now)
+            with contextlib.suppress(TimeoutError):
+                # A moment more, so that the limit has passed when the wait ends.
+                await asyncio.wait_for(self._changed.wait(), wait_s + LIMIT_MARGIN_S)
+
+    async def _wait_for_hosts(self) -> None:
+        """Wait until the hosts are known, so that not every host begins a watch of its own."""
+        if self._hosts_known.is_set():
+            return
+        try:
+            await asyncio.wait_for(self._hosts_known.wait(), HOSTS_WAIT_S)
+        except TimeoutError:
+            log_event("hosts_unknown", waited_s=HOSTS_WAIT_S)
+            self._hosts_known.set()
+
+    def _note_source(self, name: str) -> None:
+        if name != self._followed:
+            log_event("news_source_changed", peer=name, before=self._followed)
+            self._followed = name
+
+    def _note_changes(self, kind: str, changes: StoreChanges, confirmed_at: float) -> None:
+        """Keep changes for followers, and wake those that wait."""
+        log = self._logs.setdefault(kind, NewsLog())
+        was_starting = log.is_starting
+        log.note_changes(changes, confirmed_at)
+        if changes.events or was_starting:
+            self._changed.set()
+            self._changed = asyncio.Event()
--- a/amaranthbend/controllers/store_watch.py
+++ b/amaranthbend/controllers/store_watch.py
@@ -74,7 +74,6 @@
         revision = self._plan.revision
         if revision is None or not self._plan.is_reachable:
             return False
-        self._counters.incr(f"store.looks.{self._kind}")
         return self._plan.is_doubtful(
             revision, await self._store.peek_changes(self._kind, revision)
         )
@@ -90,7 +89,6 @@
         """Make one call, and return the pause after it."""
         plan = self._plan
         revision = plan.revision
-        self._counters.incr(f"store.calls.{self._kind}")
         started_at = time.monotonic()
         if revision is None:
             call = self._store.list_objects(self._kind)
@@ -101,6 +99,7 @@
         self._restarted = asyncio.get_running_loop().create_future()
         waits: set[asyncio.Future[Any]] = {pending, self._restarted}
         await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        self._restarted = None
         if not pending.done():
             return 0.0
         answer = pending.result()
--- /dev/null
+++ b/amaranthbend/core/news.py
@@ -0,0 +1,167 @@
+"""News of the store passed between hosts: whom to follow, and what to tell followers.
+
+Load pattern: each call to the store has a price, and with a watch from each of some hundred
+hosts their number grows as hosts times changes. So a few hosts of each data centre read the
+store, and the others follow them. Nobody is appointed: a host that finds too few others in
+front of it that answer reads the store itself.
+"""
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from .watching import StoreChanges, StoreError, StoreErrorKind
+
+__all__ = ["FRESH_S", "HostEntry", "NewsLog", "NewsSources", "PeerNews"]
+
+# Hosts from which on some follow others. Below, calls of all hosts cost little (0.02 of worth
+# with 14 hosts, docs/design-new-machines.md), and each host sees the store for itself.
+LEAST_HOSTS = 30
+# Hosts of a data centre that read the store, so that the others have a second one to turn to.
+READERS = 2
+# Time for which a host that failed to answer is passed over: longer than a brief pause of its
+# machine, so that it has looked at the store again before it is trusted.
+FAILED_S = 5.0
+# News confirmed this recently is passed on. More than the time between two looks at a slow
+# store (1.3 s); with a follower's own call well within the 2 s until changes are in force.
+FRESH_S = 1.8
+# Batches of changes kept for followers that ask late; one arrives each half second at most.
+KEPT_BATCHES = 64
+
+
+class HostEntry(NamedTuple):
+    """A host as registered in the store.
+
+    Parameters
+    ----------
+    name : str
+        Name of the host.
+    data_centre : str
+        Where it is.
+    peer_address : str
+        `address:port` at which it passes news on; empty if it does not.
+    """
+
+    name: str
+    data_centre: str
+    peer_address: str
+
+
+class PeerNews(NamedTuple):
+    """Changes that a host passes on, and how long ago the store confirmed them, in seconds."""
+
+    changes: StoreChanges
+    age_s: float
+
+
+class NewsSources:
+    """Chooses the host to follow; the order is the same for all hosts, so nobody follows back.
+
+    Parameters
+    ----------
+    host_id : str
+        Name of this host.
+    data_centre : str
+        Its data centre; news does not cross between data centres, since traffic there has a price.
+    """
+
+    def __init__(self, host_id: str, data_centre: str) -> None:
+        self._rank = _get_rank(host_id)
+        self._data_centre = data_centre
+        self._in_front: list[HostEntry] = []
+        self._failed_until: dict[str, float] = {}
+
+    def set_hosts(self, hosts: Iterable[HostEntry]) -> None:
+        """Replace the known hosts."""
+        known = list(hosts)
+        in_front = [
+            host
+            for host in known
+            if host.data_centre == self._data_centre
+            and host.peer_address
+            and _get_rank(host.name) < self._rank
+        ]
+        in_front.sort(key=lambda host: _get_rank(host.name))
+        self._in_front = in_front if len(known) >= LEAST_HOSTS else []
+
+    def note_failure(self, name: str, now: float) -> None:
+        """Record that a host gave no news."""
+        self._failed_until[name] = now + FAILED_S
+
+    def choose(self, now: float) -> HostEntry | None:
+        """Return the host to follow, None to read the store."""
+        usable: list[HostEntry] = []
+        for host in self._in_front:
+            if self._failed_until.get(host.name, -math.inf) > now:
+                continue
+            usable.append(host)
+            if len(usable) == READERS:
+                # Divides the followers among the readers.
+                return usable[len(self._in_front) % READERS]
+        return None
+
+
+def _get_rank(name: str) -> tuple[int, str]:
+    """Return a key that sorts numbered names by their numbers."""
+    return len(name), name
+
+
+class NewsLog:
+    """Recent changes of one kind of object, for the hosts that follow this one."""
+
+    def __init__(self) -> None:
+        self._batches: deque[StoreChanges] = deque()
+        # Changes up to this revision are not in the log.
+        self._floor = 0
+        self._revision: int | None = None
+        self.confirmed_at = -math.inf
+
+    def note_list(self, revision: int, confirmed_at: float) -> None:
+        """Begin anew, at the revision of a complete list."""
+        self._batches.clear()
+        self._floor = revision
+        self._revision = revision
+        self.confirmed_at = confirmed_at
+
+    def note_changes(self, changes: StoreChanges, confirmed_at: float) -> None:
+        """Add changes since the last ones, and when the store confirmed that there are no more."""
+        if self._revision is None:
+            return
+        if changes.events and changes.revision > self._revision:
+            self._batches.append(changes)
+        self._revision = max(self._revision, changes.revision)
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        if len(self._batches) > KEPT_BATCHES:
+            self._floor = self._batches.popleft().revision
+
+    def confirm(self, confirmed_at: float) -> None:
+        """Record that the store knew no further changes at a time."""
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+
+    @property
+    def is_starting(self) -> bool:
+        """Whether the store has not confirmed anything yet."""
+        return self.confirmed_at == -math.inf
+
+    def get_fresh_until(self) -> float:
+        """Return until when the news may be passed on without another confirmation."""
+        return self.confirmed_at + FRESH_S
+
+    def get_news(self, after: int, now: float) -> Result[PeerNews, StoreError]:
+        """Return the changes after a revision, some older ones among them.
+
+        Older ones come in their order with all that followed, so taking them again changes
+        nothing.
+        """
+        if self._revision is None or now > self.get_fresh_until():
+            return Err(StoreError(StoreErrorKind.UNAVAILABLE, "no fresh news here"))
+        if after < self._floor:
+            return Err(StoreError(StoreErrorKind.HISTORY_LOST, f"no changes before {self._floor}"))
+        events = [
+            event for batch in self._batches if batch.revision > after for event in batch.events
+        ]
+        changes = StoreChanges(events, max(after, self._revision))
+        return Ok(PeerNews(changes, now - self.confirmed_at))
--- a/amaranthbend/platform/settings.py
+++ b/amaranthbend/platform/settings.py
@@ -49,6 +49,8 @@
         caller_address=reader.get_address("network.listenAddresses.frontend"),
         readiness_address=reader.get_address("network.listenAddresses.readiness"),
         readiness_path=READINESS_PATH,
+        peer_address=reader.get_peer_address(),
+        is_first_start=reader.get_flag("self.bootstrap"),
         store_address=reader.get_address("platform.platform.address"),
         grace_s=reader.get_duration("terms.bounds.gracePeriod", 6.0),
         drain_s=reader.get_duration("terms.bounds.drainPeriod", 2.0),
@@ -90,6 +92,25 @@
         """Return an address."""
         return self._read(name, get_address, "give ADDRESS:PORT")
 
+    def get_peer_address(self) -> str:
+        """Return the first port for calls between hosts; empty where there is none."""
+        name = "network.internalPortRange"
+        table, key = self._find(name)
+        if key not in table:
+            return ""
+        ports = table[key]
+        if not isinstance(ports, list) or not ports or type(ports[0]) is not int:
+            raise self._refuse(name, f"{ports!r} is not a range", "give [FIRST, LAST]")
+        return f"{self.get_text('self.ipAddress')}:{ports[0]}"
+
+    def get_flag(self, name: str) -> bool:
+        """Return whether a flag is set; it is not where it is missing."""
+        table, key = self._find(name)
+        value = table.get(key, False)
+        if not isinstance(value, bool):
+            raise self._refuse(name, f"{value!r} is not a flag", "give true or false")
+        return value
+
     def get_duration(self, name: str, default_s: float) -> float:
         """Return a duration in seconds."""
 
--- a/amaranthbend/programs/node.py
+++ b/amaranthbend/programs/node.py
@@ -18,8 +18,10 @@
 from ..adapters.metrics import Counters
 from ..adapters.metrics_page import MetricsPage
 from ..adapters.output import NonBlockingOutput
+from ..adapters.peer_news import make_news_server
 from ..adapters.upstream import UpstreamClient
-from ..controllers.host_count import HostCount
+from ..controllers.host_directory import HostDirectory
+from ..controllers.shared_store import SharedStore
 from ..controllers.store_followers import (
     ConfigurationFollower,
     UpstreamFollower,
@@ -27,6 +29,7 @@
 )
 from ..controllers.store_watch import StoreWatch, look_after
 from ..core.errors import SettingsError
+from ..core.news import HostEntry, NewsSources
 from ..core.policy import DeploymentPolicy
 from ..core.shutdown import ShutdownStep, make_shutdown_plan
 from ..filters.chain import FilterChain
@@ -77,6 +80,7 @@
         "caller_address",
         "readiness_address",
         "readiness_path",
+        "peer_address",
         "store_address",
         "drain_s",
     }
@@ -142,8 +146,16 @@
         )
         self.upstreams = UpstreamFollower(decode_listing, self.dispatch, settings, self.counters)
         self._policy: DeploymentPolicy | None = None
-        self._store = StoreClient(settings.store_address)
-        self.hosts = HostCount(self._store, settings.host_id, self.divide_budgets)
+        store = StoreClient(settings.store_address)
+        sources = NewsSources(settings.host_id, settings.data_centre)
+        self._store = SharedStore(store, sources, self.counters)
+        self.news = make_news_server(self._store.wait_for_news)
+        self.hosts = HostDirectory(
+            store,
+            HostEntry(settings.host_id, settings.data_centre, settings.peer_address),
+            self.take_hosts,
+            is_first_start=settings.is_first_start,
+        )
         self.admin = make_admin_server(
             AdminSources(
                 self.get_unreadiness,
@@ -162,6 +174,11 @@
         self.routes.set_policy(complete)
         self.request_log.version = version
 
+    def take_hosts(self, hosts: list[HostEntry], now: float) -> None:
+        """Take another list of the deployment's hosts."""
+        self._store.set_hosts(hosts)
+        self.divide_budgets(len(hosts), now)
+
     def divide_budgets(self, hosts: int, now: float) -> None:
         """Divide the budgets of the deployment among another number of hosts."""
         if self._policy is not None:
@@ -183,6 +200,9 @@
         self.readiness.listen(port, host)
         host, port = split_address(self.settings.caller_address)
         self.server.listen(port, host, backlog=BACKLOG)
+        if self.settings.peer_address:
+            host, port = split_address(self.settings.peer_address)
+            self.news.listen(port, host, backlog=BACKLOG)
         log_event(
             "node_started",
             host=self.settings.host_id,
--- a/amaranthbend/settings/node.py
+++ b/amaranthbend/settings/node.py
@@ -20,6 +20,10 @@
         `address:port` where the platform asks whether the process takes new connections.
     readiness_path : str
         Path of that question.
+    peer_address : str
+        `address:port` where other hosts ask for the store's news; empty if they cannot.
+    is_first_start : bool
+        Whether all hosts of the deployment start for the first time.
     store_address : str
         `address:port` of the platform's store.
     grace_s : float
@@ -39,6 +43,8 @@
     caller_address: str
     readiness_address: str
     readiness_path: str
+    peer_address: str
+    is_first_start: bool
     store_address: str
     grace_s: float
     drain_s: float
--- a/tests/node_cases.py
+++ b/tests/node_cases.py
@@ -129,6 +129,8 @@
         caller_address=f"{ADDRESS}:{pick_endpoint(ADDRESS).port}",
         readiness_address=f"{ADDRESS}:{pick_endpoint(ADDRESS).port}",
         readiness_path="/api/readiness",
+        peer_address=f"{ADDRESS}:{pick_endpoint(ADDRESS).port}",
+        is_first_start=False,
         store_address=f"{ADDRESS}:{store_port}",
         grace_s=6.0,
         drain_s=2.0,
@@ -165,6 +167,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         process.server.stop()
         process.readiness.stop()
+        process.news.stop()
         store_server.stop()
         for instance in group:
             await instance.stop()
--- /dev/null
+++ b/tests/test_news.py
@@ -0,0 +1,153 @@
+"""Which host is followed, and which news it passes on."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from amaranthbend.adapters.peer_news import decode_news, encode_news
+from amaranthbend.core.news import (
+    FAILED_S,
+    FRESH_S,
+    KEPT_BATCHES,
+    LEAST_HOSTS,
+    READERS,
+    HostEntry,
+    NewsLog,
+    NewsSources,
+    PeerNews,
+)
+from amaranthbend.core.watching import ObjectEvent, StoreChanges, StoredObject, StoreErrorKind
+
+HOSTS = [HostEntry(f"host-{n}", "huye", f"10.0.0.{n}:7720") for n in range(1, 41)]
+
+
+def make_sources(name: str, hosts: list[HostEntry] = HOSTS) -> NewsSources:
+    """Return the sources of a host that knows all others."""
+    sources = NewsSources(name, "huye")
+    sources.set_hosts(hosts)
+    return sources
+
+
+def make_changes(*revisions: int) -> StoreChanges:
+    """Return one change for each revision."""
+    events = [ObjectEvent(StoredObject(f"u{n}", n, {"n": n}), False) for n in revisions]
+    return StoreChanges(events, revisions[-1])
+
+
+def list_revisions(log: NewsLog, after: int, now: float = 0.0) -> list[int]:
+    """Return the revisions of the changes that a follower gets."""
+    return [event.object.revision for event in log.get_news(after, now).unwrap().changes.events]
+
+
+def test_few_hosts_read_the_store() -> None:
+    """Guards against calls to the store that grow with the number of hosts."""
+    chosen = [make_sources(host.name).choose(0.0) for host in HOSTS]
+    assert chosen[:READERS] == [None] * READERS
+    readers = {host.name for host in chosen if host is not None}
+    assert readers == {host.name for host in HOSTS[:READERS]}
+
+
+def test_small_deployments_read_the_store_themselves() -> None:
+    """Guards against a detour for news where it saves next to nothing."""
+    hosts = HOSTS[: LEAST_HOSTS - 1]
+    assert all(make_sources(host.name, hosts).choose(0.0) is None for host in hosts)
+
+
+def test_hosts_elsewhere_or_without_an_address_are_not_followed() -> None:
+    """Guards against traffic between data centres, and calls to hosts of an earlier version."""
+    others = [host._replace(data_centre="nyanza") for host in HOSTS[:10]]
+    silent = [host._replace(peer_address="") for host in HOSTS[10:20]]
+    chosen = make_sources("host-40", others + silent + HOSTS[20:]).choose(0.0)
+    assert chosen is not None
+    assert chosen.name in ("host-21", "host-22")
+
+
+def test_failed_host_is_passed_over_for_a_while() -> None:
+    """Guards against waiting again and again for a host that is gone."""
+    sources = make_sources("host-40")
+    first = sources.choose(0.0)
+    assert first is not None
+    sources.note_failure(first.name, 0.0)
+    second = sources.choose(0.0)
+    assert second is not None
+    assert second.name != first.name
+    assert sources.choose(FAILED_S) == first
+
+
+@given(st.sets(st.sampled_from([host.name for host in HOSTS])))
+def test_news_never_goes_round_in_a_circle(failed: set[str]) -> None:
+    """Guards against hosts that confirm old news to each other while nobody reads the store."""
+    readers = 0
+    for host in HOSTS:
+        sources = make_sources(host.name)
+        for name in failed:
+            sources.note_failure(name, 0.0)
+        chosen = sources.choose(1.0)
+        if chosen is None:
+            readers += 1
+            continue
+        assert HOSTS.index(chosen) < HOSTS.index(host)
+        assert chosen.name not in failed
+    assert readers >= READERS
+
+
+def test_log_gives_what_is_missing() -> None:
+    """Guards against a follower that misses a change or starts from nothing."""
+    log = NewsLog()
+    log.note_list(5, 0.0)
+    log.note_changes(make_changes(6, 7), 0.0)
+    log.note_changes(make_changes(9), 0.0)
+    assert list_revisions(log, 5) == [6, 7, 9]
+    assert list_revisions(log, 7) == [9]
+    assert list_revisions(log, 9) == []
+    # A follower that took its last news elsewhere can be ahead.
+    assert log.get_news(12, 0.0).unwrap().changes == StoreChanges([], 12)
+
+
+@pytest.mark.parametrize("overflow", [False, True])
+def test_forgotten_changes_are_not_passed_over(overflow: bool) -> None:
+    """Guards against a follower that goes on without changes that this host no longer has."""
+    log = NewsLog()
+    log.note_list(5, 0.0)
+    after = 4
+    if overflow:
+        after = 5
+        for revision in range(6, 7 + KEPT_BATCHES):
+            log.note_changes(make_changes(revision), 0.0)
+    news = log.get_news(after, 0.0)
+    assert isinstance(news, Err)
+    assert news.err_value.kind is StoreErrorKind.HISTORY_LOST
+
+
+def test_old_news_is_not_passed_on() -> None:
+    """Guards against followers that trust a host which lost the store itself."""
+    log = NewsLog()
+    log.note_list(5, 0.0)
+    log.note_changes(make_changes(6), 1.0)
+    assert log.get_news(6, 1.0 + FRESH_S).unwrap().age_s == pytest.approx(FRESH_S)
+    assert isinstance(log.get_news(6, 1.1 + FRESH_S), Err)
+    log.confirm(2.0)
+    assert isinstance(log.get_news(6, 1.1 + FRESH_S), Ok)
+
+
+def test_lagging_list_confirms_nothing() -> None:
+    """Guards against passing on a replica's list, which may be seconds old, as fresh."""
+    log = NewsLog()
+    log.note_list(5, float("-inf"))
+    assert isinstance(log.get_news(5, 0.0), Err)
+
+
+@given(st.recursive(st.none() | st.integers() | st.text(), lambda inner: st.lists(inner)))
+def test_news_is_the_same_after_its_way(value: object) -> None:
+    """Guards against a value that changes on its way between hosts."""
+    event = ObjectEvent(StoredObject("u0", 7, value), True)
+    news = PeerNews(StoreChanges([event], 8), 0.25)
+    assert decode_news(encode_news(news).encode()) == news
+
+
+@pytest.mark.parametrize("text", [b"", b"[]", b"{}", b'{"events": [1], "revision": 1, "age_s": 0}'])
+def test_unreadable_news_is_refused(text: bytes) -> None:
+    """Guards against a call that never ends because its answer cannot be read."""
+    with pytest.raises(ValueError):
+        decode_news(text)
--- /dev/null
+++ b/tests/test_shared_store.py
@@ -0,0 +1,199 @@
+"""Hosts that share the news of a store, against the store's stand-in."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+
+from amaranthbend.adapters.metrics import Counters
+from amaranthbend.adapters.peer_news import make_news_server
+from amaranthbend.controllers.shared_store import SharedStore
+from amaranthbend.controllers.store_watch import StoreWatch, look_after
+from amaranthbend.core.news import LEAST_HOSTS, HostEntry, NewsSources
+from amaranthbend.core.watching import StoreChanges
+from amaranthbend.platform.store import StoreClient
+from standins.processes import pick_endpoint
+from standins.store import StoreState, make_store_app
+
+from .node_cases import ADDRESS, wait_until
+
+KIND = "servers"
+HOSTS = LEAST_HOSTS
+# Changes have to be in force within 2 s (platform's bounds of the smaller deployments).
+IN_FORCE_S = 2.0
+
+
+class Host:
+    """One host: a watch, and what it has seen."""
+
+    def __init__(self, entry: HostEntry, store_address: str) -> None:
+        self.entry = entry
+        self.counters = Counters()
+        sources = NewsSources(entry.name, entry.data_centre)
+        store = StoreClient(store_address)
+        self.shared = SharedStore(store, sources, self.counters)
+        self.watch = StoreWatch(self.shared, KIND, self, self.counters)
+        self.server = make_news_server(self.shared.wait_for_news)
+        self.values: dict[str, Any] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self, hosts: list[HostEntry]) -> None:
+        """Follow the store, knowing all hosts."""
+        address, _, port = self.entry.peer_address.rpartition(":")
+        self.server.listen(int(port), address)
+        self.shared.set_hosts(hosts)
+        self.tasks = [
+            asyncio.ensure_future(self.watch.run()),
+            asyncio.ensure_future(look_after([self.watch])),
+        ]
+
+    async def stop(self) -> None:
+        """End at once, as a process that is killed."""
+        self.server.stop()
+        await self.server.close_all_connections()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def replace_all(self, changes: StoreChanges, now: float) -> None:
+        """Take a list."""
+        self.values = {event.object.name: event.object.value for event in changes.events}
+
+    def apply_changes(self, changes: StoreChanges, now: float) -> None:
+        """Take changes."""
+        for event in changes.events:
+            if event.is_removal:
+                self.values.pop(event.object.name, None)
+            else:
+                self.values[event.object.name] = event.object.value
+
+    def note_reachable(self, is_reachable: bool, now: float) -> None:
+        """Do nothing."""
+
+
+class Fleet:
+    """Hosts of one data centre and their store."""
+
+    def __init__(self, store: StoreState, hosts: list[Host]) -> None:
+        self.store = store
+        self.hosts = hosts
+
+    def know(self, name: str, value: Any) -> bool:
+        """Return whether all running hosts know a value."""
+        return all(host.values.get(name) == value for host in self.hosts)
+
+    def count(self, stat: str) -> int:
+        """Return the sum of a counter over the hosts."""
+        return sum(host.counters.get(stat) for host in self.hosts)
+
+
+def run_fleet(check: Callable[[Fleet], Coroutine[Any, Any, None]]) -> None:
+    """Run a check against hosts that have listed the store."""
+
+    async def run() -> None:
+        store = StoreState()
+        server = HTTPServer(make_store_app(store))
+        port = pick_endpoint(ADDRESS).port
+        server.listen(port, ADDRESS)
+        store.put(KIND, "u0", 1)
+        entries = [
+            HostEntry(f"host-{n:03}", "huye", f"{ADDRESS}:{pick_endpoint(ADDRESS).port}")
+            for n in range(HOSTS)
+        ]
+        fleet = Fleet(store, [Host(entry, f"{ADDRESS}:{port}") for entry in entries])
+        for host in fleet.hosts:
+            host.start(entries)
+        try:
+            await wait_until(lambda: fleet.know("u0", 1))
+            await wait_until(lambda: fleet.count(f"peers.calls.{KIND}") >= 2 * HOSTS)
+            await check(fleet)
+        finally:
+            for host in fleet.hosts:
+                await host.stop()
+            server.stop()
+
+    asyncio.run(run())
+
+
+def test_changes_reach_all_hosts_with_few_calls() -> None:
+    """Guards against calls that grow as hosts times changes."""
+
+    async def check(fleet: Fleet) -> None:
+        before = fleet.store.calls
+        for value in range(2, 6):
+            fleet.store.put(KIND, "u0", value)
+            await wait_until(lambda value=value: fleet.know("u0", value), IN_FORCE_S)
+        fleet.store.remove(KIND, "u0")
+        await wait_until(lambda: fleet.know("u0", None), IN_FORCE_S)
+        # Two readers, a watch for each change and a look each second; one call for each host
+        # would be more than four times as much.
+        assert fleet.store.calls - before < HOSTS
+
+    run_fleet(check)
+
+
+def test_killed_reader_delays_no_change() -> None:
+    """Guards against hosts that wait for the news of a host that is gone."""
+
+    async def check(fleet: Fleet) -> None:
+        for _ in range(2):
+            await fleet.hosts.pop(0).stop()
+        fleet.store.put(KIND, "u0", 2)
+        await wait_until(lambda: fleet.know("u0", 2), IN_FORCE_S)
+
+    run_fleet(check)
+
+
+def test_silent_reader_delays_no_change() -> None:
+    """Guards against hosts that wait for one that is frozen or cut off with open connections."""
+
+    async def check(fleet: Fleet) -> None:
+        frozen = fleet.hosts.pop(0)
+
+        async def hang(_kind: str, _after: int) -> Any:
+            await asyncio.sleep(3600)
+
+        frozen.server.stop()
+        silent = make_news_server(hang)
+        address, _, port = frozen.entry.peer_address.rpartition(":")
+        silent.listen(int(port), address)
+        fleet.store.put(KIND, "u0", 2)
+        await wait_until(lambda: fleet.know("u0", 2), IN_FORCE_S)
+        silent.stop()
+        await frozen.stop()
+
+    run_fleet(check)
+
+
+def test_host_that_lost_the_store_still_gets_the_news() -> None:
+    """Guards against depending on a reader that the store turns away.
+
+    The readers' own calls fail; the others find that out from them and read the store.
+    """
+
+    async def check(fleet: Fleet) -> None:
+        readers = fleet.hosts[:2]
+        for host in readers:
+            host.shared._store._base = f"http://{ADDRESS}:1/"
+        fleet.store.notify()
+        # Their watches end on their own, and looks notice the rest.
+        for host in readers:
+            host.watch.restart()
+        fleet.store.put(KIND, "u0", 2)
+        followers = Fleet(fleet.store, fleet.hosts[2:])
+        await wait_until(lambda: followers.know("u0", 2), 2 * IN_FORCE_S)
+
+    run_fleet(check)
+
+
+def test_lost_history_loses_no_change() -> None:
+    """Guards against followers that go on without changes that the store has forgotten."""
+
+    async def check(fleet: Fleet) -> None:
+        fleet.store.put(KIND, "u1", 1)
+        fleet.store.compact()
+        fleet.store.put(KIND, "u0", 2)
+        await wait_until(lambda: fleet.know("u0", 2) and fleet.know("u1", 1), IN_FORCE_S)
+
+    run_fleet(check)
