List the hosts less often the more there are

Of these about 175 are lists of 146 hosts each 10 s, in three pages each. All hosts together now make five lists a second at most; small deployments keep 10 s. Ruled out: watching the hosts, as they change rarely.

--- a/amaranthbend/controllers/host_directory.py
+++ b/amaranthbend/controllers/host_directory.py
@@ -21,6 +21,8 @@
 FIRST_PAUSE_S = 2.0
 # Machines are added within seconds and never leave the count, so that it errs on the safe side.
 PAUSE_S = 10.0
+# Lists a second of all hosts together; each is longer and dearer the more hosts there are.
+LISTS_PER_S = 5.0
 RETRY_S = 1.5
 
 
@@ -72,7 +74,8 @@
         await asyncio.sleep(self._first_pause_s)
         while True:
             await self._update()
-            await asyncio.sleep(PAUSE_S * random.uniform(0.8, 1.2))
+            pause_s = max(PAUSE_S, self.count / LISTS_PER_S)
+            await asyncio.sleep(pause_s * random.uniform(0.8, 1.2))
 
     async def _update(self) -> None:
         listed = await self._store.list_objects(HOSTS_KIND, may_lag=True)
