Spend retries that cannot be saved up on earlier second attempts

A request whose only attempt runs for 0.4 of its goal now gets a second one if no more can be saved up. Ruled out: a lower share for all, which empties the budget that refusals need.

--- a/amaranthbend/core/asked_dispatching.py
+++ b/amaranthbend/core/asked_dispatching.py
@@ -281,13 +281,18 @@
     def _send_first(self, record: RequestState, load: UpstreamLoad, now: float) -> Action:
         """Send an attempt, and plan a second one for the case that it is slow."""
         info = record.info
-        share = self._rounds.policy.second_share
-        if info.idempotent and share > 0 and info.latency_goal_s:
-            due = now + share * info.latency_goal_s
-            if due < info.deadline:
-                heapq.heappush(self._seconds, (due, info.request_id))
+        policy = self._rounds.policy
+        if info.idempotent and policy.second_share > 0 and info.latency_goal_s:
+            record.second_due = now + policy.second_share * info.latency_goal_s
+            early = now + policy.early_second_share * info.latency_goal_s
+            self._plan_second(min(early, record.second_due), record)
         return self._send(record, load, now)
 
+    def _plan_second(self, due: float, record: RequestState) -> None:
+        """Look at a request again at a time, unless its deadline has passed by then."""
+        if due < record.info.deadline:
+            heapq.heappush(self._seconds, (due, record.info.request_id))
+
     def _may_send_second(self, record: RequestState) -> bool:
         """Return whether the only attempt in flight may get another one beside it."""
         most = count_attempts_allowed(record.info, self._policy.retries)
@@ -316,6 +321,9 @@
                 continue
             if not self._may_send_second(record):
                 continue
+            if now < record.second_due and not self._budget.is_full():
+                self._plan_second(record.second_due, record)
+                continue
             if not self._budget.has_one(now):
                 continue
             actions += self._ask(record, frozenset(), 1, True, now)
--- a/amaranthbend/core/attempts.py
+++ b/amaranthbend/core/attempts.py
@@ -28,6 +28,7 @@
         "may_have_run",
         "retry_reason",
         "running",
+        "second_due",
         "tried",
     )
 
@@ -38,6 +39,8 @@
         self.asked_since = 0.0
         # What the last decision on the request rests on, for the log.
         self.basis = ""
+        # When a second attempt may begin beside the first one.
+        self.second_due = 0.0
         # Attempts in flight.
         self.running: set[int] = set()
         # Attempt whose failed but whole response is passed on if no other succeeds.
--- a/amaranthbend/core/policy.py
+++ b/amaranthbend/core/policy.py
@@ -76,6 +76,8 @@
     second_share : float
         Part of the latency goal after which an idempotent request may be sent to a second
         upstream; 0 never sends a second one.
+    early_second_share : float
+        The same while no more retries can be saved up, so that they are not lost.
     asks_per_s : float
         Most probes to one upstream in a second on average, over all hosts; 0 for no limit.
     """
@@ -86,6 +88,7 @@
     timeout_s: float = 0.06
     rounds: int = 3
     second_share: float = 0.6
+    early_second_share: float = 0.4
     asks_per_s: float = 0.0
 
 
--- a/amaranthbend/core/retries.py
+++ b/amaranthbend/core/retries.py
@@ -84,6 +84,10 @@
         self._refill_floor(now)
         return self._earned >= 1.0 or self._floor >= 1.0
 
+    def is_full(self) -> bool:
+        """Return whether the next share of a retry could not be saved up."""
+        return self._earned + self._policy.ratio > self._policy.burst
+
     def take(self, now: float) -> bool:
         """Spend one retry, and return whether the budget allowed it."""
         if self._earned >= 1.0:
--- a/tests/test_asked_dispatching.py
+++ b/tests/test_asked_dispatching.py
@@ -28,12 +28,18 @@
 GOAL_S = 0.4
 
 
-def make_dispatcher(upstreams: int = 4, **asking: float) -> AskedDispatcher:
+# Far more retries than the tests need, and none saved up.
+AMPLE_RETRIES = RetryPolicy(ratio=1.0, floor_per_s=100.0)
+
+
+def make_dispatcher(
+    upstreams: int = 4, retries: RetryPolicy = AMPLE_RETRIES, **asking: float
+) -> AskedDispatcher:
     """Return a dispatcher with upstreams u0, u1, ... in its own data centre."""
     policy = ServicePolicy(
         "desk",
         SLOTS,
-        retries=RetryPolicy(ratio=1.0, floor_per_s=100.0),
+        retries=retries,
         asking=AskPolicy()._replace(**asking),
     )
     dispatcher = AskedDispatcher(policy, ProbePolicy(), "huye", seed=1)
@@ -141,6 +147,21 @@
     ]
 
 
+def test_retries_that_cannot_be_saved_are_spent_early() -> None:
+    """Guards against late answers while retries are lost because no more can be saved up."""
+    policy = AskPolicy()
+    dispatcher = make_dispatcher(retries=RetryPolicy(0.5, 0.0, 2, burst=1.5, initial=1.0))
+    start(dispatcher, make_request(1))
+    early = policy.early_second_share * GOAL_S
+    assert not list_probes(dispatcher.tick(early - 0.01))
+    assert get_send(answer_all(dispatcher, dispatcher.tick(early), early)).attempt == 2
+    # One retry is spent now, so the next request waits for longer.
+    start(dispatcher, make_request(2), 1.0)
+    assert not list_probes(dispatcher.tick(1.0 + early))
+    due = 1.0 + policy.second_share * GOAL_S
+    assert get_send(answer_all(dispatcher, dispatcher.tick(due), due)).attempt == 2
+
+
 def test_failure_of_one_attempt_leaves_the_other() -> None:
     """Guards against a failed second attempt that ends a request still being run."""
     dispatcher = make_dispatcher()
