Add a randomized fault soak of the node process

Real node processes under signals, a failing store, harmed links and instances that come and go; promises are judged from what callers and instances see. The node program and its caller move to the stand-ins, so that tests and soak share them.

--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,74 @@
+"""Which faults strike when, from a seed."""
+
+import random
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = ["Fault", "FaultKind", "make_plan"]
+
+# Faults of one run; with their lengths some of them overlap.
+FEWEST = 3
+MOST = 7
+SHORTEST_S = 0.3
+LONGEST_S = 2.5
+# Chance that the next fault begins while the last one lasts.
+OVERLAP_CHANCE = 0.5
+
+
+class FaultKind(StrEnum):
+    """What strikes; the first word says whom."""
+
+    NODE_KILL = "node_kill"
+    NODE_TERM = "node_term"
+    NODE_PAUSE = "node_pause"
+    NODE_RELOAD = "node_reload"
+    STORE_BUSY = "store_busy"
+    STORE_MANY = "store_many"
+    STORE_RESET = "store_reset"
+    STORE_SILENT = "store_silent"
+    STORE_SLOW = "store_slow"
+    STORE_FORGETS = "store_forgets"
+    LINK_DELAY = "link_delay"
+    LINK_RESET = "link_reset"
+    LINK_ONE_WAY = "link_one_way"
+    LINK_SILENT = "link_silent"
+    INSTANCE_CRASH = "instance_crash"
+    INSTANCE_LEAVES = "instance_leaves"
+    INSTANCE_SLOW = "instance_slow"
+
+
+class Fault(NamedTuple):
+    """One fault.
+
+    Parameters
+    ----------
+    at_s : float
+        Seconds from the start of traffic.
+    kind : FaultKind
+        What strikes.
+    target : int
+        Number of the node or instance, modulo how many there are.
+    length_s : float
+        How long it lasts, in seconds.
+    """
+
+    at_s: float
+    kind: FaultKind
+    target: int
+    length_s: float
+
+
+def make_plan(seed: int, length_s: float) -> list[Fault]:
+    """Return the faults of a run, in their order."""
+    draw = random.Random(seed)
+    faults: list[Fault] = []
+    at_s = draw.uniform(0.2, 1.0)
+    for _ in range(draw.randint(FEWEST, MOST)):
+        if at_s >= length_s:
+            break
+        lasts_s = min(draw.uniform(SHORTEST_S, LONGEST_S), length_s - at_s)
+        kind = draw.choice(list(FaultKind))
+        faults.append(Fault(at_s, kind, draw.randrange(100), lasts_s))
+        overlaps = draw.random() < OVERLAP_CHANCE
+        at_s += draw.uniform(0.05, lasts_s) if overlaps else lasts_s + draw.uniform(0.1, 1.0)
+    return faults
--- /dev/null
+++ b/soak/site.py
@@ -0,0 +1,178 @@
+"""A site under soak: node processes, and in this process a store, instances and proxies."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from tornado.httpserver import HTTPServer
+
+from standins.instance import Instance
+from standins.node_caller import DESK, make_configuration
+from standins.node_program import NodeProgram
+from standins.processes import pick_endpoint, pick_network
+from standins.store import StoreState, make_store_app
+
+from .plan import Fault, FaultKind
+from .proxy import LinkState, Proxy
+
+__all__ = ["Site"]
+
+NODES = 3
+INSTANCES = 6
+SERVERS_KIND = "servers"
+# Time for which a leaving instance still serves, as on the platform.
+DRAIN_S = 2.0
+SLOW_STORE_S = 0.25
+SLOW_PERCENT = 800
+STORE_MODES = {
+    FaultKind.STORE_BUSY: "busy",
+    FaultKind.STORE_MANY: "many",
+    FaultKind.STORE_RESET: "reset",
+    FaultKind.STORE_SILENT: "silent",
+}
+LINK_STATES = {
+    FaultKind.LINK_DELAY: LinkState.DELAY,
+    FaultKind.LINK_ONE_WAY: LinkState.ONE_WAY,
+    FaultKind.LINK_SILENT: LinkState.SILENT,
+}
+
+
+class Site:
+    """Starts everything, and lets faults strike.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs of the nodes lie.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.address = f"{pick_network()}.1"
+        self.store = StoreState()
+        self.instances = [Instance(f"i-{n}", DESK, "huye") for n in range(INSTANCES)]
+        self.nodes = [NodeProgram(folder, self.address, f"host-{n}") for n in range(NODES)]
+        # One proxy before each instance; its address is the one that is registered.
+        self.links: list[Proxy] = []
+        self._server = HTTPServer(make_store_app(self.store))
+        # Faults of one kind that overlap: the last to end puts things right.
+        self._active: dict[tuple[FaultKind, int], int] = {}
+
+    async def start(self) -> None:
+        """Start, and wait until all nodes are ready."""
+        store = pick_endpoint(self.address)
+        self._server.listen(store.port, store.address)
+        for instance in self.instances:
+            await instance.start(self.address, pick_endpoint(self.address).port)
+            link = Proxy(instance.address)
+            await link.start(self.address, pick_endpoint(self.address).port)
+            self.links.append(link)
+        for number in range(INSTANCES):
+            self.register(number)
+        self.store.put("config", "main", make_configuration())
+        for node in self.nodes:
+            node.names["store"] = str(store)
+            node.write_settings()
+            await node.start()
+        for node in self.nodes:
+            await node.wait_ready()
+
+    async def stop(self) -> None:
+        """End all that was started."""
+        for node in self.nodes:
+            node.signal(signal.SIGCONT)
+            await node.kill()
+        for link in self.links:
+            link.stop()
+        self._server.stop()
+        for instance in self.instances:
+            await instance.stop()
+
+    def register(self, number: int, state: str = "ready") -> None:
+        """Write the entry of an instance, at the address of its proxy."""
+        entry = {**self.instances[number].describe(state), "address": self.links[number].address}
+        self.store.put(SERVERS_KIND, self.instances[number].name, entry)
+
+    async def strike(self, fault: Fault) -> None:
+        """Let a fault begin and end."""
+        key = fault.kind, fault.target
+        self._active[key] = self._active.get(key, 0) + 1
+        try:
+            await self._find_action(fault)(fault)
+        finally:
+            self._active[key] -= 1
+
+    def _find_action(self, fault: Fault) -> Callable[[Fault], Awaitable[None]]:
+        kind = fault.kind
+        if kind.startswith("node"):
+            return self._strike_node
+        if kind.startswith("store"):
+            return self._strike_store
+        return self._strike_link if kind.startswith("link") else self._strike_instance
+
+    async def _strike_node(self, fault: Fault) -> None:
+        node = self.nodes[fault.target % NODES]
+        if fault.kind is FaultKind.NODE_RELOAD:
+            node.write_settings(grace="5s")
+            node.signal(signal.SIGHUP)
+            return
+        if fault.kind is FaultKind.NODE_PAUSE:
+            node.signal(signal.SIGSTOP)
+            await asyncio.sleep(fault.length_s)
+            node.signal(signal.SIGCONT)
+            return
+        if fault.kind is FaultKind.NODE_TERM:
+            node.signal(signal.SIGTERM)
+            assert node.process is not None
+            await node.process.wait()
+        else:
+            await node.kill()
+            await asyncio.sleep(fault.length_s)
+        # Another fault may have started it again meanwhile.
+        if node.process is not None and node.process.returncode is not None:
+            await node.start()
+
+    async def _strike_store(self, fault: Fault) -> None:
+        faults = self.store.faults
+        if fault.kind is FaultKind.STORE_FORGETS:
+            self.store.compact()
+            return
+        if fault.kind is FaultKind.STORE_SLOW:
+            faults.delay_s = SLOW_STORE_S
+        else:
+            faults.mode = STORE_MODES[fault.kind]
+        self.store.notify()
+        await asyncio.sleep(fault.length_s)
+        if fault.kind is FaultKind.STORE_SLOW:
+            faults.delay_s = 0.0
+        elif faults.mode == STORE_MODES[fault.kind]:
+            faults.mode = "none"
+
+    async def _strike_link(self, fault: Fault) -> None:
+        link = self.links[fault.target % INSTANCES]
+        if fault.kind is FaultKind.LINK_RESET:
+            link.reset()
+            return
+        link.state = LINK_STATES[fault.kind]
+        await asyncio.sleep(fault.length_s)
+        link.state = LinkState.PASS
+
+    async def _strike_instance(self, fault: Fault) -> None:
+        number = fault.target % INSTANCES
+        instance = self.instances[number]
+        if fault.kind is FaultKind.INSTANCE_SLOW:
+            instance.percent = SLOW_PERCENT
+            await asyncio.sleep(fault.length_s)
+            instance.percent = 100
+            return
+        if fault.kind is FaultKind.INSTANCE_LEAVES:
+            self.register(number, "draining")
+            await asyncio.sleep(DRAIN_S)
+        host, _, port = instance.address.rpartition(":")
+        await instance.stop()
+        if fault.kind is FaultKind.INSTANCE_LEAVES:
+            self.store.remove(SERVERS_KIND, instance.name)
+        await asyncio.sleep(fault.length_s)
+        instance.born += 1
+        await instance.start(host, int(port))
+        self.register(number)
--- /dev/null
+++ b/standins/node_caller.py
@@ -0,0 +1,64 @@
+"""A caller of node processes, and the configuration that it expects."""
+
+import asyncio
+from typing import Any, NamedTuple
+
+__all__ = ["DESK", "Answer", "exchange", "make_configuration"]
+
+WAIT_S = 8.0
+DESK = "desk"
+
+
+class Answer(NamedTuple):
+    """What a caller got; status 0 if the connection ended without a whole response."""
+
+    status: int
+    fields: dict[str, str]
+    body: bytes
+
+
+def make_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a configuration with a safe and an unsafe route to the service `desk`."""
+    rules = [
+        {
+            "name": f"r-{kind}",
+            "kind": kind,
+            "latencyGoal": "300ms",
+            "priority": 1,
+            "match": {"pathPrefix": f"/{kind}/"},
+            "action": {"service": DESK, "timeout": "2s", "attempts": 2, **changes},
+        }
+        for kind in ("safe", "unsafe")
+    ]
+    return {
+        "version": version,
+        "limits": {"maxBodyBytes": 1_000_000},
+        "listeners": [{"host": "shop.example", "rules": rules}],
+        "clusters": [{"name": DESK, "healthCheckPath": "/health", "maxConnections": 200}],
+    }
+
+
+async def exchange(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    path: str,
+    method: str = "GET",
+    request_id: str = "abc",
+    deadline_ms: int = 1500,
+) -> Answer:
+    """Send one request, and read its response."""
+    length = "Content-Length: 2\r\n" if method == "POST" else ""
+    body = "{}" if method == "POST" else ""
+    writer.write(
+        f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
+        f"X-Amaranthbend-Attempt-Id: {request_id}\r\n"
+        f"X-Amaranthbend-Request-Deadline: {deadline_ms}\r\n{length}\r\n{body}".encode()
+    )
+    try:
+        head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), WAIT_S)).decode("latin1")
+        start, *lines = head.strip().split("\r\n")
+        fields = {line.split(": ")[0].lower(): line.split(": ", 1)[1] for line in lines}
+        data = await reader.readexactly(int(fields.get("content-length", "0")))
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Answer(0, {}, b"")
+    return Answer(int(start.split(" ")[1]), fields, data)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,12 +6,11 @@
 import pytest
 
 from standins.instance import Instance
+from standins.node_caller import exchange, make_configuration
 
 from .node_cases import (
     ADDRESS,
     NodeCase,
-    exchange,
-    make_configuration,
     run_node,
     wait_until,
 )
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -15,108 +15,19 @@
 from tornado.httpserver import HTTPServer
 
 from amaranthbend.adapters.output import HELD_BYTES, NonBlockingOutput
-from amaranthbend.programs.node import METRICS_VARIABLE
 from standins.instance import Instance
+from standins.node_caller import exchange, make_configuration
+from standins.node_program import NodeProgram
 from standins.processes import pick_endpoint
 from standins.store import StoreState, make_store_app
 
-from .node_cases import ADDRESS, exchange, make_configuration
-
-START_S = 20.0
-SETTINGS = """
-[self]
-node = "host-1"
-zone = "huye"
-[network.listenAddresses]
-frontend = "{frontend}"
-readiness = "{readiness}"
-[platform.platform]
-address = "{store}"
-[terms.bounds]
-gracePeriod = "{grace}"
-probesPerS = 600
-"""
-
-
-class Program:
-    """The program and what surrounds it."""
-
-    def __init__(self, folder: Path) -> None:
-        self.file = folder / "settings.toml"
-        self.names = {
-            name: f"{ADDRESS}:{pick_endpoint(ADDRESS).port}"
-            for name in ("frontend", "readiness", "store", "metrics")
-        }
-        self.process: asyncio.subprocess.Process | None = None
-        self.output = b""
-
-    def write_settings(self, grace: str = "6s") -> None:
-        """Write the settings file."""
-        self.file.write_text(SETTINGS.format(grace=grace, **self.names))
-
-    async def start(self) -> None:
-        """Start the program."""
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "amaranthbend.programs.node",
-            env={
-                **os.environ,
-                "AMARANTHBEND_CONFIG": str(self.file),
-                METRICS_VARIABLE: self.names["metrics"],
-            },
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-        )
-
-    async def restart(self) -> None:
-        """Kill the program, and start it again."""
-        assert self.process is not None
-        self.process.kill()
-        await self.process.wait()
-        await self.start()
-
-    async def connect_early(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Return a connection as soon as the program takes any."""
-        async with asyncio.timeout(START_S):
-            while True:
-                with contextlib.suppress(OSError):
-                    return await self.connect()
-                await asyncio.sleep(0.002)
-
-    async def is_ready(self) -> bool:
-        """Ask as the platform does."""
-        host, _, port = self.names["readiness"].rpartition(":")
-        try:
-            reader, writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            return False
-        writer.write(b"GET /api/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-        answer = await reader.read()
-        writer.close()
-        return answer.startswith(b"HTTP/1.1 200")
-
-    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Return a connection to the program."""
-        host, _, port = self.names["frontend"].rpartition(":")
-        return await asyncio.open_connection(host, int(port))
-
-    def signal(self, number: int) -> None:
-        """Send a signal to the program."""
-        assert self.process is not None
-        self.process.send_signal(number)
-
-    async def read_output(self) -> str:
-        """Wait for the end, and return what the program wrote."""
-        assert self.process is not None
-        output, _ = await asyncio.wait_for(self.process.communicate(), START_S)
-        return output.decode()
+from .node_cases import ADDRESS
 
 
 @contextlib.asynccontextmanager
-async def start_program(folder: Path) -> AsyncIterator[Program]:
+async def start_program(folder: Path) -> AsyncIterator[NodeProgram]:
     """Run the program with a store and an instance."""
-    program = Program(folder)
+    program = NodeProgram(folder, ADDRESS)
     program.write_settings()
     store = StoreState()
     server = HTTPServer(make_store_app(store))
@@ -126,21 +37,16 @@
     store.put("servers", "i-0", instance.describe())
     store.put("config", "main", make_configuration())
     await program.start()
-    assert program.process is not None
     try:
-        async with asyncio.timeout(START_S):
-            while not await program.is_ready():
-                await asyncio.sleep(0.05)
+        await program.wait_ready()
         yield program
     finally:
-        if program.process.returncode is None:
-            program.process.kill()
-            await program.process.wait()
+        await program.kill()
         server.stop()
         await instance.stop()
 
 
-def run_program(folder: Path, check: Callable[[Program], Coroutine[Any, Any, None]]) -> None:
+def run_program(folder: Path, check: Callable[[NodeProgram], Coroutine[Any, Any, None]]) -> None:
     """Run a check against the program."""
 
     async def run() -> None:
@@ -153,7 +59,7 @@
 def test_request_metrics_and_graceful_shutdown(tmp_path: Path) -> None:
     """Guards against a program that cannot be watched, or that cuts off requests when stopped."""
 
-    async def check(program: Program) -> None:
+    async def check(program: NodeProgram) -> None:
         reader, writer = await program.connect()
         assert (await exchange(reader, writer, "/safe/x", request_id="r1")).status == 200
         page = await asyncio.to_thread(read_metrics, program.names["metrics"])
@@ -180,7 +86,7 @@
     0.43 of a core.
     """
 
-    async def check(program: Program) -> None:
+    async def check(program: NodeProgram) -> None:
         await program.restart()
         reader, writer = await program.connect_early()
         assert not await program.is_ready()
@@ -193,7 +99,7 @@
 def test_start_without_the_store_tells_callers_to_come_back(tmp_path: Path) -> None:
     """Guards against callers that wait for a process which cannot serve them."""
 
-    async def check(program: Program) -> None:
+    async def check(program: NodeProgram) -> None:
         program.names["store"] = f"{ADDRESS}:{pick_endpoint(ADDRESS).port}"
         program.write_settings()
         await program.restart()
@@ -214,7 +120,7 @@
 def test_changed_settings_are_read_again(tmp_path: Path) -> None:
     """Guards against settings that need a restart, and against a bad file that ends the process."""
 
-    async def check(program: Program) -> None:
+    async def check(program: NodeProgram) -> None:
         program.file.write_text("[self")
         program.signal(signal.SIGHUP)
         await asyncio.sleep(0.3)
