Prefer upstreams with open connections where a host has hundreds of them

Ruled out: a fixed subset for each host, which loads instances unevenly. Now upstreams asked within 8 s go first once there are twelve, and three rounds in ten begin with another.

--- a/amaranthbend/core/asking.py
+++ b/amaranthbend/core/asking.py
@@ -35,6 +35,14 @@
 SLOW = 2.0
 # An upstream whose probe is under way may be silent; others are chosen if they are not far worse.
 PENDING_FACTOR = 4.0
+# Upstreams close connections that were idle for 10 s (platform's pages: the time stands in
+# `Keep-Alive`); below that a question probably finds an open one.
+WARM_S = 8.0
+# Upstreams asked lately from which on they are preferred: several times those of one round, so
+# that there is a choice.
+LEAST_WARM = 12
+# Part of the rounds that begin with an upstream that was not asked lately.
+COLD_SHARE = 0.3
 # The distance to another data centre is paid in traffic between them as well as in time.
 REMOTE_FACTOR = 1.1
 # Work on a starting instance takes about twice as long until it is warm (platform's pages).
@@ -112,6 +120,28 @@
     return count_held(load) >= NEARLY_FULL_SHARE * report.slots or report.slowdown > SLOW
 
 
+def order_by_warmth(
+    ranked: list[tuple[float, UpstreamLoad]], draw: random.Random, now: float
+) -> list[tuple[float, UpstreamLoad]]:
+    """Return upstreams in the order of their ranks, those asked lately before the others.
+
+    Load pattern: a host of a large deployment has few requests and hundreds of upstreams. Drawn
+    evenly, nearly each question opens a connection that is closed again before the next one.
+    A few others are asked all the time, so that what each host prefers keeps changing.
+    """
+    warm: list[tuple[float, UpstreamLoad]] = []
+    cold: list[tuple[float, UpstreamLoad]] = []
+    for entry in ranked:
+        (warm if now - entry[1].report_at < WARM_S else cold).append(entry)
+    if len(warm) < LEAST_WARM or not cold:
+        return sorted(ranked, key=lambda entry: entry[0])
+    warm.sort(key=lambda entry: entry[0])
+    cold.sort(key=lambda entry: entry[0])
+    if draw.random() < COLD_SHARE:
+        warm.insert(0, cold.pop(0))
+    return warm + cold
+
+
 def choose_candidates(
     loads: Sequence[UpstreamLoad],
     policy: AskPolicy,
@@ -153,8 +183,9 @@
             rest.append((rank + (1.0 if load.is_remote else 0.5), load))
         else:
             (far if load.is_remote else near).append((rank, load))
-    for group in (near, far, rest):
-        group.sort(key=lambda entry: entry[0])
+    near = order_by_warmth(near, draw, now)
+    far = order_by_warmth(far, draw, now)
+    rest.sort(key=lambda entry: entry[0])
     count = min(most, policy.near + policy.far)
     chosen = near[: min(count, policy.near)]
     chosen += far[: count - len(chosen)]
