Print the history of a request from the logs of several processes

`amaranthbend history ID LOG...` finds the line of a request and the changes of belief that may explain it.

--- a/amaranthbend/adapters/logs.py
+++ b/amaranthbend/adapters/logs.py
@@ -6,11 +6,10 @@
 
 from absl import flags, logging
 
-__all__ = ["format_event", "log_event", "set_up_logs"]
+__all__ = ["format_event", "log_event", "parse_line", "set_up_logs"]
 
 PLAIN_VALUE = re.compile(r"[^\s\"=\\\x00-\x1f\x7f]+")
-
-
+FIELD = re.compile(r'([A-Za-z_][A-Za-z0-9_]*)=("(?:[^"\\]|\\.)*"|[^\s"]*)')
 LINE_FORMAT = "time=%(asctime)s level=%(levelname)s %(message)s"
 
 
@@ -44,6 +43,14 @@
     return " ".join(parts)
 
 
+def parse_line(line: str) -> dict[str, str]:
+    """Return the fields of a log line; empty for other text."""
+    fields: dict[str, str] = {}
+    for name, text in FIELD.findall(line):
+        fields[name] = json.loads(text) if text.startswith('"') else text
+    return fields
+
+
 def log_event(event: str, **fields: object) -> None:
     """Write the line of an event."""
     logging.info("%s", format_event(event, **fields))
--- /dev/null
+++ b/amaranthbend/programs/history.py
@@ -0,0 +1,101 @@
+"""What several processes logged about one request, and about what it met."""
+
+from collections.abc import Iterable
+from datetime import datetime
+from typing import NamedTuple
+
+from ..adapters.logs import parse_line
+
+__all__ = ["LogLine", "find_history", "read_lines"]
+
+# Beliefs that changed this long before a request, or during it, can explain its end: longer
+# than an upstream takes to leave.
+WINDOW_S = 5.0
+TIME_FORMAT = "%Y-%m-%dT%H:%M:%S%z"
+UPSTREAM_EVENTS = frozenset({"upstream_changed", "upstreams_removed", "upstream_rejected"})
+# Events of a process that concern all its requests; those on the store's watch are not.
+HOST_EVENTS = frozenset(
+    {
+        "configuration_in_force",
+        "configuration_rejected",
+        "node_started",
+        "node_accepting",
+        "node_draining",
+        "node_leaving",
+        "node_stopped",
+        "settings_reloaded",
+        "store_call_failed",
+        "store_reached",
+    }
+)
+
+
+class LogLine(NamedTuple):
+    """A line of a process's log.
+
+    Parameters
+    ----------
+    source : str
+        Name of the file.
+    at_s : float
+        Unix time in seconds.
+    text : str
+        The line.
+    fields : dict of str to str
+        Its fields.
+    """
+
+    source: str
+    at_s: float
+    text: str
+    fields: dict[str, str]
+
+
+def read_lines(source: str, lines: Iterable[str]) -> list[LogLine]:
+    """Return the lines of a log that tell an event and its time."""
+    found: list[LogLine] = []
+    for text in lines:
+        fields = parse_line(text)
+        if "event" not in fields or "time" not in fields:
+            continue
+        try:
+            at_s = datetime.strptime(fields["time"], TIME_FORMAT).timestamp()
+        except ValueError:
+            # Not written by this project; the line tells nothing of when it was.
+            continue
+        found.append(LogLine(source, at_s, text.rstrip("\n"), fields))
+    return found
+
+
+def find_history(request_id: str, lines: Iterable[LogLine]) -> list[LogLine]:
+    """Return the lines on a request, and those that may explain it, in the order of time.
+
+    Parameters
+    ----------
+    request_id : str
+        The caller's id of the request.
+    lines : iterable of LogLine
+        Lines of all processes.
+    """
+    lines = list(lines)
+    ends = [line for line in lines if line.fields.get("id") == request_id]
+    chosen = [line for line in lines if any(_explains(line, end) for end in ends)]
+    return sorted([*ends, *chosen], key=lambda line: line.at_s)
+
+
+def _explains(line: LogLine, end: LogLine) -> bool:
+    """Return whether a line tells of what a request met, shortly before its end or during it."""
+    duration_s = int(end.fields.get("ms") or 0) / 1000
+    if not end.at_s - duration_s - WINDOW_S <= line.at_s <= end.at_s + 1.0:
+        return False
+    event = line.fields["event"]
+    if event in UPSTREAM_EVENTS:
+        named = f"{line.fields.get('upstream', '')},{line.fields.get('names', '')}".split(",")
+        return bool(_list_upstreams(end) & set(named))
+    return event in HOST_EVENTS and line.source == end.source
+
+
+def _list_upstreams(end: LogLine) -> set[str]:
+    """Return the upstreams that a request met, from the parts `UPSTREAM/...` of its attempts."""
+    parts = end.fields.get("attempts", "").split(",")
+    return {part.removeprefix("refused:").partition("/")[0] for part in parts if part}
--- a/amaranthbend/programs/operator.py
+++ b/amaranthbend/programs/operator.py
@@ -47,6 +47,7 @@
     read_base,
 )
 from ..settings.watching import Publish, publish_folder, watch_folder
+from .history import LogLine, find_history, read_lines
 
 __all__ = ["main"]
 
@@ -147,6 +148,19 @@
     return Invocation(lambda: _status(_load_settings(settings)))
 
 
+def history(request_id: str, *files: str) -> Invocation:
+    """Show what node processes logged about a request, and about the upstreams that it met.
+
+    Parameters
+    ----------
+    request_id : str
+        The caller's id of the request.
+    *files : str
+        Log files, one for each process.
+    """
+    return Invocation(lambda: _history(request_id, [Path(file) for file in files]))
+
+
 COMMANDS = {
     "keygen": keygen,
     "check": check,
@@ -154,6 +168,8 @@
     "approve": approve,
     "publish": publish,
     "status": status,
+    # An id of digits stays text.
+    "history": fire.decorators.SetParseFn(str)(history),
 }
 
 
@@ -385,5 +401,19 @@
         print(f"folder: {note}")
 
 
+def _history(request_id: str, files: list[Path]) -> None:
+    lines: list[LogLine] = []
+    for file in files:
+        try:
+            lines += read_lines(file.name, file.read_text(errors="replace").splitlines())
+        except OSError as error:
+            _fail(f"{file}: {error.strerror}; give the paths of log files")
+    found = find_history(request_id, lines)
+    if not found:
+        _fail(f"no line with id {request_id!r} in {len(files)} files; it may have been dropped")
+    for line in found:
+        print(f"{line.source}: {line.text}")
+
+
 if __name__ == "__main__":
     main()
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -46,6 +46,7 @@
         """Stop listening, and reset all connections."""
         if self._server is not None:
             self._server.close()
+        self.state = LinkState.PASS
         self.reset()
 
     def reset(self) -> None:
--- a/soak/site.py
+++ b/soak/site.py
@@ -24,6 +24,7 @@
 # Time for which a leaving instance still serves, as on the platform.
 DRAIN_S = 2.0
 SLOW_STORE_S = 0.25
+CLOSE_S = 0.1
 SLOW_PERCENT = 800
 STORE_MODES = {
     FaultKind.STORE_BUSY: "busy",
@@ -87,6 +88,8 @@
         self._server.stop()
         for instance in self.instances:
             await instance.stop()
+        # Connections see their ends before the event loop cancels what is left.
+        await asyncio.sleep(CLOSE_S)
 
     def register(self, number: int, state: str = "ready") -> None:
         """Write the entry of an instance, at the address of its proxy."""
