--- a/amaranthbend/controllers/shared_store.py
+++ b/amaranthbend/controllers/shared_store.py
@@ -61,9 +61,12 @@
     async def list_objects(
         self, kind: str, *, may_lag: bool = False
     ) -> Result[StoreChanges, StoreError]:
-        """Return all objects of a kind; the first list may lag, since a watch follows it."""
+        """Return all objects of a kind; the first list may lag, since a watch follows it.
+
+        Later ones may not: history that the store has forgotten may be newer than a lagging list.
+        """
+        may_lag = may_lag or kind not in self._logs
         log = self._logs.setdefault(kind, NewsLog())
-        may_lag = may_lag or log.is_starting
         self._counters.incr(f"store.lists.{kind}")
         answer = await self._store.list_objects(kind, may_lag=may_lag)
         if isinstance(answer, Ok):
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from result import Err, Ok, Result
 from tornado.httpserver import HTTPServer
 
 from amaranthbend.adapters.metrics import Counters
@@ -11,7 +12,7 @@
 from amaranthbend.controllers.shared_store import SharedStore
 from amaranthbend.controllers.store_watch import StoreWatch, look_after
 from amaranthbend.core.news import LEAST_HOSTS, READERS, HostEntry, NewsSources
-from amaranthbend.core.watching import StoreChanges
+from amaranthbend.core.watching import StoreChanges, StoreError, StoreErrorKind
 from amaranthbend.platform.store import StoreClient
 from standins.processes import pick_endpoint
 from standins.store import StoreState, make_store_app
@@ -187,6 +188,47 @@
     run_fleet(check)
 
 
+class ForgetfulStore:
+    """A store whose replica is behind the history that is left."""
+
+    def __init__(self) -> None:
+        self.lists: list[bool] = []
+
+    async def list_objects(
+        self, kind: str, *, may_lag: bool = False
+    ) -> Result[StoreChanges, StoreError]:
+        """Return the list of a replica at revision 5, or the present one."""
+        self.lists.append(may_lag)
+        return Ok(StoreChanges([], 5 if may_lag else 9))
+
+    async def watch_objects(
+        self, kind: str, revision: int, wait_s: float
+    ) -> Result[StoreChanges, StoreError]:
+        """Have no history before revision 9."""
+        if revision < 9:
+            return Err(StoreError(StoreErrorKind.HISTORY_LOST, "410"))
+        return Ok(StoreChanges([], revision))
+
+
+def test_lagging_list_is_taken_once() -> None:
+    """Guards against a start that lists again and again while replicas are behind.
+
+    Each list is followed at once by a watch that the store refuses.
+    """
+
+    async def check() -> None:
+        store = ForgetfulStore()
+        shared = SharedStore(store, NewsSources("host-1", "huye"), Counters())
+        shared.set_hosts([])
+        first = (await shared.list_objects(KIND)).unwrap()
+        assert isinstance(await shared.watch_objects(KIND, first.revision, 1.0), Err)
+        second = (await shared.list_objects(KIND)).unwrap()
+        assert isinstance(await shared.watch_objects(KIND, second.revision, 1.0), Ok)
+        assert store.lists == [True, False]
+
+    asyncio.run(check())
+
+
 def test_lost_history_loses_no_change() -> None:
     """Guards against followers that go on without changes that the store has forgotten."""
 
