--- a/soak/site.py
+++ b/soak/site.py
@@ -25,6 +25,8 @@
 DRAIN_S = 2.0
 SLOW_STORE_S = 0.25
 CLOSE_S = 0.1
+# Long enough that a fault meets several requests while they run.
+RUN_S = 0.06
 SLOW_PERCENT = 800
 STORE_MODES = {
     FaultKind.STORE_BUSY: "busy",
@@ -64,6 +66,7 @@
         store = pick_endpoint(self.address)
         self._server.listen(store.port, store.address)
         for instance in self.instances:
+            instance.run_s = RUN_S
             await instance.start(self.address, pick_endpoint(self.address).port)
             link = Proxy(instance.address)
             await link.start(self.address, pick_endpoint(self.address).port)
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -37,6 +37,8 @@
         self.data_centre = data_centre
         self.slots = 4
         self.running = 0
+        # Time of a run, and how long it takes at this moment in percent of that.
+        self.run_s = RUN_S
         self.percent = 100
         self.is_healthy = True
         self.born = 1
@@ -114,7 +116,8 @@
     async def _run(self, reader: asyncio.StreamReader, fault: str) -> bool:
         """Hold a slot; return whether the caller is still there."""
         self.running += 1
-        duration_s = {"slow": SLOW_S, "hang": HANG_S}.get(fault, RUN_S)
+        usual_s = self.run_s * self.percent / 100
+        duration_s = {"slow": SLOW_S, "hang": HANG_S}.get(fault, usual_s)
         try:
             left = asyncio.ensure_future(reader.read(1))
             done, _ = await asyncio.wait({left}, timeout=duration_s)
--- a/standins/node_program.py
+++ b/standins/node_program.py
@@ -27,6 +27,8 @@
 [terms.bounds]
 gracePeriod = "{grace}"
 probesPerS = 600
+retryBudgetRatio = 0.2
+retryBudgetSlack = 160
 """
 
 
