--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -126,6 +127,8 @@
     fresh : bool
         Take random seeds in place of those.
     """
+    # Ends the nodes too when the soak itself is stopped.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = 0
     for number in range(first, first + seeds):
         seed = random.randrange(FIRST_RANDOM_SEED, LAST_RANDOM_SEED) if fresh else number
