Notice a hung watch within a second after a failure

A watch after a failure or a restart does not wait now, so one that hangs ends within a second, and opening a connection to the store takes 0.5 s at most.

--- a/amaranthbend/controllers/store_watch.py
+++ b/amaranthbend/controllers/store_watch.py
@@ -59,6 +59,9 @@
         self._counters = counters
         self._plan = WatchPlan(random.random, PAUSE_S)
         self._has_listed = False
+        # Whether the last call failed or was given up. The next watch then does not wait, so that
+        # one which hangs too is noticed within a second.
+        self._is_doubted = False
         # Ends the wait for the call that is under way.
         self._restarted: asyncio.Future[None] | None = None
 
@@ -83,6 +86,7 @@
         if self._restarted is not None and not self._restarted.done():
             self._counters.incr("store.restarts")
             log_event("watch_restarted", kind=self._kind, revision=self._plan.revision)
+            self._is_doubted = True
             self._restarted.set_result(None)
 
     async def _call(self) -> float:
@@ -93,7 +97,8 @@
         if revision is None:
             call = self._store.list_objects(self._kind)
         else:
-            call = self._store.watch_objects(self._kind, revision, WAIT_S)
+            wait_s = 0.0 if self._is_doubted else WAIT_S
+            call = self._store.watch_objects(self._kind, revision, wait_s)
         # An abandoned call ends by its own time limit; cancelling it would leave its connection.
         pending: asyncio.Future[Result[StoreChanges, StoreError]] = asyncio.ensure_future(call)
         self._restarted = asyncio.get_running_loop().create_future()
@@ -105,6 +110,7 @@
         answer = pending.result()
         now = time.monotonic()
         was_reachable = plan.is_reachable
+        self._is_doubted = isinstance(answer, Err)
         if isinstance(answer, Err):
             error = answer.err_value
             pause_s = plan.note_failure(error)
--- a/amaranthbend/platform/store.py
+++ b/amaranthbend/platform/store.py
@@ -17,6 +17,9 @@
 OBJECTS_PATH = "/api/objects/"
 # The store answers within a few milliseconds when well, and up to some hundred when slow.
 CALL_TIMEOUT_S = 1.5
+# Several round trips between data centres. A lost opening packet is sent again after a second or
+# more by the kernel, and sooner by the next call.
+CONNECT_TIMEOUT_S = 0.5
 # Allowance on top of the waiting time of a watch, for its answer to arrive.
 WATCH_GRACE_S = 1.0
 MS_PER_S = 1000
@@ -116,7 +119,7 @@
             method="GET" if body is None else "POST",
             headers=None if body is None else {"Content-Type": "application/json"},
             body=body,
-            connect_timeout=timeout_s,
+            connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
             request_timeout=timeout_s,
         )
         try:
