--- a/amaranthbend/core/news.py
+++ b/amaranthbend/core/news.py
@@ -128,6 +128,7 @@
         """
         if self._revision is None or self.is_starting:
             self._batches.clear()
+            self._objects.clear()
             self._floor = self._revision = listed.revision
             self._take_revisions(listed.events)
             self.confirmed_at = confirmed_at
@@ -163,7 +164,7 @@
             self._batches.append(changes)
             self._take_revisions(changes.events)
         self._revision = max(self._revision, changes.revision)
-        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        self.confirm(confirmed_at)
         if len(self._batches) > KEPT_BATCHES:
             self._floor = self._batches.popleft().revision
 
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -139,6 +139,15 @@
     ]
 
 
+def test_second_list_at_the_start_replaces_the_first() -> None:
+    """Guards against removals of objects that a lagging list named and no follower knows."""
+    log = NewsLog()
+    log.note_list(make_list(3, at=5), float("-inf"))
+    log.note_list(make_list(4, at=6), 0.0)
+    log.note_list(make_list(4, at=7), 0.0)
+    assert list_revisions(log, 6) == []
+
+
 @pytest.mark.parametrize("overflow", [False, True])
 def test_forgotten_changes_are_not_passed_over(overflow: bool) -> None:
     """Guards against a follower that goes on without changes that this host no longer has."""
