Confine an unusable part of a configuration to itself, and serve uploads

Change: each part is read on its own; unknown kinds run once at most, unusable limits get a safe default, a route with an unusable target stays and refuses, a route without a usable prefix is left out, and each is logged and counted. A document without version, list or any usable route is still rejected whole. An entry of an instance that turns unusable names no upstream any more, as it does after a restart.

--- a/amaranthbend/controllers/watch_handlers.py
+++ b/amaranthbend/controllers/watch_handlers.py
@@ -7,7 +7,13 @@
 
 from ..adapters.logs import log_event
 from ..adapters.metrics import Counters
-from ..core.policy import DeploymentPolicy, RequestProbePolicy, RetryPolicy, ServicePolicy
+from ..core.policy import (
+    DecodedConfiguration,
+    DeploymentPolicy,
+    RequestProbePolicy,
+    RetryPolicy,
+    ServicePolicy,
+)
 from ..core.registry import Listing, RegistryTimes, UpstreamRegistry
 from ..core.watching import StoreChanges
 from ..filters.dispatch import DispatchFilter
@@ -30,6 +36,8 @@
 # Vanished upstreams are dropped this long before their drain time is over, since the drain time
 # starts before the removal of their entry arrives here.
 DRAIN_MARGIN_S = 0.6
+# Number of unusable parts of one configuration that are logged.
+MAX_LOGGED_FAULTS = 20
 # Upstreams that vanished stay in use this long after an outage of the store. Live ones are listed
 # again within about 2 s.
 OUTAGE_RETENTION_S = 2.2
@@ -70,7 +78,7 @@
     name : str
         Name of the object with the configuration.
     decode : callable
-        Returns version and policy of a stored value; raises ValueError if it is invalid.
+        Returns the configuration in a stored value; raises ValueError if it is not usable.
     put_in_force : callable
         Called with version, policy and the present time.
     counters : Counters
@@ -80,7 +88,7 @@
     def __init__(
         self,
         name: str,
-        decode: Callable[[Any], tuple[int, DeploymentPolicy]],
+        decode: Callable[[Any], DecodedConfiguration],
         put_in_force: Callable[[int, DeploymentPolicy, float], None],
         counters: Counters,
     ) -> None:
@@ -111,7 +119,7 @@
 
     def _apply_configuration(self, value: Any, revision: int, now: float) -> None:
         try:
-            version, policy = self._decode(value)
+            version, policy, faults = self._decode(value)
         except ValueError as error:
             self._counters.incr("configuration.rejected")
             log_event("configuration_rejected", revision=revision, error=error)
@@ -126,7 +134,11 @@
             revision=revision,
             routes=len(policy.routes),
             services=len(policy.services),
+            faults=len(faults),
         )
+        self._counters.incr("configuration.faults", len(faults))
+        for fault in faults[:MAX_LOGGED_FAULTS]:
+            log_event("configuration_fault", version=version, revision=revision, fault=fault)
 
 
 class UpstreamHandler:
@@ -184,6 +196,7 @@
                 continue
             listing = self._decode_entry(stored.name, stored.revision, stored.value)
             if listing is None:
+                removed.append(stored.name)
                 continue
             if stored.name in removed:
                 removed.remove(stored.name)
--- a/amaranthbend/core/policy.py
+++ b/amaranthbend/core/policy.py
@@ -10,6 +10,7 @@
 from .actions import WorkClass
 
 __all__ = [
+    "DecodedConfiguration",
     "ClaimRule",
     "DeploymentPolicy",
     "LimitPolicy",
@@ -253,3 +254,21 @@
     entry_hosts_max: int = 16
     claim_writes_per_s: float = 200.0
     claim_retention_s: float = 86_400.0
+
+
+class DecodedConfiguration(NamedTuple):
+    """A configuration that was read from the store.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration.
+    policy : DeploymentPolicy
+        Settings of its usable parts.
+    faults : tuple of str
+        Parts that are not usable, each with its position and the error.
+    """
+
+    version: int
+    policy: DeploymentPolicy
+    faults: tuple[str, ...] = ()
--- a/amaranthbend/platform/document_fields.py
+++ b/amaranthbend/platform/document_fields.py
@@ -3,7 +3,7 @@
 import re
 from typing import Any
 
-__all__ = ["get_address", "get_non_negative_int", "get_string", "parse_duration"]
+__all__ = ["get_address", "get_non_negative_int", "get_path", "get_string", "parse_duration"]
 
 DURATION_PATTERN = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0}
@@ -54,6 +54,20 @@
     return address
 
 
+def get_path(document: dict[str, Any], key: str) -> str:
+    """Return a field that must be an absolute path without characters that end a request line.
+
+    Raises
+    ------
+    ValueError
+        If the field is missing or invalid.
+    """
+    path = get_string(document, key)
+    if not path.startswith("/") or not path.isprintable() or " " in path:
+        raise ValueError(f"{key!r} is {path!r}, not a path that starts with '/'")
+    return path
+
+
 def get_non_negative_int(document: dict[str, Any], key: str, default: int | None = None) -> int:
     """Return a field that must be an integer from 0 to `MAX_EXACT_INTEGER`.
 
--- a/amaranthbend/platform/documents.py
+++ b/amaranthbend/platform/documents.py
@@ -1,11 +1,24 @@
 """Decodes the objects in the platform's store: the configuration and the instances."""
 
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 from ..core.actions import Member, UpstreamState
-from ..core.policy import DeploymentPolicy, RoutePolicy, ServicePolicy, WeightedService
+from ..core.policy import (
+    DecodedConfiguration,
+    DeploymentPolicy,
+    RoutePolicy,
+    ServicePolicy,
+    WeightedService,
+)
 from ..core.registry import Listing
-from .document_fields import get_address, get_non_negative_int, get_string, parse_duration
+from .document_fields import (
+    get_address,
+    get_non_negative_int,
+    get_path,
+    get_string,
+    parse_duration,
+)
 
 __all__ = [
     "CONFIGURATION_KIND",
@@ -15,80 +28,188 @@
     "decode_listing",
 ]
 
+T = TypeVar("T")
+D = TypeVar("D")
+
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 INSTANCES_KIND = "servers"
 UPSTREAM_STATES = {"ready": UpstreamState.SERVING, "draining": UpstreamState.DRAINING}
-IDEMPOTENCE_BY_KIND = {"safe": True, "download": True, "unsafe": False}
+IDEMPOTENCE_BY_KIND = {"safe": True, "download": True, "unsafe": False, "upload": False}
 # Upper limit for routes without a timeout, whose requests end at the caller's own deadline.
 DEFAULT_DEADLINE_S = 60.0
 # Used until the instance reports its number of slots.
 DEFAULT_SLOTS = 4
+DEFAULT_CONNECTIONS = 200
+DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
+# A request that may not be sent a second time is the safe assumption for an unknown limit.
+DEFAULT_ATTEMPTS = 1
 
 
-def decode_configuration(document: Any) -> tuple[int, DeploymentPolicy]:
+def decode_configuration(document: Any) -> DecodedConfiguration:
     """Return the version and the settings of a stored configuration.
 
+    A part that cannot be used is left out or replaced by a safe default, and reported as a fault,
+    so that it affects no other part. A request that matches a route with an unusable action is
+    refused, since a route with a shorter prefix may lead to another service.
+
     Raises
     ------
     ValueError
-        If a part is missing or of the wrong type.
+        If the document has no usable version or route list, or none of its routes is usable.
     """
     if not isinstance(document, dict):
         raise ValueError(f"configuration is {type(document).__name__}, not an object")
     version = get_non_negative_int(document, "version")
-    limits = _get_object(document, "limits")
-    max_body_bytes = get_non_negative_int(limits, "maxBodyBytes", 64 * 1024 * 1024)
+    reader = _PartReader()
+    limits = reader.read("limits", lambda: _get_object(document, "limits"), {})
+    max_body_bytes = reader.read(
+        "limits",
+        lambda: get_non_negative_int(limits, "maxBodyBytes", DEFAULT_MAX_BODY_BYTES),
+        DEFAULT_MAX_BODY_BYTES,
+    )
     services = {}
-    for cluster in _get_list(document, "clusters"):
-        service = _decode_service(cluster)
-        services[service.name] = service
+    for number, cluster in enumerate(_get_list(document, "clusters")):
+        service = _decode_service(reader, f"clusters[{number}]", cluster)
+        if service is not None:
+            services[service.name] = service
     routes: list[RoutePolicy] = []
-    for listener in _get_list(document, "listeners"):
-        host = get_string(listener, "host").lower()
-        routes += [
-            _decode_route(rule, host, max_body_bytes) for rule in _get_list(listener, "rules")
-        ]
-    return version, DeploymentPolicy("platform", services, tuple(routes))
+    listed = 0
+    for number, listener in enumerate(_get_list(document, "listeners")):
+        name = f"listeners[{number}]"
+        host = reader.read(name, lambda: get_string(listener, "host").lower(), None)  # noqa: B023
+        rules = reader.read(name, lambda: _get_list(listener, "rules"), [])  # noqa: B023
+        if host is None:
+            listed += 1
+            continue
+        for index, rule in enumerate(rules):
+            listed += 1
+            route = _decode_route(reader, f"{name}.rules[{index}]", rule, host, max_body_bytes)
+            if route is not None:
+                routes.append(route)
+    if listed and not any(route.service or route.split for route in routes):
+        raise ValueError(f"none of {listed} routes is usable: {'; '.join(reader.faults[:3])}")
+    policy = DeploymentPolicy("platform", services, tuple(routes))
+    return DecodedConfiguration(version, policy, tuple(reader.faults))
+
+
+class _PartReader:
+    """Reads parts of a document, and collects the faults of those that cannot be used."""
+
+    def __init__(self) -> None:
+        self.faults: list[str] = []
+
+    def read(self, part: str, decode: Callable[[], T], default: D) -> T | D:
+        """Return the decoded part, or the default and a fault if it is invalid.
+
+        Parameters
+        ----------
+        part : str
+            Position of the part in the document, for the fault.
+        decode : callable
+            Returns the part; raises ValueError if it is invalid.
+        default : object
+            Result for an invalid part.
+        """
+        try:
+            return decode()
+        except ValueError as error:
+            self.faults.append(f"{part}: {error}")
+            return default
 
 
-def _decode_service(cluster: dict[str, Any]) -> ServicePolicy:
+def _decode_service(
+    reader: _PartReader, part: str, cluster: dict[str, Any]
+) -> ServicePolicy | None:
+    """Return a service, None if it has no name or no path for probes."""
+    name = reader.read(part, lambda: get_string(cluster, "name"), None)
+    probe_path = reader.read(part, lambda: get_path(cluster, "healthCheckPath"), None)
+    if name is None or probe_path is None:
+        return None
     return ServicePolicy(
-        name=get_string(cluster, "name"),
+        name=name,
         slots_per_upstream=DEFAULT_SLOTS,
-        connections_per_upstream=get_non_negative_int(cluster, "maxConnections", 200),
-        probe_path=get_string(cluster, "healthCheckPath"),
+        connections_per_upstream=reader.read(
+            part,
+            lambda: get_non_negative_int(cluster, "maxConnections", DEFAULT_CONNECTIONS),
+            DEFAULT_CONNECTIONS,
+        ),
+        probe_path=probe_path,
     )
 
 
-def _decode_route(rule: dict[str, Any], host: str, max_body_bytes: int) -> RoutePolicy:
-    kind = get_string(rule, "kind")
-    if kind not in IDEMPOTENCE_BY_KIND:
-        raise ValueError(f"kind {kind!r} is not one of {', '.join(IDEMPOTENCE_BY_KIND)}")
-    action = _get_object(rule, "action")
-    split = tuple(
-        WeightedService(get_string(part, "service"), get_non_negative_int(part, "weight"))
-        for part in _get_list(action, "trafficSplit")
+def _decode_route(
+    reader: _PartReader, part: str, rule: dict[str, Any], host: str, max_body_bytes: int
+) -> RoutePolicy | None:
+    """Return a route, None if it is unknown which paths match it."""
+    path_prefix = reader.read(
+        part, lambda: get_path(_get_object(rule, "match"), "pathPrefix"), None
     )
-    timeout = action.get("timeout")
-    goal = rule.get("latencyGoal")
+    if path_prefix is None:
+        return None
+    action = reader.read(part, lambda: _get_object(rule, "action"), None)
+    split, service = ((), "") if action is None else _decode_targets(reader, part, action)
+    action = action or {}
     return RoutePolicy(
-        name=get_string(rule, "name"),
-        path_prefix=get_string(_get_object(rule, "match"), "pathPrefix"),
+        name=reader.read(part, lambda: get_string(rule, "name"), f"{host}{path_prefix}"),
+        path_prefix=path_prefix,
         methods=(),
-        service="" if split else get_string(action, "service"),
-        idempotent=IDEMPOTENCE_BY_KIND[kind],
-        deadline_s=DEFAULT_DEADLINE_S if timeout is None else parse_duration(timeout),
+        service=service,
+        idempotent=reader.read(part, lambda: _decode_kind(rule), False),
+        deadline_s=reader.read(
+            part, lambda: _get_duration(action, "timeout", DEFAULT_DEADLINE_S), DEFAULT_DEADLINE_S
+        ),
         # The platform's highest priority is 0; in `RoutePolicy` higher values have priority.
-        priority=-get_non_negative_int(rule, "priority", 0),
+        priority=-reader.read(part, lambda: get_non_negative_int(rule, "priority", 0), 0),
         max_body_bytes=max_body_bytes,
         host=host,
         split=split,
-        latency_goal_s=None if goal is None else parse_duration(goal),
-        max_attempts=get_non_negative_int(action, "attempts", 1),
+        latency_goal_s=reader.read(part, lambda: _get_duration(rule, "latencyGoal", None), None),
+        max_attempts=reader.read(
+            part,
+            lambda: get_non_negative_int(action, "attempts", DEFAULT_ATTEMPTS),
+            DEFAULT_ATTEMPTS,
+        ),
     )
 
 
+def _decode_kind(rule: dict[str, Any]) -> bool:
+    """Return whether requests of the route's kind may run more than once."""
+    kind = get_string(rule, "kind")
+    if kind not in IDEMPOTENCE_BY_KIND:
+        known = ", ".join(IDEMPOTENCE_BY_KIND)
+        raise ValueError(f"kind {kind!r} is not one of {known}; its requests run once at most")
+    return IDEMPOTENCE_BY_KIND[kind]
+
+
+def _decode_targets(
+    reader: _PartReader, part: str, action: dict[str, Any]
+) -> tuple[tuple[WeightedService, ...], str]:
+    """Return the route's traffic split or its service; both are empty if neither is usable.
+
+    A split with a part that cannot be read is not used: its proportions are unknown.
+    """
+    split = reader.read(part, lambda: _decode_split(action), None)
+    if split is None:
+        return (), ""
+    return split, "" if split else reader.read(part, lambda: get_string(action, "service"), "")
+
+
+def _decode_split(action: dict[str, Any]) -> tuple[WeightedService, ...]:
+    split = tuple(
+        WeightedService(get_string(part, "service"), get_non_negative_int(part, "weight"))
+        for part in _get_list(action, "trafficSplit")
+    )
+    if split and not any(part.weight for part in split):
+        raise ValueError("all weights of 'trafficSplit' are 0")
+    return split
+
+
+def _get_duration(document: dict[str, Any], key: str, default: D) -> float | D:
+    value = document.get(key)
+    return default if value is None else parse_duration(value)
+
+
 def decode_listing(name: str, revision: int, document: Any) -> Listing:
     """Return the registry entry of an instance.
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -43,6 +43,38 @@
     run_node(check, configured=False)
 
 
+def test_unusable_routes_do_not_affect_the_others() -> None:
+    """Guards against a route of an unknown kind or target that takes a fresh process down."""
+
+    async def check(case: NodeCase) -> None:
+        configuration = make_configuration()
+        rules = configuration["listeners"][0]["rules"]
+        rules.append({**rules[0], "name": "new", "kind": "novel", "match": {"pathPrefix": "/new/"}})
+        rules.append({**rules[0], "name": "bad", "action": 3, "match": {"pathPrefix": "/bad/"}})
+        case.store.put("config", "main", configuration)
+        await wait_until(lambda: not case.process.get_unready_reason())
+        assert (await case.call("/safe/x")).status == 200
+        assert (await case.call("/new/error", "POST", "n1")).status == 500
+        assert case.count_executions("n1") == 1
+        assert (await case.call("/bad/x")).status == 503
+        assert case.process.counters.get_snapshot()["counters"]["configuration.faults"] == 2
+
+    run_node(check, configured=False)
+
+
+def test_unusable_entry_names_no_upstream() -> None:
+    """Guards against requests to an instance whose entry has turned unusable."""
+
+    async def check(case: NodeCase) -> None:
+        gone = case.instances[0]
+        case.store.put("servers", gone.name, {**gone.describe(), "state": "resting"})
+        await wait_until(lambda: len(case.process.dispatch.snapshot(0.0).get("desk", [])) == 2)
+        case.register(gone)
+        await wait_until(lambda: len(case.process.dispatch.snapshot(0.0).get("desk", [])) == 3)
+
+    run_node(check)
+
+
 def test_deadline_is_the_minimum_of_caller_and_route() -> None:
     """Guards against an instance that processes a request after the caller has given up."""
 
