Bound the responses of the store, the platform and other hosts

Cause: tornado's client keeps up to 100 MB of a body without end until the timeout, and an over-long header raises UnsatisfiableReadError, which none of the three clients caught: the task that watches the store ended for good. Ruled out: the timeouts, which hold in all cases.

--- a/amaranthbend/adapters/change_relay.py
+++ b/amaranthbend/adapters/change_relay.py
@@ -9,11 +9,12 @@
 from result import Err, Ok, Result
 from tornado.httpclient import HTTPClientError
 from tornado.httpserver import HTTPServer
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
+from tornado.iostream import UnsatisfiableReadError
 from tornado.web import Application, RequestHandler
 
 from ..core.change_relay import PeerChanges
 from ..core.watching import ObjectEvent, StoreChanges, StoredObject, StoreError, StoreErrorKind
+from .http_client import make_http_client
 
 __all__ = ["PEER_LONG_POLL_S", "ChangeSource", "ChangeRelayClient", "make_change_relay_server"]
 
@@ -75,7 +76,7 @@
     """Fetches changes from peers, without kept-alive connections: these can fail unnoticed."""
 
     def __init__(self) -> None:
-        self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=MAX_CONCURRENT_CALLS)
+        self._client = make_http_client(MAX_CONCURRENT_CALLS)
 
     async def fetch(self, address: str, kind: str, after: int) -> Result[PeerChanges, StoreError]:
         """Return the changes after a revision, as soon as there are any."""
@@ -107,7 +108,7 @@
             return Err(StoreError(kind_of_error, f"{address}: {error.code} {error.message}"))
         except OSError as error:
             return Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{address}: {error!r}"))
-        except ValueError as error:
+        except (UnsatisfiableReadError, ValueError) as error:
             return Err(StoreError(StoreErrorKind.MALFORMED, f"{address}: {error}"))
 
 
--- a/amaranthbend/adapters/platform.py
+++ b/amaranthbend/adapters/platform.py
@@ -11,6 +11,7 @@
 
 from result import Err, Ok, Result
 from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest, HTTPResponse
+from tornado.iostream import UnsatisfiableReadError
 
 from ..core.backoff import TokenBucket
 from ..core.errors import PlatformError
@@ -259,7 +260,7 @@
             response = await self._http_client.fetch(request)
             self._platform_available.set()
             return Ok(response)
-        except (HTTPError, OSError) as error:
+        except (HTTPError, OSError, UnsatisfiableReadError) as error:
             kind = classify_error(error, is_write=method != "GET")
             self._counters.incr(f"platform.error.{kind}")
             if kind in OUTAGE_ERROR_KINDS:
@@ -283,7 +284,9 @@
 TORNADO_UNSENT_MESSAGES = ("while connecting", "in request queue")
 
 
-def classify_error(error: HTTPError | OSError, *, is_write: bool) -> PlatformErrorKind:
+def classify_error(
+    error: HTTPError | OSError | UnsatisfiableReadError, *, is_write: bool
+) -> PlatformErrorKind:
     """Return the error kind of a failed call.
 
     A write is known to have had no effect only if the platform's status code says so, or if the
@@ -291,7 +294,7 @@
 
     Parameters
     ----------
-    error : HTTPError or OSError
+    error : HTTPError, OSError or UnsatisfiableReadError
         Error raised by the HTTP client.
     is_write : bool
         Whether the call would have changed an object.
@@ -305,7 +308,7 @@
     return PlatformErrorKind.LOST_RESPONSE
 
 
-def _failed_before_sending(error: HTTPError | OSError) -> bool:
+def _failed_before_sending(error: Exception) -> bool:
     if isinstance(error, ConnectionRefusedError):
         return True
     if getattr(error, "errno", None) in CURL_UNSENT_ERRORS and isinstance(error, HTTPError):
--- a/amaranthbend/platform/store.py
+++ b/amaranthbend/platform/store.py
@@ -7,8 +7,9 @@
 
 from result import Err, Ok, Result
 from tornado.httpclient import HTTPClientError, HTTPRequest
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
+from tornado.iostream import UnsatisfiableReadError
 
+from ..adapters.http_client import make_http_client
 from ..core.watching import ObjectEvent, StoreChanges, StoredObject, StoreError, StoreErrorKind
 from .document_fields import get_non_negative_int, get_string
 
@@ -22,6 +23,7 @@
 CONNECT_TIMEOUT_S = 0.5
 # Time for the response of a watch to arrive after the store has stopped waiting for changes.
 WATCH_RESPONSE_MARGIN_S = 1.0
+MAX_CONCURRENT_CALLS = 16
 MS_PER_S = 1000
 # Far more pages than the objects of any deployment fill; ends a list in which a faulty store
 # repeats its pages.
@@ -42,7 +44,7 @@
 
     def __init__(self, address: str) -> None:
         self._base = f"http://{address}{OBJECTS_PATH}"
-        self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=16)
+        self._client = make_http_client(MAX_CONCURRENT_CALLS)
 
     async def create_object(self, kind: str, name: str, value: Any) -> Result[bool, StoreError]:
         """Create an object; return False if it already exists."""
@@ -156,7 +158,7 @@
             return Err(StoreError(error_kind, f"{kind}: {error.code} {error.message}"))
         except OSError as error:
             return Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{kind}: {error!r}"))
-        except (ValueError, RecursionError) as error:
+        except (UnsatisfiableReadError, ValueError, RecursionError) as error:
             return Err(StoreError(StoreErrorKind.MALFORMED, f"{kind}: {error!r}"))
         if not isinstance(document, dict):
             return Err(StoreError(StoreErrorKind.MALFORMED, f"{kind}: not an object"))
--- a/amaranthbend/programs/control.py
+++ b/amaranthbend/programs/control.py
@@ -15,9 +15,9 @@
 import fire
 import grpc
 import uvloop
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from ..adapters.admin import AdminSources, make_admin_server
+from ..adapters.http_client import make_http_client
 from ..adapters.logs import configure_logging, log_event
 from ..adapters.metrics import Counters
 from ..adapters.platform import PlatformClient
@@ -105,9 +105,7 @@
         self._is_stopping = False
         self._counters = Counters(settings.statsd_target, "amaranthbend.control")
         self._rng = random.Random()
-        client = SimpleAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CONCURRENT_PLATFORM_CALLS
-        )
+        client = make_http_client(MAX_CONCURRENT_PLATFORM_CALLS)
         self.platform = PlatformClient(settings.platform_url, client, self._counters)
         approvers = Approvers(
             settings.deployment, settings.approver_keys, settings.required_approvals
--- a/amaranthbend/programs/entry.py
+++ b/amaranthbend/programs/entry.py
@@ -7,12 +7,12 @@
 
 import fire
 import uvloop
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from ..adapters.admin import AdminSources, make_admin_server
 from ..adapters.caller_server import CallerServer
 from ..adapters.claims import ClaimRegistry
 from ..adapters.control_link import ControlLink, LinkCallbacks
+from ..adapters.http_client import make_http_client
 from ..adapters.logs import configure_logging, log_event
 from ..adapters.metrics import Counters
 from ..adapters.platform import PlatformClient
@@ -59,7 +59,7 @@
     """
     if not settings.platform_url:
         return UnavailableClaims()
-    client = SimpleAsyncHTTPClient(force_instance=True, max_clients=MAX_CONCURRENT_PLATFORM_CALLS)
+    client = make_http_client(MAX_CONCURRENT_PLATFORM_CALLS)
     platform = PlatformClient(
         settings.platform_url, client, counters, PLATFORM_CALLS_PER_S, PLATFORM_CALLS_PER_S
     )
--- a/amaranthbend/programs/operator.py
+++ b/amaranthbend/programs/operator.py
@@ -11,8 +11,8 @@
 import fire
 from absl import logging
 from result import Err, Result
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
+from ..adapters.http_client import make_http_client
 from ..adapters.logs import log_event
 from ..adapters.metrics import Counters
 from ..adapters.platform import PlatformClient
@@ -236,7 +236,7 @@
 
 def _make_platform_client(settings: OperatorSettings, counters: Counters) -> PlatformClient:
     # Unlike other HTTP clients, this one ignores proxies set in environment variables.
-    http_client = SimpleAsyncHTTPClient(force_instance=True)
+    http_client = make_http_client()
     return PlatformClient(settings.platform_url, http_client, counters)
 
 
