End responses without end, and take no repeated refusal for a later request

Three faults of one request path, each shown by a test that fails on:

- A response larger than the buffer had no time limit once it had begun (90 MB in 9 s to one caller).
It now ends at the caller's own deadline, or after 60 s without one, by a reset, so that it never looks complete.
The route's timeout still limits the wait for the response to begin.
Ruled out: a limit on size or rate, which would also end slow downloads that finish in time.
- A refusal without an id, or with status 421 and any id, was taken for the next request on a kept connection: 'not run' for idempotent requests that ran, and a 421 removed a healthy upstream.
The id is now compared first; a refusal without id on a reused connection is ambiguous: it proves nothing, the connection is closed and the request may be sent again only if it is idempotent.
Non-idempotent requests use new connections on every path, the test covers them as well.
- A body that never completes kept its connection past the deadline; it is now refused at the deadline, not run.

--- a/amaranthbend/adapters/caller.py
+++ b/amaranthbend/adapters/caller.py
@@ -1,6 +1,7 @@
 """Request of a caller and its response."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol, cast
@@ -70,7 +71,9 @@
     headers: HTTPHeaders
     body: RequestBody | None = None
     route: RoutePolicy | None = None
+    # Monotonic times by which the response has to start, and by which it has to be complete.
     deadline = 0.0
+    response_deadline = math.inf
     is_idempotent = False
     idempotency_key = ""
     # Number of the request within the process, 0 until it is passed to the dispatcher.
@@ -99,6 +102,7 @@
         self._sends_chunked = False
         self._output: list[bytes] = []
         self._is_write_pending = False
+        self._body_timer: asyncio.TimerHandle | None = None
 
     @property
     def is_http_1_1(self) -> bool:
@@ -136,6 +140,15 @@
             return
         if length is not None and length > self._handler.held_body_bytes:
             self._start_streaming()
+        elif length != 0:
+            self._body_timer = asyncio.get_running_loop().call_later(
+                self.deadline - self.arrived_at, self._time_out_body
+            )
+
+    def _time_out_body(self) -> None:
+        """Refuse a request whose body is still incomplete at its deadline."""
+        if not self.has_ended and not self.is_running:
+            self.send_local_response(make_refusal(OutcomeReason.TIMEOUT, closes=True))
 
     def data_received(self, chunk: bytes) -> "asyncio.Future[None] | None":
         """Process a part of the body; called by tornado."""
@@ -153,6 +166,8 @@
 
     def finish(self) -> None:
         """Handle the end of the request; called by tornado."""
+        if self._body_timer is not None:
+            self._body_timer.cancel()
         if self.has_ended:
             return
         self.connection.set_close_callback(self.on_connection_close)
@@ -172,6 +187,8 @@
         if self.has_ended or not self.method:
             return
         self.has_ended = True
+        if self._body_timer is not None:
+            self._body_timer.cancel()
         if self.is_running:
             self._handler.abandon(self)
         outcome = Outcome.UNKNOWN if self.is_sent else Outcome.NOT_RUN
--- a/amaranthbend/adapters/calls.py
+++ b/amaranthbend/adapters/calls.py
@@ -278,6 +278,8 @@
         if self._response_handler is None or self._has_whole_body(self._received_bytes):
             return
         head, self._pending_head = self._pending_head, None
+        if head is not None:
+            head = head._replace(on_reused_connection=self.uses_reused_connection())
         data = b"".join(self._chunks)
         self._chunks.clear()
         self._buffered_bytes = 0
@@ -293,7 +295,16 @@
             return True
         return head.length is not None and received >= head.length
 
-    def finish(self, error: CurlError | None, *, connection_was_kept: bool) -> None:
+    def uses_reused_connection(self) -> bool:
+        """Return whether the connection of the call had carried another request before.
+
+        Must not be called inside a libcurl callback.
+        """
+        return self.request.may_reuse_connection and not self.curl.getinfo(pycurl.NUM_CONNECTS)
+
+    def finish(
+        self, error: CurlError | None, *, connection_was_kept: bool, connection_was_reused: bool
+    ) -> None:
         """Deliver the remaining data and the end of the call.
 
         Parameters
@@ -302,6 +313,8 @@
             Error that ended the transfer, None if it succeeded.
         connection_was_kept : bool
             Whether libcurl kept the connection open after the transfer.
+        connection_was_reused : bool
+            Whether the connection had carried another request before.
         """
         response_handler, self._response_handler = self._response_handler, None
         self._connection_was_kept = connection_was_kept
@@ -309,6 +322,8 @@
             return
         end = self._make_end(error)
         head, self._pending_head = self._pending_head, None
+        if head is not None:
+            head = head._replace(on_reused_connection=connection_was_reused)
         data = b"".join(self._chunks)
         if end.kind is not EndKind.COMPLETE and self._has_whole_body(self._received_bytes):
             # With all announced bytes, the failed response would look complete to the caller.
--- a/amaranthbend/adapters/dialect.py
+++ b/amaranthbend/adapters/dialect.py
@@ -33,17 +33,21 @@
     report : LoadReport or None
         Load that the upstream reports.
     is_refusal : bool
-        Whether the response guarantees that the upstream has not run the request and never will.
+        Whether the response states that the upstream has not run the request and never will.
     is_draining : bool
         Whether the upstream refused the request because it is draining or has left.
     fault : OutcomeReason or None
         Reason why the response must not be forwarded to the caller, None if it may be.
+    is_ambiguous : bool
+        Whether a refusal may belong to an earlier request on the same connection, so that the
+        upstream may run the request after all.
     """
 
     report: LoadReport | None = None
     is_refusal: bool = False
     is_draining: bool = False
     fault: OutcomeReason | None = None
+    is_ambiguous: bool = False
 
 
 class Dialect(Protocol):
@@ -94,7 +98,8 @@
         """Return the load report and whether the response is a refusal."""
         report = parse_load_report(head.report) if head.report else None
         is_refusal = head.status == REFUSED_STATUS and head.not_run in NOT_RUN_VALUES
-        return ResponseMetadata(report, is_refusal, is_refusal and head.not_run == DRAINING)
+        is_draining = is_refusal and head.not_run == DRAINING
+        return ResponseMetadata(report, is_refusal, is_draining)
 
     def parse_probe_response(self, head: ResponseHead, member: Member) -> LoadReport | None:  # noqa: ARG002
         """Return the load report."""
--- a/amaranthbend/adapters/headers.py
+++ b/amaranthbend/adapters/headers.py
@@ -51,6 +51,9 @@
         Value of `X-Load-Report`, empty if the field is missing.
     not_run : str
         Value of `X-Not-Run`, empty if the field is missing.
+    on_reused_connection : bool
+        Whether the connection had carried another request before. A late or repeated response to
+        that request may then arrive in place of the expected one.
     """
 
     status: int
@@ -60,6 +63,7 @@
     chunked: bool
     report: str
     not_run: str
+    on_reused_connection: bool = False
 
 
 def list_connection_options(values: Iterable[str]) -> frozenset[str]:
--- a/amaranthbend/adapters/upstream.py
+++ b/amaranthbend/adapters/upstream.py
@@ -259,9 +259,14 @@
         call = handle.call
         # Only available until the transfer is removed from the multi handle.
         connection_was_kept = int(curl.getinfo(pycurl.ACTIVESOCKET)) >= 0
+        connection_was_reused = call is not None and call.uses_reused_connection()
         self._release(handle)
         if call is not None:
-            call.finish(error, connection_was_kept=connection_was_kept)
+            call.finish(
+                error,
+                connection_was_kept=connection_was_kept,
+                connection_was_reused=connection_was_reused,
+            )
 
     def _flush_ready(self) -> None:
         while self._ready:
--- a/amaranthbend/core/actions.py
+++ b/amaranthbend/core/actions.py
@@ -136,7 +136,8 @@
 class AttemptStatus(StrEnum):
     """How one attempt ended.
 
-    Only `REFUSED` and `NEVER_CONNECTED` prove that the upstream did not run the request.
+    Only `NEVER_CONNECTED`, and `REFUSED` unless it is ambiguous, prove that the upstream did not
+    run the request.
     """
 
     ANSWERED = "answered"
@@ -161,6 +162,8 @@
         Reason of a failure, for the caller and the counters.
     is_draining : bool
         Whether the upstream refused the request because it is draining.
+    is_ambiguous : bool
+        Whether a refusal may belong to an earlier request on the same connection.
     """
 
     status: AttemptStatus
@@ -168,6 +171,7 @@
     response_started: bool = False
     reason: OutcomeReason | None = None
     is_draining: bool = False
+    is_ambiguous: bool = False
 
 
 class Send(NamedTuple):
--- a/amaranthbend/core/dispatching.py
+++ b/amaranthbend/core/dispatching.py
@@ -387,7 +387,7 @@
         """Complete the request, end it without success, or retry it, as the result demands."""
         request = record.info
         is_answer = result.status is AttemptStatus.ANSWERED
-        if not proves_not_run(result.status):
+        if not proves_not_run(result):
             record.may_have_run = True
         reason = decide_retry(request, result, record.attempts, self._policy.retries, now)
         is_failure = is_upstream_failure(result)
--- a/amaranthbend/core/policy.py
+++ b/amaranthbend/core/policy.py
@@ -4,6 +4,7 @@
 are the defaults of the settings files.
 """
 
+import math
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -187,6 +188,8 @@
         Latency target: a later response is worth less to the caller. None without a target.
     max_attempts : int or None
         Maximum number of attempts of one request; None for the limit of the service.
+    max_response_s : float
+        Maximum time until the response is complete, for requests whose caller sends no timeout.
     """
 
     name: str
@@ -203,6 +206,7 @@
     split: tuple[WeightedService, ...] = ()
     latency_goal_s: float | None = None
     max_attempts: int | None = None
+    max_response_s: float = math.inf
 
 
 class ProbePolicy(NamedTuple):
--- a/amaranthbend/core/retries.py
+++ b/amaranthbend/core/retries.py
@@ -8,9 +8,11 @@
 __all__ = ["RetryBudget", "count_attempts_allowed", "decide_retry", "proves_not_run"]
 
 
-def proves_not_run(status: AttemptStatus) -> bool:
-    """Return whether the status proves that the upstream did not run the request."""
-    return status is AttemptStatus.REFUSED or status is AttemptStatus.NEVER_CONNECTED
+def proves_not_run(result: AttemptResult) -> bool:
+    """Return whether the result proves that the upstream did not run the request."""
+    if result.status is AttemptStatus.REFUSED:
+        return not result.is_ambiguous
+    return result.status is AttemptStatus.NEVER_CONNECTED
 
 
 def count_attempts_allowed(request: RequestInfo, policy: RetryPolicy) -> int:
@@ -42,6 +44,8 @@
         return None
     if attempts >= count_attempts_allowed(request, policy) or now >= request.deadline:
         return None
+    if result.is_ambiguous and not request.idempotent:
+        return None
     if result.status is AttemptStatus.REFUSED:
         return RetryReason.UPSTREAM_REFUSED
     if result.status is AttemptStatus.NEVER_CONNECTED:
--- a/amaranthbend/filters/attempts.py
+++ b/amaranthbend/filters/attempts.py
@@ -1,6 +1,7 @@
 """One attempt to send a request to an upstream, and the request that is sent."""
 
 import asyncio
+import math
 import time
 from typing import Protocol
 
@@ -82,6 +83,7 @@
         "_status",
         "call",
         "has_ended",
+        "is_ambiguous",
         "is_draining",
         "number",
         "refused",
@@ -115,6 +117,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.refused = False
         self.is_draining = False
+        self.is_ambiguous = False
         self.has_ended = False
         self._owner = owner
         self._is_forwarding = False
@@ -147,6 +150,11 @@
             self.stop_timer()
             self.refused = True
             self.is_draining = reading.is_draining
+            self.is_ambiguous = reading.is_ambiguous
+            if reading.is_ambiguous:
+                # Closes the connection, on which the response to this request may still follow.
+                self.fail(OutcomeReason.UPSTREAM_REFUSED)
+                return
             loop = asyncio.get_running_loop()
             self.timer = loop.call_later(
                 REFUSAL_BODY_TIMEOUT_S, self.fail, OutcomeReason.UPSTREAM_REFUSED
@@ -160,7 +168,17 @@
         self._start_forwarding(head)
 
     def _start_forwarding(self, head: ResponseHead) -> None:
+        """Start to forward the response, which has to be complete by the caller's deadline.
+
+        The deadline of the request no longer applies: it limits the wait for the response, and a
+        large response may take longer on a slow link.
+        """
         self.stop_timer()
+        remaining_s = self.request.response_deadline - time.monotonic()
+        if remaining_s < math.inf:
+            self.timer = asyncio.get_running_loop().call_later(
+                remaining_s, self.fail, OutcomeReason.TIMEOUT
+            )
         if self._owner.should_forward_response(self):
             self._is_forwarding = True
             self.request.on_writable = self._resume
@@ -237,7 +255,12 @@
         self._finish(result)
 
     def _make_refusal_result(self) -> AttemptResult:
-        return AttemptResult(AttemptStatus.REFUSED, self._status, is_draining=self.is_draining)
+        return AttemptResult(
+            AttemptStatus.REFUSED,
+            self._status,
+            is_draining=self.is_draining,
+            is_ambiguous=self.is_ambiguous,
+        )
 
     def cancel(self) -> None:
         """Abort the call at the upstream and end the attempt as cancelled."""
@@ -259,7 +282,7 @@
         self._owner.finish_attempt(self, result)
 
     def stop_timer(self) -> None:
-        """Stop the timeout for the response, or for the body of a refusal."""
+        """Stop the timeout for the start or the end of the response, or the body of a refusal."""
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
--- a/amaranthbend/filters/idempotency.py
+++ b/amaranthbend/filters/idempotency.py
@@ -16,7 +16,7 @@
 
 
 class IdempotencyAndDeadlineFilter:
-    """Sets whether a request may run more than once, its idempotency key and its deadline.
+    """Sets whether a request may run more than once, its idempotency key and its deadlines.
 
     Parameters
     ----------
@@ -28,7 +28,7 @@
         self._dialect = dialect
 
     def check(self, request: CallerRequest, now: float) -> LocalResponse | None:
-        """Set the idempotency, key and deadline of a request; refuse invalid fields."""
+        """Set the idempotency, key and deadlines of a request; refuse invalid fields."""
         route = request.route
         assert route is not None
         request.is_idempotent = request.method in IDEMPOTENT_METHODS
@@ -38,10 +38,11 @@
             return make_refusal(OutcomeReason.BAD_IDEMPOTENCY_KEY)
         if route.claim is ClaimRule.REQUIRED and not request.idempotency_key:
             return make_refusal(OutcomeReason.BAD_IDEMPOTENCY_KEY)
-        timeout_s = _parse_timeout(request, self._dialect.deadline_field, route.deadline_s)
+        timeout_s = _parse_timeout(request, self._dialect.deadline_field, route.max_response_s)
         if timeout_s is None:
             return make_refusal(OutcomeReason.BAD_DEADLINE)
-        request.deadline = now + timeout_s
+        request.deadline = now + min(route.deadline_s, timeout_s)
+        request.response_deadline = now + timeout_s
         return None
 
 
@@ -57,14 +58,14 @@
     return True
 
 
-def _parse_timeout(request: CallerRequest, field: str, max_timeout_s: float) -> float | None:
-    """Return the caller's timeout in seconds, at most the route's; None if the field is invalid."""
+def _parse_timeout(request: CallerRequest, field: str, default_s: float) -> float | None:
+    """Return the caller's timeout in seconds, or the default; None if the field is invalid."""
     values = request.headers.get_list(field)
     if not values:
-        return max_timeout_s
+        return default_s
     text = values[0]
     if len(values) > 1 or not (text.isascii() and text.isdigit()):
         return None
     if len(text) > MAX_DEADLINE_DIGITS or int(text) == 0:
         return None
-    return min(max_timeout_s, int(text) / MS_PER_S)
+    return int(text) / MS_PER_S
--- a/amaranthbend/platform/dialect.py
+++ b/amaranthbend/platform/dialect.py
@@ -55,14 +55,17 @@
         """
         fields = _get_fields(head)
         report = _parse_load(fields.get(LOAD_FIELD, b""), member.incarnation, member.state)
-        not_executed = NOT_EXECUTED_FIELD in fields
-        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
-            return ResponseMetadata(None, True, True)
         echoed_id = fields.get(ATTEMPT_ID_FIELD)
         if echoed_id is not None and echoed_id.decode("latin1") != request_id:
             return ResponseMetadata(fault=OutcomeReason.MALFORMED_ANSWER)
-        if not_executed:
-            return ResponseMetadata(report, True)
+        # A refusal need not carry an id. Then only a new connection shows whose refusal it is.
+        is_ambiguous = echoed_id is None and head.on_reused_connection
+        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+            return ResponseMetadata(None, True, not is_ambiguous, is_ambiguous=is_ambiguous)
+        if NOT_EXECUTED_FIELD in fields:
+            return ResponseMetadata(
+                None if is_ambiguous else report, True, is_ambiguous=is_ambiguous
+            )
         is_signed = echoed_id is not None and bool(fields.get(SIGNATURE_FIELD))
         is_success = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
         if (
--- a/amaranthbend/platform/documents.py
+++ b/amaranthbend/platform/documents.py
@@ -36,7 +36,7 @@
 INSTANCES_KIND = "servers"
 UPSTREAM_STATES = {"ready": UpstreamState.SERVING, "draining": UpstreamState.DRAINING}
 IDEMPOTENCE_BY_KIND = {"safe": True, "download": True, "unsafe": False, "upload": False}
-# Upper limit for routes without a timeout, whose requests end at the caller's own deadline.
+# Upper limit for requests without a timeout of their route or of their caller.
 DEFAULT_DEADLINE_S = 60.0
 # Used until the instance reports its number of slots.
 DEFAULT_SLOTS = 4
@@ -170,6 +170,7 @@
             lambda: get_non_negative_int(action, "attempts", DEFAULT_ATTEMPTS),
             DEFAULT_ATTEMPTS,
         ),
+        max_response_s=DEFAULT_DEADLINE_S,
     )
 
 
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -4,7 +4,9 @@
 
 - `cut`: the response breaks off; `extra`: another response follows it; `late`: the response of
   another request comes first; `unsigned`, `encoded`, `error`, `shed`, `plain503`, `hang`;
-- `slow`: the run takes a second.
+- `slow`: the run takes a second;
+- `endless_chunks`, `endless_body`, `endless_trailers`, `endless_extension`: a signed response whose
+  named part continues until the caller closes.
 """
 
 import asyncio
@@ -16,6 +18,14 @@
 RUN_S = 0.01
 SLOW_S = 1.0
 HANG_S = 30.0
+FILLER = b"x" * 16 * 1024
+# Framing of the responses without end, and the piece that is repeated.
+ENDLESS_PARTS = {
+    "endless_chunks": (b"Transfer-Encoding: chunked\r\n\r\n", b"4000\r\n" + FILLER + b"\r\n"),
+    "endless_body": (b"Connection: close\r\n\r\n", FILLER),
+    "endless_trailers": (b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"X-More: 1\r\n"),
+    "endless_extension": (b"Transfer-Encoding: chunked\r\n\r\n4;x=", FILLER),
+}
 
 
 class Instance:
@@ -41,10 +51,14 @@
         self.run_s = RUN_S
         self.percent = 100
         self.is_healthy = True
+        # Header fields of a refusal that is written once more before the next request of a kept
+        # connection runs, and its status.
+        self.repeated_refusal: tuple[int, dict[str, str]] | None = None
         self.born = 1
         # Ids of the requests that ran, in order, with their deadlines in milliseconds.
         self.ran: list[tuple[str, int]] = []
         self.cancelled: list[str] = []
+        self.endless_bytes = 0
         self.address = ""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -78,15 +92,18 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         try:
-            while await self._serve_one(reader, writer):
-                pass
+            is_first = True
+            while await self._serve_one(reader, writer, is_first):
+                is_first = False
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
             self._writers.discard(writer)
             writer.close()
 
-    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_first: bool
+    ) -> bool:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
         start, *lines = head.strip().split("\r\n")
         fields = dict(line.split(": ", 1) for line in lines if ": " in line)
@@ -106,13 +123,32 @@
         if fault == "shed":
             self._answer(writer, 503, b"", {**echo, "X-Amaranthbend-Not-Executed": "1"})
             return True
+        if self.repeated_refusal is not None and not is_first:
+            status, refusal_fields = self.repeated_refusal
+            self._answer(writer, status, b"", refusal_fields)
         self.ran.append((request_id, int(fields.get("x-amaranthbend-request-deadline", "0"))))
         if not await self._run(reader, fault):
             self.cancelled.append(request_id)
             return False
         fields = {**echo, **self._sign(request_id), **self._describe_self()}
+        if fault in ENDLESS_PARTS:
+            await self._send_endless(writer, fault, fields)
         return self._finish(writer, fault, request_id, fields)
 
+    async def _send_endless(
+        self, writer: asyncio.StreamWriter, fault: str, fields: dict[str, str]
+    ) -> None:
+        """Send a response until the caller closes, which raises ConnectionError."""
+        framing, piece = ENDLESS_PARTS[fault]
+        lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        writer.write(b"HTTP/1.1 200 OK\r\n" + lines.encode("latin1") + framing)
+        while True:
+            writer.write(piece)
+            await writer.drain()
+            self.endless_bytes += len(piece)
+            # A transport whose peer keeps reading never makes `drain` wait.
+            await asyncio.sleep(0)
+
     async def _run(self, reader: asyncio.StreamReader, fault: str) -> bool:
         """Hold a slot; return whether the caller is still there."""
         self.running += 1
--- a/standins/node_caller.py
+++ b/standins/node_caller.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any, NamedTuple
 
-__all__ = ["DESK", "Answer", "exchange", "make_configuration"]
+__all__ = ["DESK", "Answer", "exchange", "make_call", "make_configuration"]
 
 WAIT_S = 8.0
 DESK = "desk"
@@ -38,6 +38,17 @@
     }
 
 
+def make_call(path: str, method: str, request_id: str, deadline_ms: int) -> bytes:
+    """Return the bytes of a request; a POST has a body of two bytes."""
+    length = "Content-Length: 2\r\n" if method == "POST" else ""
+    body = "{}" if method == "POST" else ""
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
+        f"X-Amaranthbend-Attempt-Id: {request_id}\r\n"
+        f"X-Amaranthbend-Request-Deadline: {deadline_ms}\r\n{length}\r\n{body}"
+    ).encode()
+
+
 async def exchange(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
@@ -47,13 +58,7 @@
     deadline_ms: int = 1500,
 ) -> Answer:
     """Send one request, and read its response."""
-    length = "Content-Length: 2\r\n" if method == "POST" else ""
-    body = "{}" if method == "POST" else ""
-    writer.write(
-        f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
-        f"X-Amaranthbend-Attempt-Id: {request_id}\r\n"
-        f"X-Amaranthbend-Request-Deadline: {deadline_ms}\r\n{length}\r\n{body}".encode()
-    )
+    writer.write(make_call(path, method, request_id, deadline_ms))
     try:
         head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), WAIT_S)).decode("latin1")
         start, *lines = head.strip().split("\r\n")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,7 +6,7 @@
 import pytest
 
 from standins.instance import Instance
-from standins.node_caller import exchange, make_configuration
+from standins.node_caller import exchange, make_call, make_configuration
 
 from .node_cases import (
     ADDRESS,
@@ -88,6 +88,26 @@
     run_node(check)
 
 
+def test_incomplete_body_is_refused_at_the_deadline() -> None:
+    """Guards against a caller that occupies a connection by sending a body without end."""
+
+    async def check(case: NodeCase) -> None:
+        reader, writer = await case.connect()
+        call = make_call("/unsafe/x", "POST", "b1", 500)
+        writer.write(call.replace(b"Content-Length: 2", b"Transfer-Encoding: chunked")[:-2])
+        started_at = asyncio.get_running_loop().time()
+        head = asyncio.ensure_future(reader.readuntil(b"\r\n\r\n"))
+        while not head.done():
+            writer.write(b"1\r\nx\r\n")
+            await asyncio.wait({head}, timeout=0.05)
+        assert (await head).startswith(b"HTTP/1.1 503")
+        assert 0.4 < asyncio.get_running_loop().time() - started_at < 1.0
+        writer.close()
+        assert case.count_executions("b1") == 0
+
+    run_node(check)
+
+
 def test_route_timeout_ends_a_request() -> None:
     """Guards against a request that takes longer than the timeout of its route."""
 
@@ -104,6 +124,88 @@
     run_node(check)
 
 
+@pytest.mark.parametrize(
+    "fault", ["endless_chunks", "endless_body", "endless_trailers", "endless_extension"]
+)
+@pytest.mark.parametrize(("kind", "method"), [("safe", "GET"), ("unsafe", "POST")])
+def test_response_without_end_is_ended_at_the_deadline(fault: str, kind: str, method: str) -> None:
+    """Guards against a faulty instance that occupies a caller and its host without limit.
+
+    A response that has begun may take longer than the timeout of its route, but not longer than
+    the caller's own timeout, and its end must not look like the end of a complete response.
+    """
+
+    async def check(case: NodeCase) -> None:
+        case.store.put("config", "main", make_configuration(2, timeout="400ms"))
+        await wait_until(lambda: case.process.configuration.version == 2)
+        reader, writer = await case.connect()
+        started_at = asyncio.get_running_loop().time()
+        writer.write(make_call(f"/{kind}/{fault}", method, "e1", 800))
+        received = bytearray()
+        was_reset = False
+        async with asyncio.timeout(5):
+            try:
+                while data := await reader.read(1024 * 1024):
+                    received += data
+                    head, separator, body = bytes(received[:1024]).partition(b"\r\n\r\n")
+                    if separator and head[9:12] in (b"502", b"504") and body:
+                        break
+            except ConnectionError:
+                was_reset = True
+        elapsed_s = asyncio.get_running_loop().time() - started_at
+        writer.close()
+        assert was_reset or received.startswith((b"HTTP/1.1 504", b"HTTP/1.1 502"))
+        assert elapsed_s < 1.3
+        await wait_until(lambda: not any(entry.running for entry in case.instances))
+        if kind == "unsafe":
+            assert case.count_executions("e1") == 1
+        sent = sum(entry.endless_bytes for entry in case.instances)
+        await asyncio.sleep(0.2)
+        assert sum(entry.endless_bytes for entry in case.instances) == sent
+
+    run_node(check)
+
+
+@pytest.mark.parametrize(
+    "refusal",
+    [
+        (503, {"X-Amaranthbend-Not-Executed": "1"}),
+        (503, {"X-Amaranthbend-Not-Executed": "1", "X-Amaranthbend-Attempt-Id": "old"}),
+        (421, {"X-Amaranthbend-Instance-Id": "i-0", "X-Amaranthbend-Attempt-Id": "old"}),
+        (421, {"X-Amaranthbend-Instance-Id": "i-0"}),
+    ],
+)
+@pytest.mark.parametrize("attempts", [1, 2])
+def test_repeated_refusal_refuses_no_later_request(
+    refusal: tuple[int, dict[str, str]], attempts: int
+) -> None:
+    """Guards against "not run" for a request that an instance has run.
+
+    A faulty instance writes an earlier refusal once more on a kept connection, in front of the
+    response to the next request there, which it runs.
+    """
+
+    async def check(case: NodeCase) -> None:
+        case.store.put("config", "main", make_configuration(2, attempts=attempts))
+        await wait_until(lambda: case.process.configuration.version == 2)
+        instance = case.instances[0]
+        instance.repeated_refusal = refusal
+        statuses = []
+        for number in range(12):
+            kind, method = (("safe", "GET"), ("unsafe", "POST"))[number % 2]
+            answer = await case.call(f"/{kind}/x", method, f"r{number}")
+            runs = case.count_executions(f"r{number}")
+            statuses.append((answer.status, runs))
+            assert not (runs and answer.status in (408, 421, 429, 503))
+            if kind == "unsafe":
+                assert (answer.status, runs) in ((200, 1), (503, 0))
+        # The instance stays in use: the repeated 421 does not mean that it has left.
+        assert len(case.process.dispatch.snapshot(0.0)["desk"]) == 1
+        assert statuses[-2][1] > 0
+
+    run_node(check, instances=1)
+
+
 @pytest.mark.parametrize("fault", ["cut", "late", "unsigned", "encoded", "plain503"])
 def test_invalid_response_never_reaches_the_caller(fault: str) -> None:
     """Guards against forwarding a response that is unsigned, cut off or of another request."""
