Prefer open connections for remote probes too, and register a host once

Cause: on the large site a host has 1.3 requests a second, so its single remote probe per round meets fewer than 12 upstreams within 8 s, the number from which open connections were preferred: 57,640 new connections for 34,219 requests. The number now counts per probe of the round. A process that starts again reads the list of hosts from a replica, which it needs anyway, and registers only if its entry is missing; each refused create had a price.

--- a/amaranthbend/controllers/host_directory.py
+++ b/amaranthbend/controllers/host_directory.py
@@ -55,7 +55,7 @@
         self._store = store
         self._host = host
         self._on_change = on_change
-        self._first_list_delay_s = FIRST_LIST_DELAY_S if is_first_start else 0.0
+        self._is_first_start = is_first_start
         self._hosts: list[HostEntry] = []
 
     @property
@@ -64,7 +64,24 @@
         return len(self._hosts) or ASSUMED_HOST_COUNT
 
     async def run(self) -> None:
-        """Register the host, then list the hosts periodically until cancelled."""
+        """Register the host, then list the hosts periodically until cancelled.
+
+        A host that starts again is in the list already. Reading the list from a replica costs
+        less than an attempt to register, and the list is needed anyway.
+        """
+        if not self._is_first_start:
+            await self._update()
+        if self._host not in self._hosts:
+            await self._register()
+            await asyncio.sleep(FIRST_LIST_DELAY_S if self._is_first_start else 0.0)
+            await self._update()
+        while True:
+            interval_s = max(MIN_LIST_INTERVAL_S, self.count / MAX_DEPLOYMENT_LISTS_PER_S)
+            await asyncio.sleep(interval_s * random.uniform(0.8, 1.2))
+            await self._update()
+
+    async def _register(self) -> None:
+        """Create the entry of this host, and repeat the call until the store has answered it."""
         entry = {
             "data_centre": self._host.data_centre,
             "peer_address": self._host.peer_address,
@@ -72,13 +89,8 @@
         while True:
             created = await self._store.create_object(HOSTS_KIND, self._host.name, entry)
             if not isinstance(created, Err):
-                break
+                return
             await asyncio.sleep(REGISTRATION_RETRY_DELAY_S * random.uniform(0.5, 1.5))
-        await asyncio.sleep(self._first_list_delay_s)
-        while True:
-            await self._update()
-            interval_s = max(MIN_LIST_INTERVAL_S, self.count / MAX_DEPLOYMENT_LISTS_PER_S)
-            await asyncio.sleep(interval_s * random.uniform(0.8, 1.2))
 
     async def _update(self) -> None:
         listed = await self._store.list_objects(HOSTS_KIND, may_lag=True)
--- a/amaranthbend/core/probe_rounds.py
+++ b/amaranthbend/core/probe_rounds.py
@@ -41,9 +41,9 @@
 # An upstream with a report up to this age probably has an open connection. Upstreams close
 # connections that were idle for 10 s, which they announce in the `Keep-Alive` header.
 CONNECTION_OPEN_S = 8.0
-# Upstreams with open connections are preferred from this number on: several times the probes of
-# one round, so that there is a choice.
-MIN_CONNECTED_UPSTREAMS = 12
+# Upstreams with open connections are preferred from this number for each probe of a round on, so
+# that there is a choice.
+MIN_CONNECTED_PER_PROBE = 4
 # Share of rounds that start with an upstream that probably has no open connection.
 UNCONNECTED_ROUND_SHARE = 0.3
 # Factor on the expected time in another data centre, for the traffic between data centres as
@@ -139,19 +139,30 @@
 
 
 def order_connected_first(
-    ranked: list[tuple[float, UpstreamLoad]], rng: random.Random, now: float
+    ranked: list[tuple[float, UpstreamLoad]], probes: int, rng: random.Random, now: float
 ) -> list[tuple[float, UpstreamLoad]]:
     """Return upstreams ordered by rank, those with a probably open connection first.
 
     Load pattern: a host of a large deployment has few requests and hundreds of upstreams. With
     an even choice, nearly each probe would open a connection that is closed before its next use.
     A share of the rounds starts with another upstream, so that the preferred set keeps changing.
+
+    Parameters
+    ----------
+    ranked : list of (float, UpstreamLoad)
+        Upstreams with their ranks; lower ranks come first.
+    probes : int
+        Probes of a round to these upstreams.
+    rng : random.Random
+        Random number generator.
+    now : float
+        Present time.
     """
     connected: list[tuple[float, UpstreamLoad]] = []
     unconnected: list[tuple[float, UpstreamLoad]] = []
     for entry in ranked:
         (connected if now - entry[1].report_at < CONNECTION_OPEN_S else unconnected).append(entry)
-    if len(connected) < MIN_CONNECTED_UPSTREAMS or not unconnected:
+    if len(connected) < MIN_CONNECTED_PER_PROBE * probes or not unconnected:
         return sorted(ranked, key=lambda entry: entry[0])
     connected.sort(key=lambda entry: entry[0])
     unconnected.sort(key=lambda entry: entry[0])
@@ -203,8 +214,8 @@
             rest.append((rank + (1.0 if load.is_remote else 0.5), load))
         else:
             (remote if load.is_remote else local).append((rank, load))
-    local = order_connected_first(local, rng, now)
-    remote = order_connected_first(remote, rng, now)
+    local = order_connected_first(local, policy.local_probes, rng, now)
+    remote = order_connected_first(remote, policy.remote_probes, rng, now)
     rest.sort(key=lambda entry: entry[0])
     probe_count = min(max_probes, policy.local_probes + policy.remote_probes)
     chosen = local[: min(probe_count, policy.local_probes)]
