--- a/amaranthbend/core/change_relay.py
+++ b/amaranthbend/core/change_relay.py
@@ -18,11 +18,10 @@
 
 __all__ = ["MAX_CONFIRMATION_AGE_S", "HostEntry", "ChangeLog", "PeerSelector", "PeerChanges"]
 
-# With fewer hosts, each one reads the store itself: their calls cost little (with 14 hosts 0.02
-# of the benchmark's worth score, docs/design-new-machines.md).
-MIN_HOSTS_FOR_RELAY = 30
-# Two, so that followers have a second reader when one fails.
+# Readers of a data centre with more than `MAX_HOSTS_PER_READER` hosts. Two share the work of
+# relaying changes, and with a low rate of requests the price of the calls of two matters less.
 READERS_PER_DATA_CENTRE = 2
+MAX_HOSTS_PER_READER = 16
 # Time for which a peer is skipped after a failed call. Longer than a brief pause of its machine,
 # so that it has checked the store again before it is used.
 FAILED_PEER_SKIP_S = 5.0
@@ -78,20 +77,19 @@
         self._order_key = _get_order_key(host_id)
         self._data_centre = data_centre
         self._preceding_hosts: list[HostEntry] = []
+        self._readers = READERS_PER_DATA_CENTRE
         self._skipped_until: dict[str, float] = {}
 
     def set_hosts(self, hosts: Iterable[HostEntry]) -> None:
         """Replace the known hosts."""
-        known = list(hosts)
-        preceding = [
-            host
-            for host in known
-            if host.data_centre == self._data_centre
-            and host.peer_address
-            and _get_order_key(host.name) < self._order_key
+        local = [
+            host for host in hosts if host.data_centre == self._data_centre and host.peer_address
         ]
-        preceding.sort(key=lambda host: _get_order_key(host.name))
-        self._preceding_hosts = preceding if len(known) >= MIN_HOSTS_FOR_RELAY else []
+        local.sort(key=lambda host: _get_order_key(host.name))
+        self._preceding_hosts = [
+            host for host in local if _get_order_key(host.name) < self._order_key
+        ]
+        self._readers = 1 if len(local) <= MAX_HOSTS_PER_READER else READERS_PER_DATA_CENTRE
 
     def record_failure(self, name: str, now: float) -> None:
         """Record a failed call to a peer, which is then skipped for a while."""
@@ -104,9 +102,9 @@
             if self._skipped_until.get(host.name, -math.inf) > now:
                 continue
             usable.append(host)
-            if len(usable) == READERS_PER_DATA_CENTRE:
+            if len(usable) == self._readers:
                 # Distributes the followers over the readers.
-                return usable[len(self._preceding_hosts) % READERS_PER_DATA_CENTRE]
+                return usable[len(self._preceding_hosts) % self._readers]
         return None
 
 
