End the attempts at an upstream that has started anew

Cause: a request stayed with a dead upstream until its deadline although the store had reported the restart (large site, deadlines of 5 to 12 s). Change: if the entry shows a new start, attempts without a response fail: idempotent requests are sent elsewhere within the budget, others get 502 at once. If the entry has vanished, the upstream may still be serving, so idempotent requests are hedged at once and the others wait. A response that has begun is kept. The new tests fail without _replace_lost_attempts.

--- a/amaranthbend/core/actions.py
+++ b/amaranthbend/core/actions.py
@@ -213,10 +213,14 @@
 
 
 class Cancel(NamedTuple):
-    """Cancel one attempt in flight."""
+    """Cancel one attempt in flight.
+
+    With a reason, the attempt ends as failed, and only if its response has not begun.
+    """
 
     request_id: int
     attempt: int
+    reason: OutcomeReason | None = None
 
 
 class Probe(NamedTuple):
--- a/amaranthbend/core/probing_dispatcher.py
+++ b/amaranthbend/core/probing_dispatcher.py
@@ -9,6 +9,7 @@
     Action,
     AttemptResult,
     AttemptStatus,
+    Cancel,
     LoadReport,
     Member,
     Probe,
@@ -150,11 +151,35 @@
     def set_members(self, members: Iterable[Member], now: float) -> list[Action]:
         """Replace the members of the service."""
         actions = super().set_members(members, now)
+        actions += self._replace_lost_attempts(now)
         for upstream in self._probe_failures.keys() - self._loads.keys():
             del self._probe_failures[upstream]
         self._probe_budget.set_upstreams(self._policy.name, len(self._loads))
         return actions
 
+    def _replace_lost_attempts(self, now: float) -> list[Action]:
+        """Act on the attempts whose upstream is no longer registered as it was when they began.
+
+        Load pattern: an upstream dies without closing its connections, and requests with long
+        deadlines wait for it. If it has started anew, the earlier process has ended and an attempt
+        without a response has failed. If its entry has vanished, it may also be finishing its
+        work, so idempotent requests are hedged and the others wait.
+        """
+        actions: list[Action] = []
+        for (request_id, number), attempt in self._attempts.items():
+            member = self._membership.members.get(attempt.load.member.upstream)
+            if member is not None and member.incarnation == attempt.incarnation:
+                continue
+            record = self._requests.get(request_id)
+            if record is None or number not in record.running:
+                continue
+            if member is not None:
+                actions.append(Cancel(request_id, number, OutcomeReason.UPSTREAM_FAILED))
+            elif record.info.idempotent and self._may_hedge(record):
+                record.hedge_at = now
+                self._schedule_hedge(now, record)
+        return actions
+
     def set_policy(self, policy: ServicePolicy, processes: int, now: float) -> list[Action]:
         """Apply new settings; requests already accepted are kept."""
         actions = super().set_policy(policy, processes, now)
--- a/amaranthbend/filters/attempts.py
+++ b/amaranthbend/filters/attempts.py
@@ -197,6 +197,11 @@
             self.request.append(b"".join(self._buffered_parts))
         self._buffered_parts.clear()
 
+    @property
+    def has_response_begun(self) -> bool:
+        """Whether the head of the response has been received."""
+        return self._status > 0
+
     @property
     def has_buffered_response(self) -> bool:
         """Whether the response is buffered instead of streamed to the caller."""
--- a/amaranthbend/filters/services.py
+++ b/amaranthbend/filters/services.py
@@ -244,8 +244,12 @@
     def _cancel(self, action: Cancel) -> None:
         active = self.active_requests.get(action.request_id)
         attempt = active.attempts.get(action.attempt) if active is not None else None
-        if attempt is not None:
+        if attempt is None:
+            return
+        if action.reason is None:
             attempt.cancel()
+        elif not attempt.has_response_begun:
+            attempt.fail(action.reason)
 
     def _probe(self, action: Probe) -> None:
         member = self.members.get(action.upstream)
--- a/tests/test_asked_dispatching.py
+++ b/tests/test_asked_dispatching.py
@@ -1,5 +1,7 @@
 """Tests of the dispatcher that probes upstreams before each attempt."""
 
+import pytest
+
 from amaranthbend.core.actions import (
     Action,
     AttemptResult,
@@ -370,3 +372,39 @@
     assert dispatcher.finish(1, second.attempt, SERVER_ERROR, 0.3) == []
     actions = dispatcher.finish(1, first.attempt, ANSWERED, 0.4)
     assert actions == [Complete(1, Outcome.ANSWERED, attempt=first.attempt)]
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_restarted_upstream_fails_the_attempts_at_its_predecessor(idempotent: bool) -> None:
+    """Guards against requests that wait for a dead upstream until their deadlines."""
+    dispatcher = make_dispatcher()
+    upstream = submit_and_answer(dispatcher, make_request(idempotent=idempotent)).upstream
+    members = [view.member for view in dispatcher.snapshot(0.1)]
+    restarted = [
+        member._replace(incarnation=2) if member.upstream == upstream else member
+        for member in members
+    ]
+    assert Cancel(1, 1, OutcomeReason.UPSTREAM_FAILED) in dispatcher.set_members(restarted, 0.1)
+    actions = dispatcher.finish(1, 1, FAILED, 0.1)
+    if idempotent:
+        assert any(isinstance(action, Probe) for action in actions)
+    else:
+        assert Complete(1, Outcome.UNKNOWN, OutcomeReason.UPSTREAM_FAILED) in actions
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_vanished_upstream_leads_to_a_hedge_at_once(idempotent: bool) -> None:
+    """Guards against a request that waits although its upstream is probably dead.
+
+    The upstream may still be finishing its work, so the attempt itself goes on.
+    """
+    dispatcher = make_dispatcher()
+    upstream = submit_and_answer(dispatcher, make_request(idempotent=idempotent)).upstream
+    remaining = [
+        view.member for view in dispatcher.snapshot(0.1) if view.member.upstream != upstream
+    ]
+    actions = dispatcher.set_members(remaining, 0.1)
+    assert not any(isinstance(action, Cancel) for action in actions)
+    due = dispatcher.get_next_tick_time(0.1)
+    actions = dispatcher.tick(0.1) if due == 0.1 else []
+    assert any(isinstance(action, Probe) for action in actions) is idempotent
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -108,6 +108,34 @@
     run_node(check)
 
 
+@pytest.mark.parametrize(("kind", "method"), [("safe", "GET"), ("unsafe", "POST")])
+def test_restart_of_an_instance_ends_the_requests_of_its_predecessor(
+    kind: str, method: str
+) -> None:
+    """Guards against callers that wait until their deadline for an instance that has died.
+
+    Its connections stay open without a reset, as after a loss of power.
+    """
+
+    async def check(case: NodeCase) -> None:
+        case.store.put("config", "main", make_configuration(2, timeout="4s"))
+        await wait_until(lambda: case.process.configuration.version == 2)
+        call = asyncio.ensure_future(case.call(f"/{kind}/hang", method, "h1", 4000))
+        await wait_until(lambda: case.count_executions("h1") == 1)
+        started_at = asyncio.get_running_loop().time()
+        case.instances[0].born += 1
+        case.register(case.instances[0])
+        if kind == "safe":
+            await wait_until(lambda: case.count_executions("h1") == 2)
+            call.cancel()
+        else:
+            assert (await call).status == 502
+            assert case.count_executions("h1") == 1
+        assert asyncio.get_running_loop().time() - started_at < 1.5
+
+    run_node(check, instances=1)
+
+
 def test_route_timeout_ends_a_request() -> None:
     """Guards against a request that takes longer than the timeout of its route."""
 
