Use a steady clock for the timeouts of tornado

Cause: tornado measures timeouts by the time of day. Change: the loop of tornado takes the clock of asyncio in all server programs. Ruled out: the project's own timers, which use time.monotonic and loop.call_later; the time of day appears in log lines only.

--- a/amaranthbend/programs/control.py
+++ b/amaranthbend/programs/control.py
@@ -34,7 +34,7 @@
 from ..rpc.options import SERVER_OPTIONS
 from ..settings.acceptance import Approvers
 from .process_settings import load_settings_or_exit
-from .startup import make_stop_event
+from .startup import prepare_event_loop
 
 __all__ = ["ControlProcess", "main"]
 
@@ -281,7 +281,7 @@
 
 async def serve(settings: ControlSettings) -> bool:
     """Run until SIGTERM or SIGINT; return False if a background loop failed."""
-    return await ControlProcess(settings).run(make_stop_event())
+    return await ControlProcess(settings).run(prepare_event_loop())
 
 
 def run(settings: str) -> None:
--- a/amaranthbend/programs/entry.py
+++ b/amaranthbend/programs/entry.py
@@ -31,7 +31,7 @@
 from ..settings.acceptance import Approvers, accept_envelope
 from ..settings.process import EntrySettings
 from .process_settings import load_settings_or_exit
-from .startup import configure_garbage_collector, make_stop_event
+from .startup import configure_garbage_collector, prepare_event_loop
 
 __all__ = ["EntryProcess", "main"]
 
@@ -277,7 +277,7 @@
     make_link : callable
         Creates the link to the control process.
     """
-    stopped = make_stop_event()
+    stopped = prepare_event_loop()
     process = EntryProcess(settings)
     link = make_link(process)
     process.dispatch.on_probe_sent = link.count_probe
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -53,7 +53,7 @@
 from ..platform.store import StoreClient
 from ..settings.node import NodeSettings
 from .listener import LISTEN_BACKLOG
-from .startup import configure_garbage_collector, make_stop_event
+from .startup import configure_garbage_collector, prepare_event_loop
 
 __all__ = ["NodeProcess", "run_process"]
 
@@ -351,7 +351,7 @@
 ) -> None:
     """Serve until SIGTERM or SIGINT; `run_process` describes the parameters."""
     loop = asyncio.get_running_loop()
-    stopped = make_stop_event()
+    stopped = prepare_event_loop()
     reload_requested = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
     process = NodeProcess(settings)
--- a/amaranthbend/programs/startup.py
+++ b/amaranthbend/programs/startup.py
@@ -8,15 +8,21 @@
 import gc
 import signal
 
-__all__ = ["make_stop_event", "configure_garbage_collector"]
+from ..adapters.steady_clock import use_steady_clock
+
+__all__ = ["prepare_event_loop", "configure_garbage_collector"]
 
 # The youngest generation is collected after this many new container objects, which is the number
 # that about 100 requests create.
 GC_THRESHOLDS = (20_000, 20, 20)
 
 
-def make_stop_event() -> asyncio.Event:
-    """Return an event that SIGTERM and SIGINT set; the event loop must be running."""
+def prepare_event_loop() -> asyncio.Event:
+    """Set up the running event loop of a server program.
+
+    Returns an event that SIGTERM and SIGINT set. Must be called before the first use of tornado.
+    """
+    use_steady_clock()
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
