Limit the memory of buffered bodies of all requests together

Cause: each body was limited (1 MiB held, larger ones streamed), their sum was not. Uploads on slow links and responses that callers do not read could exceed the memory of a host (200 MB on the grown sites), and the process is killed with all its requests. Change: a budget of a quarter of the memory that the platform states, checked at the start. A body without room is streamed, which takes 192 KiB at most; one that not even fits in this way is refused at once, not run. Bodies up to 8 KiB are always taken, so that uploads do not displace them. Ruled out: streaming every upload, since a streamed body cannot be sent again after a refusal.

--- a/amaranthbend/adapters/body.py
+++ b/amaranthbend/adapters/body.py
@@ -4,10 +4,12 @@
 from collections import deque
 from collections.abc import Callable
 
-__all__ = ["RequestBody"]
+__all__ = ["STREAM_BUFFER_BYTES", "RequestBody"]
 
 # Reading from the caller pauses at this number of buffered bytes of a streamed body.
 HIGH_WATER_BYTES = 128 * 1024
+# Most bytes of a streamed body that are in memory: those above, and one more read.
+STREAM_BUFFER_BYTES = HIGH_WATER_BYTES + 64 * 1024
 
 
 class RequestBody:
--- a/amaranthbend/adapters/caller.py
+++ b/amaranthbend/adapters/caller.py
@@ -10,6 +10,7 @@
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from ..core.buffers import BufferBudget
 from ..core.outcomes import Outcome, OutcomeReason
 from ..core.policy import RoutePolicy
 from ..filters.local_responses import (
@@ -18,7 +19,7 @@
     make_refusal,
     render_local_response,
 )
-from .body import RequestBody
+from .body import STREAM_BUFFER_BYTES, RequestBody
 from .dialect import Dialect
 from .headers import STATUS_WITHOUT_BODY, ResponseHead, list_connection_options
 
@@ -31,12 +32,18 @@
 # The body of a refused request is read and discarded up to this size. For a body of
 # larger or unknown size, the refusal is sent at once and the connection is closed.
 MAX_DISCARDED_BODY_BYTES = 64 * 1024
+# Request bodies up to this size are accepted whatever the buffer budget, so that uploads do not
+# displace short requests.
+SMALL_BODY_BYTES = 8 * 1024
+# About the time in which the uploads of a burst end and free their memory.
+BUFFERS_FULL_RETRY_S = 0.2
 
 
 class RequestHandler(Protocol):
     """Handles the requests of callers; implemented by the filter chain."""
 
     held_body_bytes: int
+    buffers: BufferBudget
     is_draining: bool
     dialect: Dialect
 
@@ -103,6 +110,22 @@
         self._output: list[bytes] = []
         self._is_write_pending = False
         self._body_timer: asyncio.TimerHandle | None = None
+        self._reserved_bytes = 0
+
+    def reserve_buffer(self, size: int) -> bool:
+        """Reserve memory for bytes of the bodies until the request ends; return whether it fits."""
+        if self.has_ended or not self._handler.buffers.reserve(size):
+            return False
+        self._reserved_bytes += size
+        return True
+
+    def _set_ended(self) -> None:
+        """Mark the request as ended, and release the memory of its bodies."""
+        self.has_ended = True
+        self._handler.buffers.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+        if self._body_timer is not None:
+            self._body_timer.cancel()
 
     @property
     def is_http_1_1(self) -> bool:
@@ -138,13 +161,19 @@
                 self._closes_connection = True
                 self.send_local_response(self._local_response)
             return
-        if length is not None and length > self._handler.held_body_bytes:
+        if length is not None and not self._may_buffer(length):
             self._start_streaming()
         elif length != 0:
             self._body_timer = asyncio.get_running_loop().call_later(
                 self.deadline - self.arrived_at, self._time_out_body
             )
 
+    def _may_buffer(self, length: int) -> bool:
+        """Return whether a body of a known length may be buffered whole, and reserve its memory."""
+        if length > self._handler.held_body_bytes:
+            return False
+        return length <= SMALL_BODY_BYTES or self.reserve_buffer(length)
+
     def _time_out_body(self) -> None:
         """Refuse a request whose body is still incomplete at its deadline."""
         if not self.has_ended and not self.is_running:
@@ -160,16 +189,19 @@
             self._refuse_large_body()
             return None
         writable = body.append(chunk)
-        if not body.streamed and body.size > self._handler.held_body_bytes:
+        if body.streamed or body.length is not None:
+            return writable
+        is_buffered = body.size <= SMALL_BODY_BYTES or self.reserve_buffer(len(chunk))
+        if not is_buffered or body.size > self._handler.held_body_bytes:
             self._start_streaming()
         return writable
 
     def finish(self) -> None:
         """Handle the end of the request; called by tornado."""
-        if self._body_timer is not None:
-            self._body_timer.cancel()
         if self.has_ended:
             return
+        if self._body_timer is not None:
+            self._body_timer.cancel()
         self.connection.set_close_callback(self.on_connection_close)
         if self._local_response is not None:
             self.send_local_response(self._local_response)
@@ -186,17 +218,23 @@
             self.body.resume_reading()
         if self.has_ended or not self.method:
             return
-        self.has_ended = True
-        if self._body_timer is not None:
-            self._body_timer.cancel()
+        self._set_ended()
         if self.is_running:
             self._handler.abandon(self)
         outcome = Outcome.UNKNOWN if self.is_sent else Outcome.NOT_RUN
         self._handler.record_end(self, outcome, OutcomeReason.CALLER_GONE)
 
     def _start_streaming(self) -> None:
-        assert self.body is not None
-        self.body.streamed = True
+        """Stream the body to an upstream, or refuse the request if not even that fits."""
+        body = self.body
+        assert body is not None
+        needed = STREAM_BUFFER_BYTES if body.length is None else body.length
+        missing = min(needed, STREAM_BUFFER_BYTES) - self._reserved_bytes
+        if missing > 0 and not self.reserve_buffer(missing):
+            refusal = make_refusal(OutcomeReason.BUFFERS_FULL, BUFFERS_FULL_RETRY_S, closes=True)
+            self.send_local_response(refusal)
+            return
+        body.streamed = True
         self.is_running = True
         self._handler.run(self)
 
@@ -217,7 +255,7 @@
         """
         if self.has_ended:
             return b""
-        self.has_ended = True
+        self._set_ended()
         if self.body is not None:
             self.body.resume_reading()
         if self.is_running:
@@ -334,7 +372,7 @@
         """Reset the connection, so that the caller cannot take a partial response as complete."""
         if self.has_ended:
             return
-        self.has_ended = True
+        self._set_ended()
         self._handler.record_end(self, Outcome.UNKNOWN, reason)
         if self.body is not None:
             self.body.resume_reading()
@@ -343,7 +381,7 @@
         self.connection.close()
 
     def _finish_response(self) -> None:
-        self.has_ended = True
+        self._set_ended()
         self.last_progress = time.monotonic()
         self.on_writable = None
         body = self.body
--- a/amaranthbend/adapters/caller_server.py
+++ b/amaranthbend/adapters/caller_server.py
@@ -11,6 +11,7 @@
 from tornado.httputil import HTTPConnection, HTTPMessageDelegate, HTTPServerConnectionDelegate
 from tornado.iostream import IOStream, UnsatisfiableReadError
 
+from ..core.buffers import BufferBudget
 from ..core.outcomes import OutcomeReason
 from ..filters.local_responses import make_refusal
 from .caller import CallerRequest, RequestHandler
@@ -54,13 +55,20 @@
 
     request: CallerRequest | None = None
     lingers = False
+    # Counts the data that the caller has not read yet.
+    buffers: BufferBudget | None = None
 
     def write(self, data: bytes | memoryview) -> "asyncio.Future[None]":
         """Write data; tornado's response to malformed input is replaced by one with the reason."""
         if data == TORNADO_BAD_REQUEST and self.request is not None:
             self.lingers = True
             data = self.request.reject_malformed(OutcomeReason.MALFORMED_REQUEST)
-        return super().write(data)
+        written = super().write(data)
+        if self.buffers is not None and not written.done():
+            buffers, size = self.buffers, len(data)
+            buffers.add(size)
+            written.add_done_callback(lambda _written: buffers.release(size))
+        return written
 
     def close(self, exc_info: Any = False) -> None:
         """Close the stream, with a lingering close if the caller may still be sending.
@@ -148,6 +156,7 @@
         caller_stream = CallerStream(
             stream.socket, max_buffer_size=self.max_buffer_size, read_chunk_size=READ_SIZE_BYTES
         )
+        caller_stream.buffers = self._handler.buffers
         self._streams.add(caller_stream)
         super().handle_stream(caller_stream, address)
 
--- a/amaranthbend/core/outcomes.py
+++ b/amaranthbend/core/outcomes.py
@@ -29,6 +29,7 @@
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     CONCURRENCY_LIMIT = "concurrency_limit"
     RETRY_BUDGET = "retry_budget"
+    BUFFERS_FULL = "buffers_full"
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     SHUTTING_DOWN = "shutting_down"
--- a/amaranthbend/filters/attempts.py
+++ b/amaranthbend/filters/attempts.py
@@ -25,6 +25,8 @@
 REFUSAL_BODY_TIMEOUT_S = 0.05
 # Larger responses are streamed to the caller.
 MAX_BUFFERED_RESPONSE_BYTES = 1024 * 1024
+# Responses up to this size are buffered whatever the buffer budget.
+SMALL_RESPONSE_BYTES = 8 * 1024
 MS_PER_S = 1000
 FIELDS_NOT_FORWARDED = HOP_BY_HOP_FIELDS | {
     "host",
@@ -188,7 +190,7 @@
         """Buffer a part of the body; start to forward the response if the buffer is full."""
         self._buffered_parts.append(data)
         self._buffered_bytes += len(data)
-        if self._buffered_bytes <= MAX_BUFFERED_RESPONSE_BYTES:
+        if self._buffered_bytes <= MAX_BUFFERED_RESPONSE_BYTES and self._has_memory(len(data)):
             return
         head, self._buffered_head = self._buffered_head, None
         assert head is not None
@@ -197,6 +199,10 @@
             self.request.append(b"".join(self._buffered_parts))
         self._buffered_parts.clear()
 
+    def _has_memory(self, size: int) -> bool:
+        """Return whether another part of the body may be buffered, and reserve its memory."""
+        return self._buffered_bytes <= SMALL_RESPONSE_BYTES or self.request.reserve_buffer(size)
+
     @property
     def has_response_begun(self) -> bool:
         """Whether the head of the response has been received."""
--- a/amaranthbend/filters/chain.py
+++ b/amaranthbend/filters/chain.py
@@ -10,6 +10,7 @@
 from ..adapters.caller import CallerRequest
 from ..adapters.dialect import OWN_DIALECT, Dialect
 from ..adapters.metrics import Counters
+from ..core.buffers import BufferBudget
 from ..core.outcomes import Outcome, OutcomeReason
 from .local_responses import LocalResponse, make_refusal
 
@@ -63,6 +64,8 @@
         Receives outcomes and durations.
     held_body_bytes : int
         Largest request body, in bytes, that is buffered so that it can be sent again.
+    buffers : BufferBudget
+        Limits the memory of the buffered bodies of all requests together.
     dialect : Dialect
         Header fields between callers, this process and upstreams.
     request_log : RequestLogWriter or None
@@ -75,12 +78,14 @@
         request_filters: Sequence[RequestFilter],
         counters: Counters,
         held_body_bytes: int,
+        buffers: BufferBudget,
         dialect: Dialect = OWN_DIALECT,
         request_log: RequestLogWriter | None = None,
     ) -> None:
         self.dialect = dialect
         self._request_log = request_log
         self.held_body_bytes = held_body_bytes
+        self.buffers = buffers
         self.is_draining = False
         # Requests that have entered the request filters and have not ended.
         self.active_request_count = 0
--- a/amaranthbend/platform/settings.py
+++ b/amaranthbend/platform/settings.py
@@ -16,6 +16,10 @@
 
 SETTINGS_ENV_VAR = "AMARANTHBEND_CONFIG"
 DEFAULT_SETTINGS_FILE = "/etc/amaranthbend/settings.toml"
+DEFAULT_MEMORY_MB = 200.0
+# The process itself takes 30 MB.
+MIN_MEMORY_MB = 64.0
+BYTES_PER_MB = 1_000_000
 READINESS_PATH = "/api/readiness"
 
 
@@ -57,6 +61,7 @@
         retry_ratio=reader.get_number("terms.bounds.retryBudgetRatio", 0.1),
         retry_slack=reader.get_number("terms.bounds.retryBudgetSlack", 0.0),
         probes_per_s=reader.get_number("terms.bounds.probesPerS", 0.0),
+        memory_bytes=reader.get_memory_bytes("self.limits.memoryMb", DEFAULT_MEMORY_MB),
     )
 
 
@@ -136,3 +141,12 @@
                 name, f"{value!r} is not a non-negative number", "give a number of at least 0"
             )
         return float(value)
+
+    def get_memory_bytes(self, name: str, default_mb: float) -> int:
+        """Return an amount of memory in bytes, which must be enough for the process itself."""
+        memory_mb = self.get_number(name, default_mb)
+        if memory_mb < MIN_MEMORY_MB:
+            raise self._make_error(
+                name, f"{memory_mb:g} MB is too little", f"give {MIN_MEMORY_MB:g} MB or more"
+            )
+        return int(memory_mb * BYTES_PER_MB)
--- a/amaranthbend/programs/entry.py
+++ b/amaranthbend/programs/entry.py
@@ -17,6 +17,7 @@
 from ..adapters.metrics import Counters
 from ..adapters.platform import PlatformClient
 from ..adapters.upstream import UpstreamClient
+from ..core.buffers import BufferBudget
 from ..core.departures import Departure
 from ..core.envelope import SettingsEnvelope
 from ..core.envelope_decisions import EnvelopeVerdict
@@ -95,6 +96,7 @@
             (ClaimFilter(self.claims), self.dispatch),
             self.counters,
             settings.held_body_bytes,
+            BufferBudget(settings.buffered_bytes),
         )
         self.server = CallerServer(self.chain, settings.max_header_bytes)
         self.admin = make_admin_server(
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -29,6 +29,7 @@
     UpstreamHandler,
     complete_policy,
 )
+from ..core.buffers import BufferBudget
 from ..core.change_relay import HostEntry, PeerSelector
 from ..core.errors import SettingsError
 from ..core.policy import DeploymentPolicy
@@ -60,6 +61,9 @@
 # Request bodies up to this size are buffered whole, so that a retry can send them again.
 MAX_BUFFERED_BODY_BYTES = 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
+# Share of the memory for buffered bodies. A body may be in memory up to three times for a moment,
+# when its parts are joined and handed to libcurl.
+BUFFER_MEMORY_SHARE = 0.25
 # Timeout for connecting to an upstream: several round trips between data centres.
 CONNECT_TIMEOUT_S = 0.25
 # A connection on which the caller neither sends nor receives for this long is closed.
@@ -133,6 +137,7 @@
             (self.dispatch,),
             self.counters,
             MAX_BUFFERED_BODY_BYTES,
+            BufferBudget(compute_buffer_bytes(settings)),
             dialect,
             self.request_log,
         )
@@ -267,6 +272,7 @@
             needs_restart=",".join(name for name in changed if name in RESTART_ONLY_SETTINGS),
         )
         self.settings = settings
+        self.chain.buffers.set_limit(compute_buffer_bytes(settings))
         self.divide_budgets(self.host_directory.count, now)
 
     async def run_maintenance(self, output: NonBlockingOutput) -> None:
@@ -311,6 +317,11 @@
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
 
+def compute_buffer_bytes(settings: NodeSettings) -> int:
+    """Return the memory for the buffered bodies of all requests, in bytes."""
+    return int(settings.memory_bytes * BUFFER_MEMORY_SHARE)
+
+
 def read_modification_time(file: str) -> float:
     """Return the modification time of a file as Unix time, 0 if it cannot be read."""
     try:
--- a/amaranthbend/settings/node.py
+++ b/amaranthbend/settings/node.py
@@ -37,6 +37,8 @@
         Retries allowed in the deployment in each window in addition to that share.
     probes_per_s : float
         Maximum rate of probes to an upstream, summed over all hosts.
+    memory_bytes : int
+        Memory above which the process is killed.
     """
 
     host_id: str
@@ -52,3 +54,4 @@
     retry_ratio: float
     retry_slack: float
     probes_per_s: float
+    memory_bytes: int
--- a/amaranthbend/settings/process.py
+++ b/amaranthbend/settings/process.py
@@ -45,6 +45,8 @@
         Maximum time to establish a connection to an upstream.
     held_body_bytes : int
         Maximum size of a request body that is buffered in full, so that it can be resent.
+    buffered_bytes : int
+        Maximum memory for the buffered bodies of all requests and responses together.
     max_header_bytes : int
         Maximum size of the request line and headers together.
     """
@@ -68,6 +70,7 @@
     stall_timeout_s: float = 30.0
     connect_timeout_s: float = 0.25
     held_body_bytes: int = 64 * 1024
+    buffered_bytes: int = 64 * 1024 * 1024
     max_header_bytes: int = 32 * 1024
 
 
--- a/tests/node_cases.py
+++ b/tests/node_cases.py
@@ -83,6 +83,7 @@
         retry_ratio=1.0,
         retry_slack=160.0,
         probes_per_s=60.0,
+        memory_bytes=200_000_000,
     )
 
 
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -4,6 +4,7 @@
 
 from amaranthbend.adapters.caller import CallerRequest
 from amaranthbend.adapters.metrics import Counters
+from amaranthbend.core.buffers import BufferBudget
 from amaranthbend.core.outcomes import Outcome, OutcomeReason
 from amaranthbend.filters.chain import FilterChain
 from amaranthbend.filters.local_responses import (
@@ -34,7 +35,7 @@
 def record_end(response: LocalResponse) -> Counters:
     """Return the counters after one request has ended with the response."""
     counters = Counters()
-    chain = FilterChain((), (), counters, 0)
+    chain = FilterChain((), (), counters, 0, BufferBudget(0))
     request: Any = EndedRequest()
     chain.record_end(cast(CallerRequest, request), response.outcome, response.reason)
     return counters
