Close connections that bring the response of another request

Cause: a copy of an earlier response, or a repeated refusal, that is complete ends the transfer for libcurl, which then keeps the connection. Each later request or probe on it gets the response to the one before: an attempt is lost each time, and a failed probe pauses a healthy upstream. Found as an at times failing test_repeated_refusal_refuses_no_later_request beside load (11 on 6 cores): the log of the failing run shows probes that got refusals and responses of requests. Ruled out: slow probes (they failed 0.4 ms after they were sent).

Change: the header callback of libcurl asks whether the response belongs to the request; if not, the transfer fails and libcurl closes the connection. A probe whose reused connection brings no response of its own is sent once more on a new connection instead of counting against the upstream; this covers idle connections that upstreams have forgotten, too. Whether a connection is new is known from libcurl's socket callback, also inside its other callbacks.

Before: test_connection_with_a_late_response_is_not_used_again times out, test_dead_idle_connection_does_not_fail_a_probe gets a 503.

--- a/amaranthbend/adapters/calls.py
+++ b/amaranthbend/adapters/calls.py
@@ -101,20 +101,43 @@
 
 
 class CallEnd(NamedTuple):
-    """How a call ended; for a failure also its reason and a message."""
+    """How a call ended; for a failure also its reason and a message.
+
+    Parameters
+    ----------
+    kind : EndKind
+        Whether the response is complete.
+    reason : OutcomeReason or None
+        Reason of a failure.
+    message : str
+        Details of a failure, for logs.
+    on_reused_connection : bool
+        Whether the call used a connection that had carried another request. Its end then says
+        little about the upstream: the connection may have died or hold a late response.
+    """
 
     kind: EndKind
     reason: OutcomeReason | None = None
     message: str = ""
+    on_reused_connection: bool = False
 
 
 class ResponseHandler(Protocol):
-    """Handles the response of an upstream; never called inside a libcurl callback."""
+    """Handles the response of an upstream."""
+
+    def is_own_response(self, head: ResponseHead) -> bool:
+        """Return whether the response belongs to the request of this call.
+
+        Otherwise the connection is closed, since the response to this request may still follow on
+        it and would be taken for the next one. Called inside a libcurl callback, so that it must
+        not start or abort calls.
+        """
 
     def deliver(self, head: ResponseHead | None, data: bytes, end: CallEnd | None) -> bool:
         """Handle the data received since the last call; return whether to continue receiving.
 
-        After False the body is paused until `UpstreamCall.resume` is called.
+        After False the body is paused until `UpstreamCall.resume` is called. Never called inside
+        a libcurl callback.
         """
 
 
@@ -148,6 +171,7 @@
         "_is_paused",
         "_pending_head",
         "_received_bytes",
+        "_opened_connection",
         "_send_count",
         "_response_handler",
         "curl",
@@ -175,6 +199,7 @@
         self._received_bytes = 0
         self._buffered_bytes = 0
         self._send_count = 0
+        self._opened_connection = False
         self._is_paused = False
         self._accepts_body = True
         self._connection_was_kept = False
@@ -205,17 +230,24 @@
         self._send_count += 1
         return self._send_count == 1 or not self._client.prevents_resend
 
-    def receive_header(self, line: bytes) -> None:
-        """Process a status line, a header line or the empty line that ends the head."""
+    def record_connect(self) -> None:
+        """Record that libcurl opens a connection for the call."""
+        self._opened_connection = True
+
+    def receive_header(self, line: bytes) -> bool:
+        """Process a status line, a header line or the empty line that ends the head.
+
+        Returns whether to continue. After False libcurl closes the connection.
+        """
         if self._head is not None:
             # Trailer fields are not forwarded.
-            return
+            return True
         if line.startswith(b"HTTP/") and self._header_lines:
             self._header_lines.clear()
         text = line.rstrip(b"\r\n")
         if text:
             self._header_lines.append(text)
-            return
+            return True
         if (
             self._header_lines
             and self._header_lines[0][9:10] == b"1"
@@ -223,18 +255,20 @@
         ):
             # Interim response (1xx); the final response follows.
             self._header_lines.clear()
-            return
-        self._finish_head()
+            return True
+        return self._finish_head()
 
-    def _finish_head(self) -> None:
+    def _finish_head(self) -> bool:
         try:
-            self._head = decode_response_head(self._header_lines)
+            head = decode_response_head(self._header_lines)
         except (ValueError, IndexError) as error:
             self._head_error = str(error)
-            return
-        self._pending_head = self._head
+            return True
+        head = head._replace(on_reused_connection=self.uses_reused_connection())
+        self._head = self._pending_head = head
         self.last_progress = time.monotonic()
         self._client.schedule_flush(self)
+        return self._response_handler is None or self._response_handler.is_own_response(head)
 
     def receive_body(self, chunk: bytes) -> int:
         """Buffer a part of the response body; return the result of libcurl's write callback."""
@@ -278,8 +312,6 @@
         if self._response_handler is None or self._has_whole_body(self._received_bytes):
             return
         head, self._pending_head = self._pending_head, None
-        if head is not None:
-            head = head._replace(on_reused_connection=self.uses_reused_connection())
         data = b"".join(self._chunks)
         self._chunks.clear()
         self._buffered_bytes = 0
@@ -296,15 +328,13 @@
         return head.length is not None and received >= head.length
 
     def uses_reused_connection(self) -> bool:
-        """Return whether the connection of the call had carried another request before.
-
-        Must not be called inside a libcurl callback.
-        """
-        return self.request.may_reuse_connection and not self.curl.getinfo(pycurl.NUM_CONNECTS)
+        """Return whether the first connection of the call had carried another request before."""
+        if not self.request.may_reuse_connection:
+            return False
+        # libcurl opens a connection after the first one if that turned out to be closed.
+        return not self._opened_connection or self._send_count > 1
 
-    def finish(
-        self, error: CurlError | None, *, connection_was_kept: bool, connection_was_reused: bool
-    ) -> None:
+    def finish(self, error: CurlError | None, *, connection_was_kept: bool) -> None:
         """Deliver the remaining data and the end of the call.
 
         Parameters
@@ -313,17 +343,13 @@
             Error that ended the transfer, None if it succeeded.
         connection_was_kept : bool
             Whether libcurl kept the connection open after the transfer.
-        connection_was_reused : bool
-            Whether the connection had carried another request before.
         """
         response_handler, self._response_handler = self._response_handler, None
         self._connection_was_kept = connection_was_kept
         if response_handler is None:
             return
-        end = self._make_end(error)
+        end = self._make_end(error)._replace(on_reused_connection=self.uses_reused_connection())
         head, self._pending_head = self._pending_head, None
-        if head is not None:
-            head = head._replace(on_reused_connection=connection_was_reused)
         data = b"".join(self._chunks)
         if end.kind is not EndKind.COMPLETE and self._has_whole_body(self._received_bytes):
             # With all announced bytes, the failed response would look complete to the caller.
--- a/amaranthbend/adapters/dialect.py
+++ b/amaranthbend/adapters/dialect.py
@@ -73,6 +73,9 @@
     def parse_probe_response(self, head: ResponseHead, member: Member) -> LoadReport | None:
         """Return the load reported in the response to a probe, None if missing or malformed."""
 
+    def is_probe_response(self, head: ResponseHead) -> bool:
+        """Return whether a response on the connection of a probe is the response to the probe."""
+
     def format_retry_after(self, delay_s: float) -> str:
         """Return the value of `Retry-After`."""
 
@@ -105,6 +108,10 @@
         """Return the load report."""
         return parse_load_report(head.report) if head.report else None
 
+    def is_probe_response(self, head: ResponseHead) -> bool:  # noqa: ARG002
+        """Return True; responses do not say to which request they belong."""
+        return True
+
     def format_retry_after(self, delay_s: float) -> str:
         """Return the delay in whole seconds, the format that HTTP defines."""
         return str(max(1, round(delay_s)))
--- a/amaranthbend/adapters/upstream.py
+++ b/amaranthbend/adapters/upstream.py
@@ -25,6 +25,8 @@
 # An idle handle keeps the body of its last request only up to this size.
 MAX_IDLE_HANDLE_BODY_BYTES = 1024
 MS_PER_S = 1000
+# Number of accepted bytes by which a header callback makes libcurl end the transfer.
+REJECT_HEADER = 0
 FIXED_OPTIONS: tuple[tuple[int, Any], ...] = (
     (pycurl.PROTOCOLS, pycurl.PROTO_HTTP),
     (pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1),
@@ -54,6 +56,7 @@
         curl = self.curl
         for option, value in FIXED_OPTIONS:
             curl.setopt(option, value)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, self._on_connect)
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._on_body)
         curl.setopt(pycurl.PREREQFUNCTION, self._on_send)
@@ -92,9 +95,15 @@
         if len(call.request.body) > MAX_IDLE_HANDLE_BODY_BYTES:
             self.curl.setopt(pycurl.POSTFIELDS, b"")
 
-    def _on_header(self, line: bytes) -> None:
+    def _on_connect(self, _fd: int, _purpose: int) -> int:
         if self.call is not None:
-            self.call.receive_header(line)
+            self.call.record_connect()
+        return int(pycurl.SOCKOPT_OK)
+
+    def _on_header(self, line: bytes) -> int | None:
+        if self.call is None or self.call.receive_header(line):
+            return None
+        return REJECT_HEADER
 
     def _on_body(self, chunk: bytes) -> int:
         return 0 if self.call is None else self.call.receive_body(chunk)
@@ -259,14 +268,9 @@
         call = handle.call
         # Only available until the transfer is removed from the multi handle.
         connection_was_kept = int(curl.getinfo(pycurl.ACTIVESOCKET)) >= 0
-        connection_was_reused = call is not None and call.uses_reused_connection()
         self._release(handle)
         if call is not None:
-            call.finish(
-                error,
-                connection_was_kept=connection_was_kept,
-                connection_was_reused=connection_was_reused,
-            )
+            call.finish(error, connection_was_kept=connection_was_kept)
 
     def _flush_ready(self) -> None:
         while self._ready:
--- a/amaranthbend/filters/attempts.py
+++ b/amaranthbend/filters/attempts.py
@@ -7,7 +7,7 @@
 
 from ..adapters.caller import CallerRequest
 from ..adapters.calls import CallEnd, EndKind, UpstreamCall, UpstreamRequest
-from ..adapters.dialect import Dialect
+from ..adapters.dialect import Dialect, ResponseMetadata
 from ..adapters.headers import (
     HOP_BY_HOP_FIELDS,
     STATUS_WITHOUT_BODY,
@@ -81,6 +81,7 @@
         "_buffered_head",
         "_member",
         "_owner",
+        "_reading",
         "_is_forwarding",
         "_status",
         "call",
@@ -124,6 +125,13 @@
         self._owner = owner
         self._is_forwarding = False
         self._status = 0
+        self._reading = ResponseMetadata()
+
+    def is_own_response(self, head: ResponseHead) -> bool:
+        """Return False if the response, or the refusal, may be that of another request."""
+        reading = self._dialect.parse_response(head, self.request.caller_request_id, self._member)
+        self._reading = reading
+        return reading.fault is None and not reading.is_ambiguous
 
     def deliver(self, head: ResponseHead | None, data: bytes, end: CallEnd | None) -> bool:
         """Process a part of the response; called by the upstream client."""
@@ -142,7 +150,7 @@
 
     def _handle_head(self, head: ResponseHead) -> None:
         self._status = head.status
-        reading = self._dialect.parse_response(head, self.request.caller_request_id, self._member)
+        reading = self._reading
         if reading.report is not None:
             self._owner.record_report(self.upstream, reading.report)
         if reading.fault is not None:
@@ -154,7 +162,6 @@
             self.is_draining = reading.is_draining
             self.is_ambiguous = reading.is_ambiguous
             if reading.is_ambiguous:
-                # Closes the connection, on which the response to this request may still follow.
                 self.fail(OutcomeReason.UPSTREAM_REFUSED)
                 return
             loop = asyncio.get_running_loop()
--- a/amaranthbend/filters/services.py
+++ b/amaranthbend/filters/services.py
@@ -102,12 +102,21 @@
         self._member = member
         self._dialect = dialect
         self._report: LoadReport | None = None
+        self._is_own_response = False
+
+    def is_own_response(self, head: ResponseHead) -> bool:
+        """Return False for a late response to a request."""
+        self._is_own_response = self._dialect.is_probe_response(head)
+        return self._is_own_response
 
     def deliver(self, head: ResponseHead | None, data: bytes, end: CallEnd | None) -> bool:  # noqa: ARG002
         """Process a part of the response; called by the upstream client."""
         if head is not None:
             self._report = self._dialect.parse_probe_response(head, self._member)
         if end is not None:
+            if end.on_reused_connection and not self._is_own_response:
+                self._service.repeat_probe(self._member)
+                return True
             is_complete = end.kind is EndKind.COMPLETE
             self._service.finish_probe(self._member.upstream, self._report if is_complete else None)
         return True
@@ -253,21 +262,41 @@
 
     def _probe(self, action: Probe) -> None:
         member = self.members.get(action.upstream)
-        self._counters.incr("probe.sent")
-        self.on_probe_sent(PROBE_BYTES)
         if member is None:
             self.finish_probe(action.upstream, None)
             return
+        self._send_probe(member, may_reuse_connection=True)
+
+    def repeat_probe(self, member: Member) -> None:
+        """Send a probe on a new connection, because a reused one did not bring its response.
+
+        An idle connection may have been closed or forgotten by the upstream, or hold a late
+        response, while the upstream itself is healthy.
+        """
+        self._counters.incr("probe.repeated")
+        self._send_probe(member, may_reuse_connection=False)
+
+    def _send_probe(self, member: Member, *, may_reuse_connection: bool) -> None:
+        self._counters.incr("probe.sent")
+        self.on_probe_sent(PROBE_BYTES)
         lines = [b"User-Agent:", b"Accept:"]
         target = self.probe_path.encode("latin1")
         upstream_request = UpstreamRequest(
-            member.address, "GET", target, lines, None, None, None, True, PROBE_TIMEOUT_S
+            address=member.address,
+            method="GET",
+            target=target,
+            header_lines=lines,
+            body=None,
+            source=None,
+            body_length=None,
+            may_reuse_connection=may_reuse_connection,
+            connect_timeout_s=PROBE_TIMEOUT_S,
         )
         call = self._client.start(
             upstream_request, ProbeResponseHandler(self, member, self._settings.dialect)
         )
         loop = asyncio.get_running_loop()
-        loop.call_later(PROBE_TIMEOUT_S, self._time_out_probe, action.upstream, call)
+        loop.call_later(PROBE_TIMEOUT_S, self._time_out_probe, member.upstream, call)
 
     def _time_out_probe(self, upstream: str, call: UpstreamCall) -> None:
         if call.has_ended:
--- a/amaranthbend/platform/dialect.py
+++ b/amaranthbend/platform/dialect.py
@@ -83,12 +83,18 @@
         late response to a request.
         """
         fields = _get_fields(head)
-        if head.status != HTTPStatus.OK or ATTEMPT_ID_FIELD in fields:
+        if head.status != HTTPStatus.OK or not self.is_probe_response(head):
             return None
         if fields.get(INSTANCE_FIELD, b"").decode("latin1") != member.upstream:
             return None
         return _parse_load(fields.get(LOAD_FIELD, b""), member.incarnation, member.state)
 
+    def is_probe_response(self, head: ResponseHead) -> bool:
+        """Return False for a response to a request, and for a refusal that may be one."""
+        fields = _get_fields(head)
+        is_ambiguous = NOT_EXECUTED_FIELD in fields and head.on_reused_connection
+        return ATTEMPT_ID_FIELD not in fields and not is_ambiguous
+
     def format_retry_after(self, delay_s: float) -> str:
         """Return seconds with a fractional part, which the platform's clients accept."""
         return f"{delay_s:.3f}"
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -17,6 +17,7 @@
 REASONS = {200: "OK", 421: "Misdirected Request", 500: "Error", 503: "Unavailable"}
 RUN_S = 0.01
 SLOW_S = 1.0
+COPIED_ID = {"X-Amaranthbend-Attempt-Id": "copy"}
 HANG_S = 30.0
 FILLER = b"x" * 16 * 1024
 # Framing of the responses without end, and the piece that is repeated.
@@ -54,6 +55,10 @@
         # Header fields of a refusal that is written once more before the next request of a kept
         # connection runs, and its status.
         self.repeated_refusal: tuple[int, dict[str, str]] | None = None
+        # Requests on kept connections that first get a copy of the response before, and whether
+        # such connections are reset with their next request.
+        self.late_copies = 0
+        self.resets_kept_connections = False
         self.born = 1
         # Ids of the requests that ran, in order, with their deadlines in milliseconds.
         self.ran: list[tuple[str, int]] = []
@@ -95,6 +100,10 @@
             is_first = True
             while await self._serve_one(reader, writer, is_first):
                 is_first = False
+                if self.resets_kept_connections:
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.transport.abort()
+                    return
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
@@ -126,6 +135,9 @@
         if self.repeated_refusal is not None and not is_first:
             status, refusal_fields = self.repeated_refusal
             self._answer(writer, status, b"", refusal_fields)
+        if self.late_copies > 0 and not is_first:
+            self.late_copies -= 1
+            self._answer(writer, 200, b"copy", {**self._sign("copy"), **echo, **COPIED_ID})
         self.ran.append((request_id, int(fields.get("x-amaranthbend-request-deadline", "0"))))
         if not await self._run(reader, fault):
             self.cancelled.append(request_id)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -234,6 +234,47 @@
     run_node(check, instances=1)
 
 
+def test_connection_with_a_late_response_is_not_used_again() -> None:
+    """Guards against a connection on which each request gets the response to the one before.
+
+    A faulty instance sends a second copy of a response in front of the next one on a kept
+    connection. The copy is complete, so libcurl would keep the connection.
+    """
+
+    async def check(case: NodeCase) -> None:
+        instance = case.instances[0]
+        instance.run_s = 0.2
+        assert (await case.call("/safe/x", request_id="r0")).status == 200
+        instance.late_copies = 1
+        first = asyncio.ensure_future(case.call("/safe/x", request_id="r1"))
+        await wait_until(lambda: case.count_executions("r1") == 2)
+        assert instance.late_copies == 0
+        answer = await case.call("/safe/x", request_id="r2")
+        assert (answer.status, case.count_executions("r2")) == (200, 1)
+        assert answer.body.endswith(b" r2")
+        assert (await first).body.endswith(b" r1")
+        assert case.process.counters.get_snapshot()["counters"].get("probe.failed", 0) == 0
+
+    run_node(check, instances=1)
+
+
+def test_dead_idle_connection_does_not_fail_a_probe() -> None:
+    """Guards against refusals, and a pause of the instance, after it has forgotten connections."""
+
+    async def check(case: NodeCase) -> None:
+        assert (await case.call("/safe/x", request_id="r0")).status == 200
+        case.instances[0].resets_kept_connections = True
+        for number in range(5):
+            # After this pause the last report is too old to choose by.
+            await asyncio.sleep(0.02)
+            assert (await case.call("/unsafe/x", "POST", f"p{number}")).status == 200
+        counters = case.process.counters.get_snapshot()["counters"]
+        assert counters.get("probe.failed", 0) == 0
+        assert counters.get("probe.repeated", 0) > 0
+
+    run_node(check, instances=1)
+
+
 @pytest.mark.parametrize("fault", ["cut", "late", "unsigned", "encoded", "plain503"])
 def test_invalid_response_never_reaches_the_caller(fault: str) -> None:
     """Guards against forwarding a response that is unsigned, cut off or of another request."""
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -20,6 +20,10 @@
         self.data = b""
         self.end: CallEnd | None = None
 
+    def is_own_response(self, head: ResponseHead) -> bool:
+        """Accept every response."""
+        return True
+
     def deliver(self, head: ResponseHead | None, data: bytes, end: CallEnd | None) -> bool:
         """Store the delivered data."""
         self.head = head or self.head
