Judge relayed changes by when they arrived, also after a pause

Cause: a host that was frozen or suspended read the response of its watch after the pause and relayed it as confirmed at that moment; time.monotonic does not even count a suspension, so that all ages were too small by it. A follower of such a host would take a state that is seconds old as the present one. Ruled out: a timer that detects pauses (each wake-up has a price); the checks of each second show them as well.

Before: test_response_read_after_a_pause_confirms_nothing_new fails (Ok with age 0). After: it passes; with the pause ignored it and the property test fail.

--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -2,17 +2,18 @@
 
 import asyncio
 import contextlib
-import time
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from result import Err, Ok, Result
 
 from ..adapters.change_relay import PEER_LONG_POLL_S, ChangeRelayClient
+from ..adapters.clock import read_clock
 from ..adapters.logs import log_event
 from ..adapters.metrics import Counters
 from ..core.change_relay import ChangeLog, HostEntry, PeerChanges, PeerSelector
+from ..core.pauses import PauseTracker
 from ..core.watching import ObjectStore, StoreChanges, StoreError, StoreErrorKind
 
 __all__ = ["RelayedStore"]
@@ -38,9 +39,17 @@
         Selects the peer to read changes from.
     counters : Counters
         Receives the counters of calls.
+    clock : callable
+        Returns the present time in seconds, including suspensions of the host.
     """
 
-    def __init__(self, store: ObjectStore, selector: PeerSelector, counters: Counters) -> None:
+    def __init__(
+        self,
+        store: ObjectStore,
+        selector: PeerSelector,
+        counters: Counters,
+        clock: Callable[[], float] = read_clock,
+    ) -> None:
         self._store = store
         self._selector = selector
         self._counters = counters
@@ -51,6 +60,8 @@
         self._changed = asyncio.Event()
         # Name of the peer that changes were last read from, empty for the store itself.
         self._peer_name = ""
+        self._clock = clock
+        self._pauses = PauseTracker()
 
     def set_hosts(self, hosts: Iterable[HostEntry]) -> None:
         """Replace the known hosts of the deployment."""
@@ -73,9 +84,10 @@
         may_lag = may_lag or kind not in self._change_logs
         change_log = self._change_logs[kind]
         self._counters.incr(f"store.lists.{kind}")
+        asked_at = self._clock()
         answer = await self._store.list_objects(kind, may_lag=may_lag)
         if isinstance(answer, Ok):
-            confirmed_at = change_log.confirmed_at if may_lag else time.monotonic()
+            confirmed_at = change_log.confirmed_at if may_lag else asked_at
             change_log.record_list(answer.ok_value, confirmed_at)
             self._wake_followers()
         return answer
@@ -85,13 +97,15 @@
     ) -> Result[StoreChanges, StoreError]:
         """Return the changes after a revision, from a peer or from the store."""
         await self._wait_for_hosts()
-        while (peer := self._selector.select_peer(time.monotonic())) is not None:
+        while (peer := self._selector.select_peer(self._clock())) is not None:
             self._counters.incr(f"peers.calls.{kind}")
+            asked_at = self._clock()
             relayed = await self._peer_client.fetch(peer.peer_address, kind, revision)
             if isinstance(relayed, Ok):
                 self._record_source(peer.name)
                 changes, age_s = relayed.ok_value
-                self._record_changes(kind, changes, time.monotonic() - age_s)
+                arrived_at = self._pauses.find_arrival_time(asked_at, self._clock())
+                self._record_changes(kind, changes, arrived_at - age_s)
                 return Ok(changes)
             if relayed.err_value.kind is StoreErrorKind.HISTORY_LOST:
                 # The history of the store reaches further back than that of the peer. One call to
@@ -100,7 +114,7 @@
                 break
             self._counters.incr("peers.failures")
             log_event("peer_failed", peer=peer.name, kind=kind, detail=relayed.err_value.detail)
-            self._selector.record_failure(peer.name, time.monotonic())
+            self._selector.record_failure(peer.name, self._clock())
         else:
             self._record_source("")
         change_log = self._change_logs[kind]
@@ -109,16 +123,21 @@
             # returns at once.
             wait_s = 0.0
         self._counters.incr(f"store.watches.{kind}")
+        asked_at = self._clock()
         answer = await self._store.watch_objects(kind, revision, wait_s)
         if isinstance(answer, Ok):
-            self._record_changes(kind, answer.ok_value, time.monotonic())
+            now = self._clock()
+            self._record_changes(
+                kind, answer.ok_value, self._pauses.find_arrival_time(asked_at, now)
+            )
         return answer
 
     async def peek_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
         """Return the changes that a replica knows, none while changes are read from a peer."""
-        if self._selector.select_peer(time.monotonic()) is not None:
+        asked_at = self._clock()
+        self._pauses.record_activity(asked_at)
+        if self._selector.select_peer(asked_at) is not None:
             return Ok(StoreChanges([], revision))
-        asked_at = time.monotonic()
         self._counters.incr(f"store.looks.{kind}")
         answer = await self._store.peek_changes(kind, revision)
         change_log = self._change_logs.get(kind)
@@ -135,9 +154,10 @@
         change_log = self._change_logs.get(kind)
         if change_log is None:
             return Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{kind} has not been listed yet"))
-        deadline = time.monotonic() + PEER_LONG_POLL_S
+        deadline = self._clock() + PEER_LONG_POLL_S
         while True:
-            now = time.monotonic()
+            now = self._clock()
+            self._pauses.record_activity(now)
             answer = change_log.get_changes(after, now)
             if now >= deadline:
                 return answer
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -1,9 +1,13 @@
 """Hosts that relay changes of a store to each other, with a stand-in for the store."""
 
 import asyncio
+import time
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from result import Err, Ok, Result
 from tornado.httpserver import HTTPServer
 
@@ -15,6 +19,7 @@
     encode_peer_changes,
     make_change_relay_server,
 )
+from amaranthbend.adapters.clock import read_clock
 from amaranthbend.adapters.metrics import Counters
 from amaranthbend.controllers.relayed_store import RelayedStore
 from amaranthbend.controllers.store_watch import StoreWatch, monitor_watches
@@ -24,6 +29,7 @@
     PeerChanges,
     PeerSelector,
 )
+from amaranthbend.core.pauses import MAX_ACTIVITY_GAP_S, PauseTracker
 from amaranthbend.core.watching import (
     ObjectEvent,
     StoreChanges,
@@ -310,3 +316,93 @@
         assert fleet.sum_counter(f"store.lists.{KIND}") - lists <= READERS_PER_DATA_CENTRE
 
     run_fleet(check)
+
+
+class ClockedStore:
+    """A store whose calls take the time that the test lets pass."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        # Seconds that pass until the response of the next watch is read.
+        self.pause_s = 0.0
+        self.events: list[ObjectEvent] = []
+
+    def read_clock(self) -> float:
+        """Return the present time."""
+        return self.now
+
+    async def list_objects(
+        self, kind: str, *, may_lag: bool = False
+    ) -> Result[StoreChanges, StoreError]:
+        """Return an empty list."""
+        return Ok(StoreChanges([], 1))
+
+    async def watch_objects(
+        self, kind: str, revision: int, wait_s: float
+    ) -> Result[StoreChanges, StoreError]:
+        """Return the events, after the pause."""
+        self.now += self.pause_s
+        return Ok(StoreChanges(self.events, revision + len(self.events)))
+
+
+def run_relayed_store(
+    check: Callable[[ClockedStore, RelayedStore], Coroutine[Any, Any, None]],
+) -> None:
+    """Run a check with a host that has listed the store and read it once."""
+
+    async def run() -> None:
+        store = ClockedStore()
+        selector = PeerSelector("host-1", "huye")
+        relayed = RelayedStore(store, selector, Counters(), store.read_clock)
+        relayed.set_hosts([])
+        await relayed.list_objects(KIND)
+        await relayed.watch_objects(KIND, 1, 10.0)
+        await check(store, relayed)
+
+    asyncio.run(run())
+
+
+def test_response_read_after_a_pause_confirms_nothing_new() -> None:
+    """Guards against a host that was frozen or suspended, and relays old changes as current ones.
+
+    The response of its watch arrived before the pause and is read after it.
+    """
+
+    async def check(store: ClockedStore, relayed: RelayedStore) -> None:
+        store.pause_s = 5.0
+        store.events = [ObjectEvent(StoredObject("u0", 2, {}), False)]
+        await relayed.watch_objects(KIND, 1, 10.0)
+        assert isinstance(await relayed.wait_for_changes(KIND, 1), Err)
+        store.pause_s = 0.1
+        await relayed.watch_objects(KIND, 2, 10.0)
+        answer = (await relayed.wait_for_changes(KIND, 1)).unwrap()
+        assert [event.object.name for event in answer.changes.events] == ["u0"]
+        assert answer.age_s < 0.2
+
+    run_relayed_store(check)
+
+
+def test_clock_counts_suspensions() -> None:
+    """Guards against a clock that stops while the host is suspended."""
+    assert read_clock() == pytest.approx(time.clock_gettime(time.CLOCK_BOOTTIME), abs=1.0)
+
+
+@given(st.lists(st.tuples(st.floats(0.0, 5.0), st.booleans()), max_size=20))
+def test_arrival_is_never_later_than_a_pause(steps: list[tuple[float, bool]]) -> None:
+    """Guards against an arrival time inside or after a pause that the call has outlasted."""
+    tracker = PauseTracker()
+    now = asked_at = 10.0
+    tracker.record_activity(now)
+    last_active_before_pause = None
+    for gap_s, is_response in steps:
+        if gap_s > MAX_ACTIVITY_GAP_S:
+            last_active_before_pause = now
+        now += gap_s
+        if not is_response:
+            tracker.record_activity(now)
+            continue
+        arrived_at = tracker.find_arrival_time(asked_at, now)
+        assert asked_at <= arrived_at <= now
+        if last_active_before_pause is not None:
+            assert arrived_at == max(asked_at, last_active_before_pause)
+        asked_at, last_active_before_pause = now, None
