Let the soak send responses without end, repeated refusals and late copies

Three faults of instances that other operators met, from outside: responses without end in head or body, a refusal of an earlier request written once more on a kept connection, and late copies of responses. Before: none of the three was played by the soak.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -35,6 +35,9 @@
     INSTANCE_CRASH = "instance_crash"
     INSTANCE_LEAVES = "instance_leaves"
     INSTANCE_SLOW = "instance_slow"
+    INSTANCE_ENDLESS = "instance_endless"
+    INSTANCE_REFUSES_AGAIN = "instance_refuses_again"
+    INSTANCE_ANSWERS_AGAIN = "instance_answers_again"
 
 
 class Fault(NamedTuple):
--- a/soak/site.py
+++ b/soak/site.py
@@ -7,7 +7,7 @@
 from tornado.httpserver import HTTPServer
 
 from amaranthbend.adapters.addresses import split_address
-from standins.instance import Instance
+from standins.instance import ENDLESS_PARTS, Instance
 from standins.node_caller import DESK, make_configuration
 from standins.node_program import NodeProgram
 from standins.processes import pick_endpoint, pick_network
@@ -28,12 +28,22 @@
 # Long enough that a fault meets several requests while they run.
 RUN_S = 0.06
 SLOW_PERCENT = 800
+# A refusal of an earlier request, which need not say which one.
+EARLIER_REFUSAL = (503, {"X-Amaranthbend-Not-Executed": "1"})
+COPIES = 1000
 STORE_MODES = {
     FaultKind.STORE_BUSY: "busy",
     FaultKind.STORE_MANY: "many",
     FaultKind.STORE_RESET: "reset",
     FaultKind.STORE_SILENT: "silent",
 }
+RESPONSE_FAULTS = frozenset(
+    {
+        FaultKind.INSTANCE_ENDLESS,
+        FaultKind.INSTANCE_REFUSES_AGAIN,
+        FaultKind.INSTANCE_ANSWERS_AGAIN,
+    }
+)
 LINK_STATES = {
     FaultKind.LINK_DELAY: LinkState.DELAY,
     FaultKind.LINK_ONE_WAY: LinkState.ONE_WAY,
@@ -162,6 +172,9 @@
             await asyncio.sleep(fault.length_s)
             instance.percent = 100
             return
+        if fault.kind in RESPONSE_FAULTS:
+            await self._send_faulty_responses(instance, fault)
+            return
         if fault.kind is FaultKind.INSTANCE_LEAVES:
             self.register(number, "draining")
             await asyncio.sleep(DRAIN_S)
@@ -172,3 +185,17 @@
         instance.born += 1
         await instance.start(*split_address(instance.address))
         self.register(number)
+
+    async def _send_faulty_responses(self, instance: Instance, fault: Fault) -> None:
+        """Let an instance send responses without end, or earlier ones again, for a while."""
+        if fault.kind is FaultKind.INSTANCE_ENDLESS:
+            names = sorted(ENDLESS_PARTS)
+            instance.fault = names[fault.target % len(names)]
+        elif fault.kind is FaultKind.INSTANCE_REFUSES_AGAIN:
+            instance.repeated_refusal = EARLIER_REFUSAL
+        else:
+            instance.late_copies = COPIES
+        await asyncio.sleep(fault.length_s)
+        instance.fault = ""
+        instance.repeated_refusal = None
+        instance.late_copies = 0
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -12,7 +12,7 @@
 import asyncio
 from typing import Any
 
-__all__ = ["Instance"]
+__all__ = ["ENDLESS_PARTS", "Instance"]
 
 REASONS = {200: "OK", 421: "Misdirected Request", 500: "Error", 503: "Unavailable"}
 RUN_S = 0.01
@@ -52,6 +52,8 @@
         self.run_s = RUN_S
         self.percent = 100
         self.is_healthy = True
+        # Fault that all requests meet; empty for the one that their path names.
+        self.fault = ""
         # Header fields of a refusal that is written once more before the next request of a kept
         # connection runs, and its status.
         self.repeated_refusal: tuple[int, dict[str, str]] | None = None
@@ -128,7 +130,7 @@
         if expected != self.name:
             self._answer(writer, 421, b"", {"X-Amaranthbend-Instance-Id": self.name})
             return True
-        fault = path.rpartition("/")[2]
+        fault = self.fault or path.rpartition("/")[2]
         if fault == "shed":
             self._answer(writer, 503, b"", {**echo, "X-Amaranthbend-Not-Executed": "1"})
             return True
