Batch changes at the hosts that read the store, not at each host

Cause: each host waited 0.5 s after changes, whether it read them from the store or from a peer. A change could wait twice, and the wait at the reader, the only one that saves calls with a price, was short. Change: readers wait 0.9 s, followers not at all; at most 0.9 s plus a call in place of 1.0 s plus two. Ruled out: longer waits, since a call to a failed peer takes 0.8 s of the 2 s too.

Before: test_watches_of_the_store_are_spread_after_changes and test_changes_from_a_peer_are_not_delayed fail for lack of get_watch_delay.

--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -21,6 +22,10 @@
 # Longest wait for the list of hosts before the first watch. It covers the time until hosts that
 # start together have registered, and the call for the list.
 MAX_HOSTS_WAIT_S = 2.5
+# Time from changes to the next watch of the store, in which further changes add up: each call has
+# a price. Hosts that read changes from a peer get them without this delay, so that it and one more
+# call have to fit into the 2 s in which changes must be in force.
+STORE_BATCH_DELAY_S = 0.9
 # Timers may fire early by up to this time.
 TIMER_MARGIN_S = 0.002
 
@@ -62,6 +67,8 @@
         self._peer_name = ""
         self._clock = clock
         self._pauses = PauseTracker()
+        # Earliest time of the next watch of the store, by kind.
+        self._next_watch_at: defaultdict[str, float] = defaultdict(lambda: -math.inf)
 
     def set_hosts(self, hosts: Iterable[HostEntry]) -> None:
         """Replace the known hosts of the deployment."""
@@ -130,8 +137,14 @@
             self._record_changes(
                 kind, answer.ok_value, self._pauses.find_arrival_time(asked_at, now)
             )
+            if answer.ok_value.events:
+                self._next_watch_at[kind] = now + STORE_BATCH_DELAY_S
         return answer
 
+    def get_watch_delay(self, kind: str) -> float:
+        """Return the seconds to wait until the next watch, 0 after changes from a peer."""
+        return max(0.0, self._next_watch_at[kind] - self._clock())
+
     async def peek_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
         """Return the changes that a replica knows, none while changes are read from a peer."""
         asked_at = self._clock()
--- a/amaranthbend/controllers/store_watch.py
+++ b/amaranthbend/controllers/store_watch.py
@@ -17,9 +17,6 @@
 # Time for which a watch call waits for changes. Longer waits need fewer calls. A connection that
 # was lost silently is detected earlier, by the periodic checks.
 LONG_POLL_WAIT_S = 10.0
-# Pause after changes, which batches further ones. It delays a change by at most this time, of the
-# 2 s within which changes must be in force.
-BATCH_PAUSE_S = 0.5
 # Interval between two checks. A silent connection is detected within this time plus the timeout of
 # a call, which is less than the 3 s after which a host counts as connected to the store again.
 CHECK_INTERVAL_S = 1.0
@@ -38,13 +35,20 @@
         """Record whether the store is reachable."""
 
 
+class WatchedStore(ObjectStore, Protocol):
+    """A store whose watches are spread in time."""
+
+    def get_watch_delay(self, kind: str) -> float:
+        """Return the seconds to wait until the next watch of a kind."""
+
+
 class StoreWatch:
     """Lists all objects, then watches for changes; lists again after errors that may hide changes.
 
     Parameters
     ----------
-    store : ObjectStore
-        Client of the store.
+    store : WatchedStore
+        Access to the store.
     kind : str
         Kind of object.
     handler : WatchHandler
@@ -54,13 +58,13 @@
     """
 
     def __init__(
-        self, store: ObjectStore, kind: str, handler: WatchHandler, counters: Counters
+        self, store: WatchedStore, kind: str, handler: WatchHandler, counters: Counters
     ) -> None:
         self._store = store
         self._kind = kind
         self._handler = handler
         self._counters = counters
-        self._plan = WatchPlan(random.random, BATCH_PAUSE_S)
+        self._plan = WatchPlan(random.random)
         self._has_listed = False
         # Ends the wait for the running call when set.
         self._restart_requested: asyncio.Future[None] | None = None
@@ -90,7 +94,7 @@
             self._restart_requested.set_result(None)
 
     async def _call(self) -> float:
-        """Make one call, and return the pause after it in seconds."""
+        """Make one call, and return the pause before the next one in seconds."""
         plan = self._plan
         revision = plan.revision
         started_at = time.monotonic()
@@ -126,7 +130,7 @@
             self._handler.set_store_reachable(plan.is_reachable, now)
             return pause_s
         changes = answer.ok_value
-        pause_s = plan.record_changes(changes)
+        plan.record_changes(changes)
         if not was_reachable or not self._has_listed:
             log_event("store_reached", kind=self._kind, revision=changes.revision)
         self._has_listed = True
@@ -135,7 +139,7 @@
             self._handler.replace_all(changes, now)
         elif changes.events:
             self._handler.apply_changes(changes, now)
-        return pause_s
+        return self._store.get_watch_delay(self._kind)
 
 
 async def monitor_watches(watches: Sequence[StoreWatch]) -> None:
--- a/amaranthbend/core/watching.py
+++ b/amaranthbend/core/watching.py
@@ -89,17 +89,13 @@
     ----------
     draw : callable
         Returns a random number from 0 up to 1.
-    batch_delay_s : float
-        Delay in seconds after changes, so that one call returns several of them; each call has
-        a price.
     """
 
-    def __init__(self, draw: Callable[[], float], batch_delay_s: float) -> None:
+    def __init__(self, draw: Callable[[], float]) -> None:
         # At least half of the delay is always waited: every call has a price, also a refused one.
         self._backoff = Backoff(
             lambda: 0.5 + 0.5 * draw(), INITIAL_RETRY_DELAY_S, MAX_RETRY_DELAY_S
         )
-        self._batch_delay_s = batch_delay_s
         # Whether the last call succeeded.
         self.is_reachable = True
         # Whether the next watch may wait for changes. After a failed or abandoned call it may not,
@@ -108,14 +104,12 @@
         # Revision to watch from, or None if all objects have to be listed.
         self.revision: int | None = None
 
-    def record_changes(self, changes: StoreChanges) -> float:
-        """Record a successful call, and return the delay in seconds before the next one."""
-        was_list = self.revision is None
+    def record_changes(self, changes: StoreChanges) -> None:
+        """Record a successful call."""
         self.revision = changes.revision
         self.is_reachable = True
         self.may_long_poll = True
         self._backoff.reset()
-        return 0.0 if was_list or not changes.events else self._batch_delay_s
 
     def record_failure(self, error: StoreError) -> float:
         """Record a failed call, and return the delay in seconds before the next one."""
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -21,7 +21,7 @@
 )
 from amaranthbend.adapters.clock import read_clock
 from amaranthbend.adapters.metrics import Counters
-from amaranthbend.controllers.relayed_store import RelayedStore
+from amaranthbend.controllers.relayed_store import STORE_BATCH_DELAY_S, RelayedStore
 from amaranthbend.controllers.store_watch import StoreWatch, monitor_watches
 from amaranthbend.core.change_relay import (
     READERS_PER_DATA_CENTRE,
@@ -382,6 +382,33 @@
     run_relayed_store(check)
 
 
+def test_watches_of_the_store_are_spread_after_changes() -> None:
+    """Guards against one priced call for each of many changes."""
+
+    async def check(store: ClockedStore, relayed: RelayedStore) -> None:
+        assert relayed.get_watch_delay(KIND) == 0.0
+        store.events = [ObjectEvent(StoredObject("u0", 2, {}), False)]
+        await relayed.watch_objects(KIND, 1, 10.0)
+        assert relayed.get_watch_delay(KIND) == pytest.approx(STORE_BATCH_DELAY_S)
+        store.now += STORE_BATCH_DELAY_S + 0.001
+        assert relayed.get_watch_delay(KIND) == 0.0
+
+    run_relayed_store(check)
+
+
+def test_changes_from_a_peer_are_not_delayed() -> None:
+    """Guards against a delay at each host on the way of a change."""
+
+    async def check(fleet: Fleet) -> None:
+        for value in range(2, 5):
+            fleet.store.put(KIND, "u0", value)
+            await wait_until(lambda value=value: fleet.all_have("u0", value), IN_FORCE_S)
+        delays = [host.relayed.get_watch_delay(KIND) for host in fleet.hosts]
+        assert sum(delay > 0.0 for delay in delays) <= READERS_PER_DATA_CENTRE
+
+    run_fleet(check)
+
+
 def test_clock_counts_suspensions() -> None:
     """Guards against a clock that stops while the host is suspended."""
     assert read_clock() == pytest.approx(time.clock_gettime(time.CLOCK_BOOTTIME), abs=1.0)
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -55,6 +55,10 @@
         """Return no changes."""
         return Ok(StoreChanges([], revision))
 
+    def get_watch_delay(self, kind: str) -> float:
+        """Return no delay."""
+        return 0.0
+
 
 class IgnoringHandler:
     """Ignores all changes."""
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -12,33 +12,25 @@
     WatchPlan,
 )
 
-BATCH_DELAY_S = 0.3
 EVENT = ObjectEvent(StoredObject("u0", 7, {}), False)
 UNAVAILABLE = StoreError(StoreErrorKind.UNAVAILABLE, "503")
 
 
 def make_plan() -> WatchPlan:
     """Return a plan that has listed up to revision 7, and always draws the longest delay."""
-    plan = WatchPlan(lambda: 1.0, BATCH_DELAY_S)
+    plan = WatchPlan(lambda: 1.0)
     plan.record_changes(StoreChanges([EVENT], 7))
     return plan
 
 
 def test_first_call_lists_and_then_watches() -> None:
     """Guards against a watch from a revision that was never listed."""
-    plan = WatchPlan(lambda: 1.0, BATCH_DELAY_S)
+    plan = WatchPlan(lambda: 1.0)
     assert plan.revision is None
-    assert plan.record_changes(StoreChanges([EVENT], 7)) == 0.0
+    plan.record_changes(StoreChanges([EVENT], 7))
     assert plan.revision == 7
 
 
-def test_changes_are_batched_before_the_next_call() -> None:
-    """Guards against one priced call for each of many changes."""
-    plan = make_plan()
-    assert plan.record_changes(StoreChanges([EVENT], 8)) == BATCH_DELAY_S
-    assert plan.record_changes(StoreChanges([], 8)) == 0.0
-
-
 def test_lost_history_lists_at_once() -> None:
     """Guards against missing changes that the store no longer keeps."""
     plan = make_plan()
