Check each watch of the store until it ends

Their reader had lost the store for 0.1 s, so that they watched the store themselves for up to 10 s; history was compacted meanwhile, which a waiting watch does not report. No peek noticed it: peeks stop while a peer could be followed. The same gap was there before: a watch that began while all peers were skipped was not checked any more after the 5 s of the skip. Change: a call in place of peers without the store does not wait, and a running watch of the store is checked whatever peers there are. Ruled out: the batching of 0.9 s; the hosts got no change in that time.

Before: test_call_in_place_of_a_peer_does_not_wait and test_watch_of_the_store_is_checked_until_it_ends fail.

--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -67,6 +67,8 @@
         self._peer_name = ""
         self._clock = clock
         self._pauses = PauseTracker()
+        # Running watches of the store, by kind.
+        self._store_watches: Counter[str] = Counter()
         # Earliest time of the next watch of the store, by kind.
         self._next_watch_at: defaultdict[str, float] = defaultdict(lambda: -math.inf)
 
@@ -137,6 +139,8 @@
             selector.record_unconfirmed_peer(peer.name, now)
             unconfirmed_peers += 1
             if awaits_store or unconfirmed_peers >= selector.readers:
+                # Only hosts without a peer detect a watch that hangs, so this call does not wait.
+                wait_s = 0.0
                 break
         else:
             self._record_source("")
@@ -155,7 +159,11 @@
             wait_s = 0.0
         self._counters.incr(f"store.watches.{kind}")
         asked_at = self._clock()
-        answer = await self._store.watch_objects(kind, revision, wait_s)
+        self._store_watches[kind] += 1
+        try:
+            answer = await self._store.watch_objects(kind, revision, wait_s)
+        finally:
+            self._store_watches[kind] -= 1
         if isinstance(answer, Ok):
             now = self._clock()
             self._selector.record_confirmed_changes()
@@ -179,7 +187,8 @@
         """
         asked_at = self._clock()
         self._pauses.record_activity(asked_at)
-        if not self._hosts_known.is_set() or self._selector.select_peer(asked_at) is not None:
+        may_follow = self._selector.select_peer(asked_at) is not None
+        if not self._store_watches[kind] and (may_follow or not self._hosts_known.is_set()):
             return Ok(StoreChanges([], revision))
         self._counters.incr(f"store.looks.{kind}")
         answer = await self._store.peek_changes(kind, revision)
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -24,6 +24,7 @@
 from amaranthbend.controllers.relayed_store import STORE_BATCH_DELAY_S, RelayedStore
 from amaranthbend.controllers.store_watch import StoreWatch, monitor_watches
 from amaranthbend.core.change_relay import (
+    FAILED_PEER_SKIP_S,
     MAX_CONFIRMATION_AGE_S,
     MAX_STORE_TURN_S,
     READERS_PER_DATA_CENTRE,
@@ -295,6 +296,64 @@
     run_fleet(check)
 
 
+def test_call_in_place_of_a_peer_does_not_wait() -> None:
+    """Guards against a watch of the store that hangs unnoticed while a peer could be followed.
+
+    Peeks detect watches that hang, but only at hosts without a peer. Seen in benchmark kithul-gw
+    scale-1 (e732f7a2, replayed with logs): four hosts had a configuration 4.6 s late.
+    """
+
+    async def run() -> None:
+        async def refuse(
+            _kind: str, _after: int, _awaits_store: bool
+        ) -> Result[PeerChanges, StoreError]:
+            return Err(StoreError(StoreErrorKind.UNAVAILABLE, "no recently confirmed changes"))
+
+        server = make_change_relay_server(refuse)
+        port = pick_endpoint(ADDRESS).port
+        server.listen(port, ADDRESS)
+        store = ClockedStore()
+        relayed = RelayedStore(store, PeerSelector("host-2", "huye"), Counters(), store.read_clock)
+        relayed.set_hosts(
+            [HostEntry(f"host-{n}", "huye", f"{ADDRESS}:{port}") for n in range(1, 4)]
+        )
+        await relayed.list_objects(KIND)
+        for revision in (1, 2, 3):
+            store.events = [ObjectEvent(StoredObject("u0", revision + 1, {}), False)]
+            await relayed.watch_objects(KIND, revision, 10.0)
+            store.now += 10.0
+        assert store.waits == [0.0, 0.0, 0.0]
+        server.stop()
+
+    asyncio.run(run())
+
+
+def test_watch_of_the_store_is_checked_until_it_ends() -> None:
+    """Guards against a watch that hangs unnoticed once the skipped peers may be followed again."""
+
+    async def run() -> None:
+        store = ClockedStore()
+        selector = PeerSelector("host-2", "huye")
+        relayed = RelayedStore(store, selector, Counters(), store.read_clock)
+        relayed.set_hosts([HostEntry(f"host-{n}", "huye", f"{ADDRESS}:1") for n in (1, 2)])
+        await relayed.list_objects(KIND)
+        selector.record_failure("host-1", store.now)
+        await relayed.watch_objects(KIND, 1, 10.0)
+        store.is_silent = True
+        watch = asyncio.ensure_future(relayed.watch_objects(KIND, 1, 10.0))
+        await asyncio.sleep(0)
+        assert store.waits == [0.0, 10.0]
+        store.now += FAILED_PEER_SKIP_S
+        await relayed.peek_changes(KIND, 1)
+        assert store.peeks == 1
+        watch.cancel()
+        await asyncio.wait({watch})
+        await relayed.peek_changes(KIND, 1)
+        assert store.peeks == 1
+
+    asyncio.run(run())
+
+
 class CompactedStore:
     """A store whose replica lags behind the oldest revision in the history."""
 
@@ -361,6 +420,10 @@
         self.pause_s = 0.0
         self.events: list[ObjectEvent] = []
         self.peeks = 0
+        # Seconds for which each watch may wait for changes.
+        self.waits: list[float] = []
+        # Whether watches hang.
+        self.is_silent = False
 
     def read_clock(self) -> float:
         """Return the present time."""
@@ -376,6 +439,9 @@
         self, kind: str, revision: int, wait_s: float
     ) -> Result[StoreChanges, StoreError]:
         """Return the events, after the pause."""
+        self.waits.append(wait_s)
+        if self.is_silent:
+            await asyncio.sleep(3600)
         self.now += self.pause_s
         return Ok(StoreChanges(self.events, revision + len(self.events)))
 
