--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -433,11 +433,12 @@
     run_node(check)
 
 
-def test_shutdown_answers_every_complete_request() -> None:
+@pytest.mark.parametrize(("path", "method"), [("/safe/x", "GET"), ("/unsafe/x", "POST")])
+def test_shutdown_answers_every_complete_request(path: str, method: str) -> None:
     """Guards against an aborted request that arrived just before the process exited.
 
     A request that was read 10 ms after the previous one had ended was in progress at its instance
-    when the process exited.
+    when the process exited. An aborted idempotent request may be sent again, another one may not.
     """
 
     async def check(case: NodeCase) -> None:
@@ -448,7 +449,7 @@
         async def send_continuously(number: int) -> None:
             reader, writer = await case.connect()
             while not has_shut_down.is_set():
-                answer = await exchange(reader, writer, "/safe/x", request_id=f"r{number}")
+                answer = await exchange(reader, writer, path, method, f"r{number}")
                 if answer.status not in (200, 503):
                     # A connection that is closed between two requests loses no request.
                     if case.count_executions(f"r{number}"):
