Prefer a subset of the upstreams of a large deployment by hash

Cause: a host of a large deployment preferred the upstreams to which it had connections, 12 in its data centre and 4 elsewhere, but began three rounds in ten with another one, and found a new set after each restart: on the small twin of the large site 1,160 of 1,619 connections went to upstreams that the host had never met or not for 8 s. Change: the set is given by rendezvous hashing, so that it needs no exploration to form, moves little, and takes in new upstreams; one round in ten starts outside. Ruled out: connections closed by responses of other requests or by cancelled attempts (77 and 192 of 1,619).

--- a/amaranthbend/core/probe_rounds.py
+++ b/amaranthbend/core/probe_rounds.py
@@ -5,6 +5,7 @@
 responses are too old to choose an upstream by; reports a few milliseconds old are not.
 """
 
+import heapq
 import math
 import random
 from collections.abc import Collection, Iterable, Sequence
@@ -38,14 +39,11 @@
 # Factor on the expected time of an upstream with a pending probe, which may be unresponsive: it is
 # chosen only if all others are much slower.
 PENDING_PROBE_TIME_FACTOR = 4.0
-# An upstream with a report up to this age probably has an open connection. Upstreams close
-# connections that were idle for 10 s, which they announce in the `Keep-Alive` header.
-CONNECTION_OPEN_S = 8.0
-# Upstreams with open connections are preferred from this number for each probe of a round on, so
-# that there is a choice.
-MIN_CONNECTED_PER_PROBE = 4
-# Share of rounds that start with an upstream that probably has no open connection.
-UNCONNECTED_ROUND_SHARE = 0.3
+# Size of the subset of upstreams that a host prefers, for each probe of a round. A round has a
+# choice, and each upstream is probed again before its idle connection is closed.
+SUBSET_UPSTREAMS_PER_PROBE = 4
+# Share of rounds that start with an upstream outside the subset.
+OUTSIDE_ROUND_SHARE = 0.1
 # Factor on the expected time in another data centre, for the traffic between data centres as
 # well as the delay.
 REMOTE_TIME_FACTOR = 1.1
@@ -138,14 +136,17 @@
     )
 
 
-def order_connected_first(
-    ranked: list[tuple[float, UpstreamLoad]], probes: int, rng: random.Random, now: float
+def select_subset(
+    ranked: list[tuple[float, UpstreamLoad]], probes: int, rng: random.Random
 ) -> list[tuple[float, UpstreamLoad]]:
-    """Return upstreams ordered by rank, those with a probably open connection first.
+    """Return the upstreams that this host prefers, ordered by rank.
 
     Load pattern: a host of a large deployment has few requests and hundreds of upstreams. With
     an even choice, nearly each probe would open a connection that is closed before its next use.
-    A share of the rounds starts with another upstream, so that the preferred set keeps changing.
+    Each host therefore prefers the upstreams with the highest affinity (rendezvous hashing). When
+    upstreams come and go, only their own places in the subsets change, and a new upstream is in
+    the subsets of as many hosts as the others. A share of the rounds starts with an upstream
+    outside the subset, which evens out what the hosts send.
 
     Parameters
     ----------
@@ -155,20 +156,21 @@
         Probes of a round to these upstreams.
     rng : random.Random
         Random number generator.
-    now : float
-        Present time.
     """
-    connected: list[tuple[float, UpstreamLoad]] = []
-    unconnected: list[tuple[float, UpstreamLoad]] = []
-    for entry in ranked:
-        (connected if now - entry[1].report_at < CONNECTION_OPEN_S else unconnected).append(entry)
-    if len(connected) < MIN_CONNECTED_PER_PROBE * probes or not unconnected:
-        return sorted(ranked, key=lambda entry: entry[0])
-    connected.sort(key=lambda entry: entry[0])
-    unconnected.sort(key=lambda entry: entry[0])
-    if rng.random() < UNCONNECTED_ROUND_SHARE:
-        connected.insert(0, unconnected.pop(0))
-    return connected + unconnected
+    size = SUBSET_UPSTREAMS_PER_PROBE * probes
+    if len(ranked) <= size:
+        return sorted(ranked, key=_get_rank)
+    preferred = heapq.nlargest(size, ranked, key=lambda entry: entry[1].affinity)
+    lowest_affinity = preferred[-1][1].affinity
+    preferred.sort(key=_get_rank)
+    if rng.random() < OUTSIDE_ROUND_SHARE:
+        outside = [entry for entry in ranked if entry[1].affinity < lowest_affinity]
+        preferred.insert(0, min(outside, key=_get_rank))
+    return preferred
+
+
+def _get_rank(entry: tuple[float, UpstreamLoad]) -> float:
+    return entry[0]
 
 
 def choose_candidates(
@@ -214,9 +216,9 @@
             rest.append((rank + (1.0 if load.is_remote else 0.5), load))
         else:
             (remote if load.is_remote else local).append((rank, load))
-    local = order_connected_first(local, policy.local_probes, rng, now)
-    remote = order_connected_first(remote, policy.remote_probes, rng, now)
-    rest.sort(key=lambda entry: entry[0])
+    local = select_subset(local, policy.local_probes, rng)
+    remote = select_subset(remote, policy.remote_probes, rng)
+    rest.sort(key=_get_rank)
     probe_count = min(max_probes, policy.local_probes + policy.remote_probes)
     chosen = local[: min(probe_count, policy.local_probes)]
     chosen += remote[: probe_count - len(chosen)]
--- a/amaranthbend/core/routing.py
+++ b/amaranthbend/core/routing.py
@@ -13,6 +13,8 @@
 import random
 from collections.abc import Iterable
 
+import xxhash
+
 from .actions import LoadReport, Member, UpstreamView
 from .ejection import UpstreamHealth, estimate_slowness_cost
 
@@ -61,9 +63,12 @@
         The upstream.
     is_remote : bool
         Whether it runs in another data centre than this process.
+    affinity : int
+        Preference of this process for the upstream among others that are equally good.
     """
 
     __slots__ = (
+        "affinity",
         "mismatch_score",
         "ejected",
         "health",
@@ -85,9 +90,10 @@
         "variance_other_requests",
     )
 
-    def __init__(self, member: Member, is_remote: bool) -> None:
+    def __init__(self, member: Member, is_remote: bool, affinity: int = 0) -> None:
         self.member = member
         self.is_remote = is_remote
+        self.affinity = affinity
         self.usable = True
         self.health = UpstreamHealth()
         self.ejected = False
@@ -156,18 +162,20 @@
     slots : int
         Slots of an upstream that has not reported yet.
     seed : int
-        Seed of the random cost that breaks ties.
+        Seed of the random cost that breaks ties, and of the affinities.
     """
 
     def __init__(self, data_centre: str, slots: int, seed: int) -> None:
         self._data_centre = data_centre
         self._random = random.Random(seed)
+        self._seed = seed
         self._loads: list[UpstreamLoad] = []
         self.slots = slots
 
     def make_load(self, member: Member) -> UpstreamLoad:
         """Return the load record of a new upstream."""
-        return UpstreamLoad(member, member.data_centre != self._data_centre)
+        affinity = xxhash.xxh64_intdigest(member.upstream.encode(), self._seed)
+        return UpstreamLoad(member, member.data_centre != self._data_centre, affinity)
 
     def set_loads(self, loads: Iterable[UpstreamLoad]) -> None:
         """Set the upstreams to choose from; local ones come first, which shortens the search."""
