--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -21,6 +21,7 @@
     AttemptResult,
     AttemptStatus,
     Cancel,
+    Complete,
     LoadReport,
     Member,
     Probe,
@@ -86,8 +87,8 @@
 
     Parameters
     ----------
-    requests, refused : int
-        Requests of callers, and those that were refused.
+    requests, refused, late : int
+        Requests of callers, those that were refused, and those answered after `LATENCY_GOAL_S`.
     attempts : int
         Requests that arrived at upstreams.
     waited_beside_room : int
@@ -102,6 +103,7 @@
 
     requests: int
     refused: int
+    late: int
     attempts: int
     waited_beside_room: int
     most_runs_of_a_write: int
@@ -134,7 +136,8 @@
         self._connection_used_at: dict[tuple[int, str], float] = {}
         self._writes: set[int] = set()
         self._runs: Counter[int] = Counter()
-        self._requests = self._refused = self._waited = self._connections = 0
+        self._requests = self._refused = self._late = self._waited = self._connections = 0
+        self._submitted_at: dict[int, float] = {}
         self._hosts = [self._make_dispatcher(number) for number in range(settings.hosts)]
 
     def _make_dispatcher(self, number: int) -> ProbingDispatcher:
@@ -172,6 +175,7 @@
         return FleetResult(
             self._requests,
             self._refused,
+            self._late,
             sum(arrivals),
             self._waited,
             max((self._runs[request] for request in self._writes), default=0),
@@ -188,6 +192,7 @@
         is_write = self._random.random() < NON_IDEMPOTENT_SHARE
         if is_write:
             self._writes.add(self._requests)
+        self._submitted_at[self._requests] = self._now
         request = RequestInfo(
             self._requests,
             "route",
@@ -212,6 +217,9 @@
                 self._later(NETWORK_DELAY_S, self._arrive, key)
             elif isinstance(action, Refuse):
                 self._refused += 1
+            elif isinstance(action, Complete):
+                duration_s = self._now - self._submitted_at[action.request_id]
+                self._late += duration_s > LATENCY_GOAL_S
             elif isinstance(action, Cancel):
                 key = (host, action.request_id, action.attempt)
                 self._later(0.0, self._end, key, AttemptResult(AttemptStatus.CANCELLED))
