Choose among remote upstreams without remote probes

Cause: select_subset took the lowest affinity of an empty subset if a policy has no probes for upstreams elsewhere.

Before: test_remote_upstreams_without_remote_probes fails with IndexError. After: it passes.

--- a/amaranthbend/core/probe_rounds.py
+++ b/amaranthbend/core/probe_rounds.py
@@ -158,7 +158,7 @@
         Random number generator.
     """
     size = SUBSET_UPSTREAMS_PER_PROBE * probes
-    if len(ranked) <= size:
+    if not probes or len(ranked) <= size:
         return sorted(ranked, key=_get_rank)
     preferred = heapq.nlargest(size, ranked, key=lambda entry: entry[1].affinity)
     lowest_affinity = preferred[-1][1].affinity
--- a/amaranthbend/core/routing.py
+++ b/amaranthbend/core/routing.py
@@ -90,7 +90,7 @@
         "variance_other_requests",
     )
 
-    def __init__(self, member: Member, is_remote: bool, affinity: int = 0) -> None:
+    def __init__(self, member: Member, is_remote: bool, affinity: int) -> None:
         self.member = member
         self.is_remote = is_remote
         self.affinity = affinity
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -62,6 +62,15 @@
     assert max(counts.values()) < 1.5 * min(counts.values())
 
 
+def test_remote_upstreams_without_remote_probes() -> None:
+    """Guards against a host without remote probes that fails once it has few local upstreams."""
+    router = Router("huye", 6, 1)
+    places = {"local": "huye", "remote-1": "nyanza", "remote-2": "nyanza"}
+    loads = [router.make_load(Member(name, name, place, 1)) for name, place in places.items()]
+    chosen = choose_candidates(loads, POLICY, frozenset(), 3, random.Random(1), NOW)
+    assert {load.member.upstream for load in chosen} == set(places)
+
+
 def test_hosts_spread_their_probes_evenly() -> None:
     """Guards against upstreams that are in the subsets of no host, or of most of them."""
     total: Counter[str] = Counter()
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -14,7 +14,9 @@
 def make_loads(service: str) -> list[UpstreamLoad]:
     """Return the load records of 40 upstreams."""
     return [
-        UpstreamLoad(Member(f"{service}-{n}", "127.0.0.1:1", "huye", 1), is_remote=False)
+        UpstreamLoad(
+            Member(f"{service}-{n}", "127.0.0.1:1", "huye", 1), is_remote=False, affinity=0
+        )
         for n in range(40)
     ]
 
