--- a/amaranthbend/core/probe_rounds.py
+++ b/amaranthbend/core/probe_rounds.py
@@ -5,9 +5,7 @@
 responses are too old to choose an upstream by; reports a few milliseconds old are not.
 """
 
-import heapq
 import math
-import random
 from collections.abc import Collection, Iterable, Sequence
 
 from .actions import UpstreamState
@@ -20,7 +18,6 @@
     "PendingProbeRounds",
     "ProbeRound",
     "RequestProbeBudget",
-    "choose_candidates",
     "choose_without_probes",
     "count_excess",
     "count_outstanding",
@@ -31,19 +28,9 @@
 # Reports up to this age are used without a new probe, so that requests that arrive together
 # share them.
 SHARED_REPORT_MAX_AGE_S = 0.003
-# An upstream that was full or slow in a report up to this age is probed only if no other is left.
-# The time is longer than a slot takes to become free, and shorter than a machine stays slow.
-BUSY_REPORT_MAX_AGE_S = 0.08
-# Reported slowdown above which an upstream counts as busy.
-BUSY_SLOWDOWN = 2.0
 # Factor on the expected time of an upstream with a pending probe, which may be unresponsive: it is
 # chosen only if all others are much slower.
 PENDING_PROBE_TIME_FACTOR = 4.0
-# Size of the subset of upstreams that a host prefers, for each probe of a round. A round has a
-# choice, and each upstream is probed again before its idle connection is closed.
-SUBSET_UPSTREAMS_PER_PROBE = 4
-# Share of rounds that start with an upstream outside the subset.
-OUTSIDE_ROUND_SHARE = 0.1
 # Factor on the expected time in another data centre, for the traffic between data centres as
 # well as the delay.
 REMOTE_TIME_FACTOR = 1.1
@@ -125,108 +112,6 @@
     return f"{load.member.upstream}/{occupancy}/{report.slowdown:g}x/{age_ms}ms"
 
 
-def is_busy(load: UpstreamLoad, now: float) -> bool:
-    """Return whether a recent report shows the upstream as nearly full or slow."""
-    report = load.report
-    if report is None or now - load.report_at > BUSY_REPORT_MAX_AGE_S:
-        return False
-    return (
-        count_outstanding(load) >= NEARLY_FULL_SHARE * report.slots
-        or report.slowdown > BUSY_SLOWDOWN
-    )
-
-
-def select_subset(
-    ranked: list[tuple[float, UpstreamLoad]], probes: int, rng: random.Random
-) -> list[tuple[float, UpstreamLoad]]:
-    """Return the upstreams that this host prefers, ordered by rank.
-
-    Load pattern: a host of a large deployment has few requests and hundreds of upstreams. With
-    an even choice, nearly each probe would open a connection that is closed before its next use.
-    Each host therefore prefers the upstreams with the highest affinity (rendezvous hashing). When
-    upstreams come and go, only their own places in the subsets change, and a new upstream is in
-    the subsets of as many hosts as the others. A share of the rounds starts with an upstream
-    outside the subset, which evens out what the hosts send.
-
-    Parameters
-    ----------
-    ranked : list of (float, UpstreamLoad)
-        Upstreams with their ranks; lower ranks come first.
-    probes : int
-        Probes of a round to these upstreams.
-    rng : random.Random
-        Random number generator.
-    """
-    size = SUBSET_UPSTREAMS_PER_PROBE * probes
-    if not probes or len(ranked) <= size:
-        return sorted(ranked, key=_get_rank)
-    preferred = heapq.nlargest(size, ranked, key=lambda entry: entry[1].affinity)
-    lowest_affinity = preferred[-1][1].affinity
-    preferred.sort(key=_get_rank)
-    if rng.random() < OUTSIDE_ROUND_SHARE:
-        outside = [entry for entry in ranked if entry[1].affinity < lowest_affinity]
-        preferred.insert(0, min(outside, key=_get_rank))
-    return preferred
-
-
-def _get_rank(entry: tuple[float, UpstreamLoad]) -> float:
-    return entry[0]
-
-
-def choose_candidates(
-    loads: Sequence[UpstreamLoad],
-    policy: RequestProbePolicy,
-    excluded: frozenset[str],
-    max_probes: int,
-    rng: random.Random,
-    now: float,
-) -> list[UpstreamLoad]:
-    """Return the upstreams to probe, chosen at random, mostly local ones.
-
-    Paused, ejected and busy upstreams are used only if too few others are left.
-
-    Parameters
-    ----------
-    loads : sequence of UpstreamLoad
-        All upstreams of the service.
-    policy : RequestProbePolicy
-        Number of local and remote probes.
-    excluded : frozenset of str
-        Upstreams that were probed or tried for this request before.
-    max_probes : int
-        Maximum number of upstreams to return.
-    rng : random.Random
-        Random number generator.
-    now : float
-        Present time.
-    """
-    local: list[tuple[float, UpstreamLoad]] = []
-    remote: list[tuple[float, UpstreamLoad]] = []
-    rest: list[tuple[float, UpstreamLoad]] = []
-    for load in loads:
-        if load.member.upstream in excluded or not load.has_room():
-            continue
-        # Lower ranks are probed first; the random part spreads the probes of the processes.
-        rank = rng.random()
-        if load.paused_until > now:
-            rest.append((rank + 3.0, load))
-        elif load.ejected:
-            rest.append((rank + 2.0, load))
-        elif is_busy(load, now):
-            rest.append((rank + (1.0 if load.is_remote else 0.5), load))
-        else:
-            (remote if load.is_remote else local).append((rank, load))
-    local = select_subset(local, policy.local_probes, rng)
-    remote = select_subset(remote, policy.remote_probes, rng)
-    rest.sort(key=_get_rank)
-    probe_count = min(max_probes, policy.local_probes + policy.remote_probes)
-    chosen = local[: min(probe_count, policy.local_probes)]
-    chosen += remote[: probe_count - len(chosen)]
-    chosen += local[policy.local_probes :][: probe_count - len(chosen)]
-    chosen += rest[: probe_count - len(chosen)]
-    return [load for _, load in chosen]
-
-
 class RequestProbeBudget:
     """Token bucket that limits the request probes of all hosts together at each upstream.
 
--- a/amaranthbend/core/probing_dispatcher.py
+++ b/amaranthbend/core/probing_dispatcher.py
@@ -17,6 +17,7 @@
     Send,
 )
 from .attempts import RequestState, is_upstream_failure
+from .candidates import choose_candidates
 from .dispatching import Dispatcher
 from .occupancy import OccupancyProfile
 from .outcomes import OutcomeReason, RetryReason
@@ -26,7 +27,6 @@
     PendingProbeRounds,
     ProbeRound,
     RequestProbeBudget,
-    choose_candidates,
     choose_without_probes,
     count_excess,
     count_outstanding,
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -4,12 +4,12 @@
 from collections import Counter
 
 from amaranthbend.core.actions import Member
-from amaranthbend.core.policy import RequestProbePolicy
-from amaranthbend.core.probe_rounds import (
+from amaranthbend.core.candidates import (
     OUTSIDE_ROUND_SHARE,
     SUBSET_UPSTREAMS_PER_PROBE,
     choose_candidates,
 )
+from amaranthbend.core.policy import RequestProbePolicy
 from amaranthbend.core.routing import Router, UpstreamLoad
 
 UPSTREAMS = 100
