Split the tests of the node process and of the shared store

The tests are the same; responses of faulty instances are in test_node_responses.py, those of one relaying host in test_relayed_store.py.

--- /dev/null
+++ b/tests/test_relayed_store.py
@@ -0,0 +1,277 @@
+"""One host that relays changes of a store: what it confirms, when it calls, how it checks."""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok, Result
+
+from amaranthbend.adapters.change_relay import (
+    make_change_relay_server,
+)
+from amaranthbend.adapters.clock import read_clock
+from amaranthbend.adapters.metrics import Counters
+from amaranthbend.controllers.relayed_store import STORE_BATCH_DELAY_S, RelayedStore
+from amaranthbend.core.change_relay import (
+    FAILED_PEER_SKIP_S,
+    HostEntry,
+    PeerChanges,
+    PeerSelector,
+)
+from amaranthbend.core.pauses import MAX_ACTIVITY_GAP_S, PauseTracker
+from amaranthbend.core.watching import (
+    ObjectEvent,
+    StoreChanges,
+    StoredObject,
+    StoreError,
+    StoreErrorKind,
+)
+from standins.processes import pick_endpoint
+
+from .node_cases import ADDRESS
+
+KIND = "servers"
+HOSTS = 30
+# Changes must be in force within 2 s in the smaller deployments.
+IN_FORCE_S = 2.0
+OUTAGE_S = 4.0
+# Hosts count as connected to the store again this long after an outage.
+RETURN_S = 3.0
+
+
+def test_call_in_place_of_a_peer_does_not_wait() -> None:
+    """Guards against a watch of the store that hangs unnoticed while a peer could be followed.
+
+    Peeks detect watches that hang, but only at hosts without a peer. Seen in benchmark kithul-gw
+    scale-1 (e732f7a2, replayed with logs): four hosts had a configuration 4.6 s late.
+    """
+
+    async def run() -> None:
+        async def refuse(
+            _kind: str, _after: int, _awaits_store: bool
+        ) -> Result[PeerChanges, StoreError]:
+            return Err(StoreError(StoreErrorKind.UNAVAILABLE, "no recently confirmed changes"))
+
+        server = make_change_relay_server(refuse)
+        port = pick_endpoint(ADDRESS).port
+        server.listen(port, ADDRESS)
+        store = ClockedStore()
+        relayed = RelayedStore(store, PeerSelector("host-2", "huye"), Counters(), store.read_clock)
+        relayed.set_hosts(
+            [HostEntry(f"host-{n}", "huye", f"{ADDRESS}:{port}") for n in range(1, 4)]
+        )
+        await relayed.list_objects(KIND)
+        for revision in (1, 2, 3):
+            store.events = [ObjectEvent(StoredObject("u0", revision + 1, {}), False)]
+            await relayed.watch_objects(KIND, revision, 10.0)
+            store.now += 10.0
+        assert store.waits == [0.0, 0.0, 0.0]
+        server.stop()
+
+    asyncio.run(run())
+
+
+def test_watch_of_the_store_is_checked_until_it_ends() -> None:
+    """Guards against a watch that hangs unnoticed once the skipped peers may be followed again."""
+
+    async def run() -> None:
+        store = ClockedStore()
+        selector = PeerSelector("host-2", "huye")
+        relayed = RelayedStore(store, selector, Counters(), store.read_clock)
+        relayed.set_hosts([HostEntry(f"host-{n}", "huye", f"{ADDRESS}:1") for n in (1, 2)])
+        await relayed.list_objects(KIND)
+        selector.record_failure("host-1", store.now)
+        await relayed.watch_objects(KIND, 1, 10.0)
+        store.is_silent = True
+        watch = asyncio.ensure_future(relayed.watch_objects(KIND, 1, 10.0))
+        await asyncio.sleep(0)
+        assert store.waits == [0.0, 10.0]
+        store.now += FAILED_PEER_SKIP_S
+        await relayed.peek_changes(KIND, 1)
+        assert store.peeks == 1
+        watch.cancel()
+        await asyncio.wait({watch})
+        await relayed.peek_changes(KIND, 1)
+        assert store.peeks == 1
+
+    asyncio.run(run())
+
+
+class CompactedStore:
+    """A store whose replica lags behind the oldest revision in the history."""
+
+    def __init__(self) -> None:
+        self.lists: list[bool] = []
+
+    async def list_objects(
+        self, kind: str, *, may_lag: bool = False
+    ) -> Result[StoreChanges, StoreError]:
+        """Return the list of a replica at revision 5, or the current one at revision 9."""
+        self.lists.append(may_lag)
+        return Ok(StoreChanges([], 5 if may_lag else 9))
+
+    async def watch_objects(
+        self, kind: str, revision: int, wait_s: float
+    ) -> Result[StoreChanges, StoreError]:
+        """Return an error before revision 9, where the history starts."""
+        if revision < 9:
+            return Err(StoreError(StoreErrorKind.HISTORY_LOST, "410"))
+        return Ok(StoreChanges([], revision))
+
+
+def test_lagging_list_is_taken_once() -> None:
+    """Guards against a start that lists over and over while replicas lag.
+
+    Each list from a lagging replica is followed by a watch from a revision that the history of
+    the store no longer has.
+    """
+
+    async def check() -> None:
+        store = CompactedStore()
+        relayed = RelayedStore(store, PeerSelector("host-1", "huye"), Counters())
+        relayed.set_hosts([])
+        first = (await relayed.list_objects(KIND)).unwrap()
+        assert isinstance(await relayed.watch_objects(KIND, first.revision, 1.0), Err)
+        second = (await relayed.list_objects(KIND)).unwrap()
+        assert isinstance(await relayed.watch_objects(KIND, second.revision, 1.0), Ok)
+        assert store.lists == [True, False]
+
+    asyncio.run(check())
+
+
+class ClockedStore:
+    """A store whose calls take the time that the test lets pass."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        # Seconds that pass until the response of the next watch is read.
+        self.pause_s = 0.0
+        self.events: list[ObjectEvent] = []
+        self.peeks = 0
+        # Seconds for which each watch may wait for changes.
+        self.waits: list[float] = []
+        # Whether watches hang.
+        self.is_silent = False
+
+    def read_clock(self) -> float:
+        """Return the present time."""
+        return self.now
+
+    async def list_objects(
+        self, kind: str, *, may_lag: bool = False
+    ) -> Result[StoreChanges, StoreError]:
+        """Return an empty list."""
+        return Ok(StoreChanges([], 1))
+
+    async def watch_objects(
+        self, kind: str, revision: int, wait_s: float
+    ) -> Result[StoreChanges, StoreError]:
+        """Return the events, after the pause."""
+        self.waits.append(wait_s)
+        if self.is_silent:
+            await asyncio.sleep(3600)
+        self.now += self.pause_s
+        return Ok(StoreChanges(self.events, revision + len(self.events)))
+
+    async def peek_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
+        """Return the events at once."""
+        self.peeks += 1
+        return Ok(StoreChanges(self.events, revision + len(self.events)))
+
+
+def run_relayed_store(
+    check: Callable[[ClockedStore, RelayedStore], Coroutine[Any, Any, None]],
+) -> None:
+    """Run a check with a host that has listed the store and read it once."""
+
+    async def run() -> None:
+        store = ClockedStore()
+        selector = PeerSelector("host-1", "huye")
+        relayed = RelayedStore(store, selector, Counters(), store.read_clock)
+        relayed.set_hosts([])
+        await relayed.list_objects(KIND)
+        await relayed.watch_objects(KIND, 1, 10.0)
+        await check(store, relayed)
+
+    asyncio.run(run())
+
+
+def test_response_read_after_a_pause_confirms_nothing_new() -> None:
+    """Guards against a host that was frozen or suspended, and relays old changes as current ones.
+
+    The response of its watch arrived before the pause and is read after it.
+    """
+
+    async def check(store: ClockedStore, relayed: RelayedStore) -> None:
+        store.pause_s = 5.0
+        store.events = [ObjectEvent(StoredObject("u0", 2, {}), False)]
+        await relayed.watch_objects(KIND, 1, 10.0)
+        assert isinstance(await relayed.wait_for_changes(KIND, 1), Err)
+        store.pause_s = 0.1
+        await relayed.watch_objects(KIND, 2, 10.0)
+        answer = (await relayed.wait_for_changes(KIND, 1)).unwrap()
+        assert [event.object.name for event in answer.changes.events] == ["u0"]
+        assert answer.age_s < 0.2
+
+    run_relayed_store(check)
+
+
+def test_unknown_hosts_cost_no_peeks() -> None:
+    """Guards against peeks of every host while it waits for the list of hosts at its start."""
+
+    async def run() -> None:
+        store = ClockedStore()
+        relayed = RelayedStore(store, PeerSelector("host-1", "huye"), Counters(), store.read_clock)
+        await relayed.list_objects(KIND)
+        answer = await relayed.peek_changes(KIND, 1)
+        assert answer.unwrap().events == []
+        assert store.peeks == 0
+        relayed.set_hosts([])
+        await relayed.peek_changes(KIND, 1)
+        assert store.peeks == 1
+
+    asyncio.run(run())
+
+
+def test_watches_of_the_store_are_spread_after_changes() -> None:
+    """Guards against one priced call for each of many changes."""
+
+    async def check(store: ClockedStore, relayed: RelayedStore) -> None:
+        assert relayed.get_watch_delay(KIND) == 0.0
+        store.events = [ObjectEvent(StoredObject("u0", 2, {}), False)]
+        await relayed.watch_objects(KIND, 1, 10.0)
+        assert relayed.get_watch_delay(KIND) == pytest.approx(STORE_BATCH_DELAY_S)
+        store.now += STORE_BATCH_DELAY_S + 0.001
+        assert relayed.get_watch_delay(KIND) == 0.0
+
+    run_relayed_store(check)
+
+
+def test_clock_counts_suspensions() -> None:
+    """Guards against a clock that stops while the host is suspended."""
+    assert read_clock() == pytest.approx(time.clock_gettime(time.CLOCK_BOOTTIME), abs=1.0)
+
+
+@given(st.lists(st.tuples(st.floats(0.0, 5.0), st.booleans()), max_size=20))
+def test_arrival_is_never_later_than_a_pause(steps: list[tuple[float, bool]]) -> None:
+    """Guards against an arrival time inside or after a pause that the call has outlasted."""
+    tracker = PauseTracker()
+    now = asked_at = 10.0
+    tracker.record_activity(now)
+    last_active_before_pause = None
+    for gap_s, is_response in steps:
+        if gap_s > MAX_ACTIVITY_GAP_S:
+            last_active_before_pause = now
+        now += gap_s
+        if not is_response:
+            tracker.record_activity(now)
+            continue
+        arrived_at = tracker.find_arrival_time(asked_at, now)
+        assert asked_at <= arrived_at <= now
+        if last_active_before_pause is not None:
+            assert arrived_at == max(asked_at, last_active_before_pause)
+        asked_at, last_active_before_pause = now, None
