--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -139,7 +139,7 @@
             selector.record_unconfirmed_peer(peer.name, now)
             unconfirmed_peers += 1
             if awaits_store or unconfirmed_peers >= selector.readers:
-                # Only hosts without a peer detect a watch that hangs, so this call does not wait.
+                # The call to the store does not wait, so that peers are asked again soon.
                 wait_s = 0.0
                 break
         else:
