List the hosts of one data centre, and divide budgets by data centre first

A host uses only the entries of its data centre, and the number of all hosts to divide budgets. Change: one kind of entry for each data centre, and shares by data centre and then by host; they add up to the budget whatever the sizes of the data centres. Ruled out: a list that starts at a name prefix, which needs names that sort by data centre, and a store that sorts them.

Hosts of the earlier version register in the one kind that it had; hosts of the two versions don't follow each other during an upgrade, and both read the store.

--- a/amaranthbend/controllers/host_directory.py
+++ b/amaranthbend/controllers/host_directory.py
@@ -1,4 +1,10 @@
-"""Directory of the deployment's hosts, kept as objects in the store."""
+"""Directory of the hosts of one data centre, kept as objects in the store.
+
+Load pattern: each host lists the directory at its start, page by page, and each page has a price.
+With one list of all hosts, the pages of a start grow with the square of their number. A host
+needs the others of its data centre only: it relays changes within the data centre, and divides
+the deployment's budgets first by the data centres and then by their hosts.
+"""
 
 import asyncio
 import random
@@ -14,9 +20,11 @@
 
 __all__ = ["HostDirectory"]
 
-HOSTS_KIND = "hosts"
-# Number of hosts assumed until the first list; the smaller of the known deployments has 13.
-ASSUMED_HOST_COUNT = 16
+# Kind of the entries of one data centre, followed by its name.
+HOSTS_KIND_PREFIX = "hosts-"
+# Shares into which budgets are divided until the first list; the smaller of the known deployments
+# has 13 hosts.
+ASSUMED_SHARE_COUNT = 16
 # Delay before the first list when all hosts start together. They start within a fraction of a
 # second, so after this delay all of them have registered.
 FIRST_LIST_DELAY_S = 2.0
@@ -30,7 +38,7 @@
 
 
 class HostDirectory:
-    """Registers this host in the store, and lists all hosts that ever registered.
+    """Registers this host in the store, and lists all hosts that ever registered beside it.
 
     Parameters
     ----------
@@ -39,7 +47,9 @@
     host : HostEntry
         This host.
     on_change : callable
-        Called with the hosts and the present time when the hosts have changed.
+        Called with the hosts of the data centre and the present time when they have changed.
+    data_centres : int
+        Number of data centres of the deployment, at least 1.
     is_first_start : bool
         Whether the other hosts of the deployment are starting at the same time.
     """
@@ -50,18 +60,24 @@
         host: HostEntry,
         on_change: Callable[[list[HostEntry], float], None],
         *,
+        data_centres: int = 1,
         is_first_start: bool = True,
     ) -> None:
         self._store = store
         self._host = host
+        self._kind = HOSTS_KIND_PREFIX + host.data_centre
+        self._data_centres = data_centres
         self._on_change = on_change
         self._is_first_start = is_first_start
         self._hosts: list[HostEntry] = []
 
     @property
-    def count(self) -> int:
-        """Number of hosts, `ASSUMED_HOST_COUNT` until the first list."""
-        return len(self._hosts) or ASSUMED_HOST_COUNT
+    def share_count(self) -> int:
+        """Number of equal shares into which this host divides a budget of the deployment.
+
+        The shares of all hosts add up to the budget, however many hosts each data centre has.
+        """
+        return self._data_centres * len(self._hosts) or ASSUMED_SHARE_COUNT
 
     async def run(self) -> None:
         """Register the host, then list the hosts periodically until cancelled.
@@ -76,7 +92,7 @@
             await asyncio.sleep(FIRST_LIST_DELAY_S if self._is_first_start else 0.0)
             await self._update()
         while True:
-            interval_s = max(MIN_LIST_INTERVAL_S, self.count / MAX_DEPLOYMENT_LISTS_PER_S)
+            interval_s = max(MIN_LIST_INTERVAL_S, self.share_count / MAX_DEPLOYMENT_LISTS_PER_S)
             await asyncio.sleep(interval_s * random.uniform(0.8, 1.2))
             await self._update()
 
@@ -87,21 +103,21 @@
             "peer_address": self._host.peer_address,
         }
         while True:
-            created = await self._store.create_object(HOSTS_KIND, self._host.name, entry)
+            created = await self._store.create_object(self._kind, self._host.name, entry)
             if not isinstance(created, Err):
                 return
             await asyncio.sleep(REGISTRATION_RETRY_DELAY_S * random.uniform(0.5, 1.5))
 
     async def _update(self) -> None:
-        listed = await self._store.list_objects(HOSTS_KIND, may_lag=True)
+        listed = await self._store.list_objects(self._kind, may_lag=True)
         if isinstance(listed, Err):
             # The known hosts stay in use, since hosts change rarely.
-            log_event("hosts_not_listed", error=listed.err_value.kind, kept=self.count)
+            log_event("hosts_not_listed", error=listed.err_value.kind, kept=len(self._hosts))
             return
         hosts = [_decode_host(event.object) for event in listed.ok_value.events]
         if not hosts or hosts == self._hosts:
             return
-        log_event("hosts_listed", count=len(hosts), before=self.count)
+        log_event("hosts_listed", count=len(hosts), before=len(self._hosts))
         self._hosts = hosts
         self._on_change(hosts, time.monotonic())
 
--- a/amaranthbend/controllers/watch_handlers.py
+++ b/amaranthbend/controllers/watch_handlers.py
@@ -44,7 +44,7 @@
 
 
 def complete_policy(
-    policy: DeploymentPolicy, settings: NodeSettings, hosts: int
+    policy: DeploymentPolicy, settings: NodeSettings, shares: int
 ) -> DeploymentPolicy:
     """Return a decoded configuration with the policies that come from the process settings.
 
@@ -54,11 +54,11 @@
         Decoded configuration.
     settings : NodeSettings
         Process settings.
-    hosts : int
-        Number of hosts among which the retry slack of the deployment is divided.
+    shares : int
+        Number of equal shares of the deployment's budgets, of which this host has one.
     """
     ratio = settings.retry_ratio * RETRY_RATIO_SHARE
-    burst = max(1.0, settings.retry_slack / hosts)
+    burst = max(1.0, settings.retry_slack / shares)
     services: dict[str, ServicePolicy] = {}
     for name, service in policy.services.items():
         retries = RetryPolicy(ratio, 0.0, 1, burst, INITIAL_RETRY_SHARE * burst, BORROWED_RETRIES)
@@ -67,7 +67,7 @@
             request_probes=RequestProbePolicy(probes_per_s_per_upstream=settings.probes_per_s),
             retry_after_s=RETRY_AFTER_S,
         )
-    return policy._replace(services=services, entry_hosts_max=hosts)
+    return policy._replace(services=services, entry_hosts_max=shares)
 
 
 class ConfigurationHandler:
--- a/amaranthbend/platform/settings.py
+++ b/amaranthbend/platform/settings.py
@@ -50,6 +50,7 @@
     return NodeSettings(
         host_id=reader.get_string("self.node"),
         data_centre=reader.get_string("self.zone"),
+        data_centres=reader.count_entries("network.zones"),
         caller_address=reader.get_address("network.listenAddresses.frontend"),
         readiness_address=reader.get_address("network.listenAddresses.readiness"),
         readiness_path=READINESS_PATH,
@@ -116,6 +117,14 @@
             raise self._make_error(name, f"{ports!r} is not a port range", "give [FIRST, LAST]")
         return f"{self.get_string('self.ipAddress')}:{ports[0]}"
 
+    def count_entries(self, name: str) -> int:
+        """Return the number of entries of a table, 1 if the table is missing or empty."""
+        table, key = self._find(name)
+        entries = table.get(key, {})
+        if not isinstance(entries, dict):
+            raise self._make_error(name, f"{entries!r} is not a table", "give a table")
+        return max(1, len(entries))
+
     def get_boolean(self, name: str) -> bool:
         """Return a boolean, False if the field is missing."""
         table, key = self._find(name)
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -84,6 +84,7 @@
     {
         "host_id",
         "data_centre",
+        "data_centres",
         "caller_address",
         "readiness_address",
         "readiness_path",
@@ -161,6 +162,7 @@
             store,
             HostEntry(settings.host_id, settings.data_centre, settings.peer_address),
             self.update_hosts,
+            data_centres=settings.data_centres,
             is_first_start=settings.is_first_start,
         )
         self.admin = make_admin_server(
@@ -186,20 +188,22 @@
             Monotonic time in seconds.
         """
         self._policy = policy
-        completed_policy = complete_policy(policy, self.settings, self.host_directory.count)
+        completed_policy = complete_policy(policy, self.settings, self.host_directory.share_count)
         self.dispatch.set_policy(completed_policy, now)
         self.route_filter.set_policy(completed_policy)
         self.request_log.version = version
 
     def update_hosts(self, hosts: list[HostEntry], now: float) -> None:
-        """Replace the list of the deployment's hosts."""
+        """Replace the list of the hosts of the data centre."""
         self._store.set_hosts(hosts)
-        self.divide_budgets(len(hosts), now)
+        self.divide_budgets(now)
 
-    def divide_budgets(self, hosts: int, now: float) -> None:
-        """Divide the deployment's budgets, such as that of retries, by the number of hosts."""
-        if self._policy is not None:
-            self.dispatch.set_policy(complete_policy(self._policy, self.settings, hosts), now)
+    def divide_budgets(self, now: float) -> None:
+        """Divide the deployment's budgets, such as that of retries, among the hosts."""
+        if self._policy is None:
+            return
+        shares = self.host_directory.share_count
+        self.dispatch.set_policy(complete_policy(self._policy, self.settings, shares), now)
 
     def get_unready_reason(self) -> str:
         """Return why the process is not ready for new connections, empty if it is ready."""
@@ -273,7 +277,7 @@
         )
         self.settings = settings
         self.chain.buffers.set_limit(compute_buffer_bytes(settings))
-        self.divide_budgets(self.host_directory.count, now)
+        self.divide_budgets(now)
 
     async def run_maintenance(self, output: NonBlockingOutput) -> None:
         """Close stalled connections and count dropped log lines periodically, until cancelled."""
--- a/amaranthbend/settings/node.py
+++ b/amaranthbend/settings/node.py
@@ -14,6 +14,8 @@
         Name of the host.
     data_centre : str
         Data centre of the host.
+    data_centres : int
+        Number of data centres of the deployment.
     caller_address : str
         `address:port` where callers connect.
     readiness_address : str
@@ -43,6 +45,7 @@
 
     host_id: str
     data_centre: str
+    data_centres: int
     caller_address: str
     readiness_address: str
     readiness_path: str
--- a/tests/node_cases.py
+++ b/tests/node_cases.py
@@ -72,6 +72,7 @@
     return NodeSettings(
         host_id="host-1",
         data_centre="huye",
+        data_centres=4,
         caller_address=f"{ADDRESS}:{pick_endpoint(ADDRESS).port}",
         readiness_address=f"{ADDRESS}:{pick_endpoint(ADDRESS).port}",
         readiness_path="/api/readiness",
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -26,6 +26,9 @@
 [network.listenAddresses]
 frontend = "127.0.0.1:8161"
 readiness = "127.0.0.1:8167"
+[network.zones]
+huye = "rw-south"
+nyanza = "rw-south"
 [platform]
 heartbeat = "1500ms"
 [platform.platform]
@@ -96,7 +99,7 @@
     file = tmp_path / "settings.toml"
     file.write_text(SETTINGS)
     settings = load_node_settings(str(file))
-    assert settings.data_centre == "huye"
+    assert (settings.data_centre, settings.data_centres) == ("huye", 2)
     assert settings.store_address == "127.0.0.1:8169"
     assert (settings.grace_s, settings.drain_s) == (6.0, 2.0)
     assert (settings.retry_ratio, settings.retry_slack, settings.probes_per_s) == (0.2, 56.0, 60.0)
@@ -108,6 +111,7 @@
         ('"127.0.0.1:8161"', '"127.0.0.1"', "network.listenAddresses.frontend"),
         ('node = "frontend-huye-1"', "", "self.node"),
         ('"2000ms"', '"2 minutes"', "terms.bounds.drainPeriod"),
+        ("[network.zones]", "[network]\nzones = 3\n[other]", "network.zones"),
         ("0.2", '"much"', "terms.bounds.retryBudgetRatio"),
     ],
 )
