Get the first list of a host from the peer that it follows

Cause: each host that starts lists all objects of the store, page by page: 11 pages of 50 instances for each of 312 hosts at the first start, and again after each loss of power; the pages follow one after the other while callers wait. Change: a follower asks its peer for the list, in one call whose answer is encoded once for all followers; the list is at most 1.8 s old, that of a replica may be older. A host that restarts waits 0.06 s for it and then asks a replica too; the list that arrives first is used and the other one dropped. Until a first list has succeeded, further tries may read a replica as well.

--- a/amaranthbend/adapters/change_relay.py
+++ b/amaranthbend/adapters/change_relay.py
@@ -1,13 +1,14 @@
 """Client and server that relay store changes between hosts over HTTP."""
 
 import asyncio
+import gzip
 import json
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Any
 
 from result import Err, Ok, Result
-from tornado.httpclient import HTTPClientError
+from tornado.httpclient import HTTPClientError, HTTPResponse
 from tornado.httpserver import HTTPServer
 from tornado.iostream import UnsatisfiableReadError
 from tornado.web import Application, RequestHandler
@@ -16,9 +17,19 @@
 from ..core.watching import ObjectEvent, StoreChanges, StoredObject, StoreError, StoreErrorKind
 from .http_client import make_http_client
 
-__all__ = ["PEER_LONG_POLL_S", "ChangeSource", "ChangeRelayClient", "make_change_relay_server"]
+__all__ = [
+    "PEER_LONG_POLL_S",
+    "ChangeRelayClient",
+    "ChangeSource",
+    "ListSource",
+    "make_change_relay_server",
+]
 
 CHANGE_RELAY_PATH = "/news/"
+LIST_PATH = "/list/"
+# Field with the seconds since the store confirmed a relayed list. It is not in the body, which is
+# the same for all followers.
+CONFIRMATION_AGE_FIELD = "Confirmation-Age"
 # Time for which a peer holds a request open. Short, so that a stopped peer is detected soon.
 PEER_LONG_POLL_S = 0.5
 # Time allowed after the long poll until the response starts: several round trips within a data
@@ -27,6 +38,8 @@
 # Time for the rest of a response: a configuration of 1 MB over a link of 10 Mbit/s takes 0.8 s.
 BODY_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.3
+# Repetitive lists shrink to a tenth at any level, and the lowest one takes the least time.
+LIST_COMPRESSION_LEVEL = 1
 # One call for each kind of object, and abandoned calls that have not reached their timeout yet.
 MAX_CONCURRENT_CALLS = 16
 
@@ -36,6 +49,7 @@
 }
 
 ChangeSource = Callable[[str, int, bool], Awaitable[Result[PeerChanges, StoreError]]]
+ListSource = Callable[[str], Awaitable[Result[PeerChanges, StoreError]]]
 
 
 def encode_peer_changes(relayed: PeerChanges) -> str:
@@ -99,10 +113,29 @@
         awaits_store : bool
             Whether a peer that has lost the store waits for it before it answers.
         """
+        url = f"http://{address}{CHANGE_RELAY_PATH}{kind}"
+        fetched = await self._fetch(address, f"{url}?after={after}&awaits_store={awaits_store:d}")
+        return _decode(address, fetched)
+
+    async def fetch_list(self, address: str, kind: str) -> Result[PeerChanges, StoreError]:
+        """Return all objects, as soon as the peer has a list that the store has confirmed.
+
+        Parameters
+        ----------
+        address : str
+            `address:port` of the peer.
+        kind : str
+            Kind of object.
+        """
+        fetched = await self._fetch(address, f"http://{address}{LIST_PATH}{kind}")
+        return _decode(address, fetched)
+
+    async def _fetch(self, address: str, url: str) -> Result[HTTPResponse, StoreError]:
+        """Return the response to a call whose answer may be awaited for `PEER_LONG_POLL_S`."""
         begun = asyncio.Event()
         start_timeout_s = PEER_LONG_POLL_S + RESPONSE_START_MARGIN_S
         call = self._client.fetch(
-            f"http://{address}{CHANGE_RELAY_PATH}{kind}?after={after}&awaits_store={awaits_store:d}",
+            url,
             connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=start_timeout_s + BODY_TIMEOUT_S,
             header_callback=lambda _line: begun.set(),
@@ -120,16 +153,30 @@
                 )
             )
         try:
-            return Ok(decode_peer_changes((await call).body))
+            return Ok(await call)
         except HTTPClientError as error:
             kind_of_error = ERROR_KINDS.get(error.code, StoreErrorKind.UNAVAILABLE)
             return Err(StoreError(kind_of_error, f"{address}: {error.code} {error.message}"))
         except OSError as error:
             return Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{address}: {error!r}"))
-        except (UnsatisfiableReadError, ValueError) as error:
+        except UnsatisfiableReadError as error:
             return Err(StoreError(StoreErrorKind.MALFORMED, f"{address}: {error}"))
 
 
+def _decode(
+    address: str, fetched: Result[HTTPResponse, StoreError]
+) -> Result[PeerChanges, StoreError]:
+    if isinstance(fetched, Err):
+        return fetched
+    response = fetched.ok_value
+    try:
+        relayed = decode_peer_changes(response.body)
+        age = response.headers.get(CONFIRMATION_AGE_FIELD)
+        return Ok(relayed if age is None else relayed._replace(age_s=max(0.0, float(age))))
+    except ValueError as error:
+        return Err(StoreError(StoreErrorKind.MALFORMED, f"{address}: {error}"))
+
+
 class _ChangeRelayHandler(RequestHandler):
     def initialize(self, source: ChangeSource) -> None:
         self._source = source
@@ -149,7 +196,42 @@
         self.finish(encode_peer_changes(relayed.ok_value))
 
 
-def make_change_relay_server(source: ChangeSource) -> HTTPServer:
+class EncodedLists:
+    """Encodes each list once for all followers that ask for it."""
+
+    def __init__(self) -> None:
+        # Revision and compressed body of the last list, by kind of object.
+        self._last: dict[str, tuple[int, bytes]] = {}
+
+    def encode(self, kind: str, relayed: PeerChanges) -> bytes:
+        """Return the compressed body of a list."""
+        revision = relayed.changes.revision
+        known = self._last.get(kind)
+        if known is not None and known[0] == revision:
+            return known[1]
+        body = gzip.compress(encode_peer_changes(relayed).encode(), LIST_COMPRESSION_LEVEL)
+        self._last[kind] = revision, body
+        return body
+
+
+class _ListHandler(RequestHandler):
+    def initialize(self, source: ListSource, encoded: EncodedLists) -> None:
+        self._source = source
+        self._encoded = encoded
+
+    async def get(self, kind: str) -> None:
+        listed = await self._source(kind)
+        if isinstance(listed, Err):
+            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
+            return
+        relayed = listed.ok_value
+        self.set_header("Content-Type", "application/json")
+        self.set_header("Content-Encoding", "gzip")
+        self.set_header(CONFIRMATION_AGE_FIELD, str(relayed.age_s))
+        self.finish(self._encoded.encode(kind, relayed))
+
+
+def make_change_relay_server(source: ChangeSource, list_source: ListSource) -> HTTPServer:
     """Return an HTTP server that relays changes; the caller starts listening.
 
     Parameters
@@ -157,8 +239,17 @@
     source : callable
         Takes a kind of object, a revision and whether to wait for a lost store, and returns the
         changes after the revision.
+    list_source : callable
+        Takes a kind of object, and returns all objects.
     """
-    handlers = [(CHANGE_RELAY_PATH + r"([a-z]+)", _ChangeRelayHandler, {"source": source})]
+    handlers: list[tuple[str, Any, dict[str, Any]]] = [
+        (CHANGE_RELAY_PATH + r"([a-z]+)", _ChangeRelayHandler, {"source": source}),
+        (
+            LIST_PATH + r"([a-z]+)",
+            _ListHandler,
+            {"source": list_source, "encoded": EncodedLists()},
+        ),
+    ]
     # Compressed, since configurations are large and repetitive, and bandwidth may be low.
     application = Application(handlers, compress_response=True, log_function=lambda _handler: None)
     return HTTPServer(application)
--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -5,7 +5,7 @@
 import math
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 
@@ -17,7 +17,7 @@
 from ..core.pauses import PauseTracker
 from ..core.watching import ObjectStore, StoreChanges, StoreError, StoreErrorKind
 
-__all__ = ["RelayedStore"]
+__all__ = ["FIRST_START_LIST_WAITS", "RESTART_LIST_WAITS", "FirstListWaits", "RelayedStore"]
 
 # Longest wait for the list of hosts before the first watch. It covers the time until hosts that
 # start together have registered, and the call for the list.
@@ -28,6 +28,41 @@
 STORE_BATCH_DELAY_S = 0.9
 # Timers may fire early by up to this time.
 TIMER_MARGIN_S = 0.002
+MS_PER_S = 1000
+
+
+class FirstListWaits(NamedTuple):
+    """How long the first list waits for a peer, in seconds.
+
+    Parameters
+    ----------
+    hosts_s : float
+        For the list of hosts, which names the peer.
+    peer_s : float
+        For the peer's answer; then the store is asked as well, and the first list is used.
+    """
+
+    hosts_s: float
+    peer_s: float
+
+
+# Callers wait for a process that starts again: a peer answers within some milliseconds, or hardly
+# at all.
+RESTART_LIST_WAITS = FirstListWaits(hosts_s=0.25, peer_s=0.06)
+# At the first start of the deployment nobody calls yet, and the peer itself has to list first.
+FIRST_START_LIST_WAITS = FirstListWaits(hosts_s=MAX_HOSTS_WAIT_S, peer_s=PEER_LONG_POLL_S)
+
+
+class FirstList(NamedTuple):
+    """The first list of a kind of objects, when the store confirmed it, and the peer it is from.
+
+    The time is negative infinity for a list that nobody has confirmed, and the peer is empty for a
+    list of the store.
+    """
+
+    changes: StoreChanges
+    confirmed_at: float
+    source: str
 
 
 class RelayedStore:
@@ -46,6 +81,8 @@
         Receives the counters of calls.
     clock : callable
         Returns the present time in seconds, including suspensions of the host.
+    list_waits : FirstListWaits
+        How long the first list of each kind waits for a peer before it comes from the store.
     """
 
     def __init__(
@@ -54,8 +91,10 @@
         selector: PeerSelector,
         counters: Counters,
         clock: Callable[[], float] = read_clock,
+        list_waits: FirstListWaits = RESTART_LIST_WAITS,
     ) -> None:
         self._store = store
+        self._list_waits = list_waits
         self._selector = selector
         self._counters = counters
         self._peer_client = ChangeRelayClient()
@@ -86,20 +125,95 @@
     ) -> Result[StoreChanges, StoreError]:
         """Return all objects of a kind.
 
-        The first list may come from a lagging replica, since the watch after it returns what it
-        lacks. Later lists may not: they follow the loss of history, and the history that the store
-        has dropped can be newer than the list of a lagging replica.
+        The first list comes from a peer if one has it, or from a replica that may lag behind, since
+        the watch after it returns what it lacks. Later lists come from the store itself: they
+        follow the loss of history, and the history that the store has dropped can be newer than
+        the list of a lagging replica.
         """
-        may_lag = may_lag or kind not in self._change_logs
         change_log = self._change_logs[kind]
-        self._counters.incr(f"store.lists.{kind}")
         asked_at = self._clock()
-        answer = await self._store.list_objects(kind, may_lag=may_lag)
-        if isinstance(answer, Ok):
+        if change_log.has_list:
+            listed = await self._list_store(kind, may_lag=may_lag)
             confirmed_at = change_log.confirmed_at if may_lag else asked_at
-            change_log.record_list(answer.ok_value, confirmed_at)
+        else:
+            first = await self._fetch_first_list(kind)
+            if isinstance(first, Err):
+                return first
+            listed, confirmed_at = Ok(first.ok_value.changes), first.ok_value.confirmed_at
+            log_event(
+                "first_list",
+                kind=kind,
+                source=first.ok_value.source or "store",
+                objects=len(first.ok_value.changes.events),
+                revision=first.ok_value.changes.revision,
+                ms=int((self._clock() - asked_at) * MS_PER_S),
+            )
+        if isinstance(listed, Ok):
+            change_log.record_list(listed.ok_value, confirmed_at)
             self._wake_followers()
-        return answer
+        return listed
+
+    async def _fetch_first_list(self, kind: str) -> Result[FirstList, StoreError]:
+        """Return the list of a peer; if that is late or fails, whichever list arrives first."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._hosts_known.wait(), self._list_waits.hosts_s)
+        peer = self._selector.select_peer(self._clock())
+        if peer is None:
+            return await self._fetch_store_list(kind)
+        peer_call = asyncio.ensure_future(self._fetch_peer_list(peer, kind))
+        await asyncio.wait({peer_call}, timeout=self._list_waits.peer_s)
+        if peer_call.done() and isinstance(peer_call.result(), Ok):
+            return peer_call.result()
+        store_call = asyncio.ensure_future(self._fetch_store_list(kind))
+        pending = {peer_call, store_call}
+        while pending:
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            for call in done:
+                if isinstance(call.result(), Ok):
+                    # The other call ends by its own timeout, and its result is not used.
+                    return call.result()
+        return store_call.result()
+
+    async def _fetch_peer_list(self, peer: HostEntry, kind: str) -> Result[FirstList, StoreError]:
+        self._counters.incr(f"peers.lists.{kind}")
+        asked_at = self._clock()
+        fetched = await self._peer_client.fetch_list(peer.peer_address, kind)
+        if isinstance(fetched, Err):
+            log_event(
+                "peer_list_failed", peer=peer.name, kind=kind, detail=fetched.err_value.detail
+            )
+            return fetched
+        changes, age_s = fetched.ok_value
+        arrived_at = self._pauses.find_arrival_time(asked_at, self._clock())
+        return Ok(FirstList(changes, arrived_at - age_s, peer.name))
+
+    async def _fetch_store_list(self, kind: str) -> Result[FirstList, StoreError]:
+        listed = await self._list_store(kind, may_lag=True)
+        if isinstance(listed, Err):
+            return listed
+        # A replica may lag behind, so its list confirms nothing.
+        return Ok(FirstList(listed.ok_value, -math.inf, ""))
+
+    async def _list_store(self, kind: str, *, may_lag: bool) -> Result[StoreChanges, StoreError]:
+        self._counters.incr(f"store.lists.{kind}")
+        return await self._store.list_objects(kind, may_lag=may_lag)
+
+    async def wait_for_list(self, kind: str) -> Result[PeerChanges, StoreError]:
+        """Return all objects, for a follower that has just started.
+
+        Waits up to `PEER_LONG_POLL_S` for the first list of this host and its confirmation.
+        """
+        deadline = self._clock() + PEER_LONG_POLL_S
+        while True:
+            now = self._clock()
+            self._pauses.record_activity(now)
+            change_log = self._change_logs.get(kind)
+            if change_log is not None and not change_log.is_unconfirmed:
+                return change_log.get_list(now)
+            if now >= deadline:
+                return Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{kind} has not been listed"))
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), deadline - now + TIMER_MARGIN_S)
 
     async def watch_objects(
         self, kind: str, revision: int, wait_s: float
@@ -215,7 +329,7 @@
             Whether to wait for the next confirmation too if the last one is too old.
         """
         change_log = self._change_logs.get(kind)
-        if change_log is None:
+        if change_log is None or not change_log.has_list:
             return Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{kind} has not been listed yet"))
         deadline = self._clock() + PEER_LONG_POLL_S
         waited_for_store = False
--- a/amaranthbend/core/change_relay.py
+++ b/amaranthbend/core/change_relay.py
@@ -6,6 +6,9 @@
 There is no election: each host sorts the hosts in the same fixed order, and becomes a reader if
 too few of the hosts that precede it respond.
 
+A follower also gets its first list from its peer. All hosts that start together would otherwise
+list every object, page by page, each at a price.
+
 In an outage of the store no host has confirmed changes. The readers then try the store at short
 intervals, and the followers wait for them, since refused calls have a price too. Each follower
 still tries the store now and then, in case only its readers have lost it.
@@ -45,6 +48,7 @@
 MAX_CONFIRMATION_AGE_S = 1.8
 # Batches of changes kept for followers that lag behind; at most one arrives every 0.5 s.
 MAX_BATCHES = 64
+NOT_CONFIRMED = StoreError(StoreErrorKind.UNAVAILABLE, "no recently confirmed changes")
 
 
 class HostEntry(NamedTuple):
@@ -174,8 +178,8 @@
         # Changes up to this revision are no longer in the log.
         self._compacted_revision = 0
         self._revision: int | None = None
-        # Revision of each existing object, by name.
-        self._object_revisions: dict[str, int] = {}
+        # Existing objects by name, for the first lists of followers.
+        self._objects: dict[str, StoredObject] = {}
         self.confirmed_at = -math.inf
 
     def record_list(self, listed: StoreChanges, confirmed_at: float) -> None:
@@ -196,9 +200,9 @@
         """
         if self._revision is None or self.is_unconfirmed:
             self._batches.clear()
-            self._object_revisions.clear()
+            self._objects.clear()
             self._compacted_revision = self._revision = listed.revision
-            self._update_object_revisions(listed.events)
+            self._update_objects(listed.events)
             self.confirmed_at = confirmed_at
             return
         self.record_changes(self._find_difference(listed), confirmed_at)
@@ -207,22 +211,22 @@
         names = {event.object.name for event in listed.events}
         events = [
             ObjectEvent(StoredObject(name, listed.revision, None), True)
-            for name in self._object_revisions
+            for name in self._objects
             if name not in names
         ]
-        events += [
-            event
-            for event in listed.events
-            if event.object.revision > self._object_revisions.get(event.object.name, -1)
-        ]
+        events += [event for event in listed.events if self._is_newer(event.object)]
         return StoreChanges(events, listed.revision)
 
-    def _update_object_revisions(self, events: Iterable[ObjectEvent]) -> None:
+    def _is_newer(self, stored: StoredObject) -> bool:
+        known = self._objects.get(stored.name)
+        return known is None or stored.revision > known.revision
+
+    def _update_objects(self, events: Iterable[ObjectEvent]) -> None:
         for event in events:
             if event.is_removal:
-                self._object_revisions.pop(event.object.name, None)
-            else:
-                self._object_revisions[event.object.name] = event.object.revision
+                self._objects.pop(event.object.name, None)
+            elif self._is_newer(event.object):
+                self._objects[event.object.name] = event.object
 
     def record_changes(self, changes: StoreChanges, confirmed_at: float) -> None:
         """Append further changes, and record when the store confirmed that there are no more."""
@@ -230,7 +234,7 @@
             return
         if changes.events and changes.revision > self._revision:
             self._batches.append(changes)
-            self._update_object_revisions(changes.events)
+            self._update_objects(changes.events)
         self._revision = max(self._revision, changes.revision)
         self.confirm(confirmed_at)
         if len(self._batches) > MAX_BATCHES:
@@ -240,6 +244,11 @@
         """Record that the store had no further changes at a given time."""
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
+    @property
+    def has_list(self) -> bool:
+        """Whether a list has been recorded."""
+        return self._revision is not None
+
     @property
     def is_unconfirmed(self) -> bool:
         """Whether the store has not yet confirmed any state."""
@@ -256,7 +265,7 @@
         Applying these again changes nothing, since each is still the latest of its object.
         """
         if self._revision is None or now > self.get_expiry_time():
-            return Err(StoreError(StoreErrorKind.UNAVAILABLE, "no recently confirmed changes"))
+            return Err(NOT_CONFIRMED)
         if after < self._compacted_revision:
             return Err(
                 StoreError(
@@ -274,3 +283,10 @@
                 latest[event.object.name] = event
         changes = StoreChanges(list(latest.values()), max(after, self._revision))
         return Ok(PeerChanges(changes, now - self.confirmed_at))
+
+    def get_list(self, now: float) -> Result[PeerChanges, StoreError]:
+        """Return all objects, for a follower that has just started."""
+        if self._revision is None or now > self.get_expiry_time():
+            return Err(NOT_CONFIRMED)
+        events = [ObjectEvent(stored, False) for stored in self._objects.values()]
+        return Ok(PeerChanges(StoreChanges(events, self._revision), now - self.confirmed_at))
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -22,7 +22,11 @@
 from ..adapters.output import NonBlockingOutput
 from ..adapters.upstream import UpstreamClient
 from ..controllers.host_directory import HostDirectory
-from ..controllers.relayed_store import RelayedStore
+from ..controllers.relayed_store import (
+    FIRST_START_LIST_WAITS,
+    RESTART_LIST_WAITS,
+    RelayedStore,
+)
 from ..controllers.store_watch import StoreWatch, monitor_watches
 from ..controllers.watch_handlers import (
     ConfigurationHandler,
@@ -156,8 +160,11 @@
         self._policy: DeploymentPolicy | None = None
         store = StoreClient(settings.store_address)
         peer_selector = PeerSelector(settings.host_id, settings.data_centre)
-        self._store = RelayedStore(store, peer_selector, self.counters)
-        self.change_relay_server = make_change_relay_server(self._store.wait_for_changes)
+        list_waits = FIRST_START_LIST_WAITS if settings.is_first_start else RESTART_LIST_WAITS
+        self._store = RelayedStore(store, peer_selector, self.counters, list_waits=list_waits)
+        self.change_relay_server = make_change_relay_server(
+            self._store.wait_for_changes, self._store.wait_for_list
+        )
         self.host_directory = HostDirectory(
             store,
             HostEntry(settings.host_id, settings.data_centre, settings.peer_address),
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -52,11 +52,11 @@
 
     async def run() -> None:
         async def refuse(
-            _kind: str, _after: int, _awaits_store: bool
+            _kind: str, _after: int = 0, _awaits_store: bool = False
         ) -> Result[PeerChanges, StoreError]:
             return Err(StoreError(StoreErrorKind.UNAVAILABLE, "no recently confirmed changes"))
 
-        server = make_change_relay_server(refuse)
+        server = make_change_relay_server(refuse, refuse)
         port = pick_endpoint(ADDRESS).port
         server.listen(port, ADDRESS)
         store = ClockedStore()
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import pytest
 from result import Ok, Result
 from tornado.httpserver import HTTPServer
 
@@ -16,7 +17,11 @@
     make_change_relay_server,
 )
 from amaranthbend.adapters.metrics import Counters
-from amaranthbend.controllers.relayed_store import RelayedStore
+from amaranthbend.controllers.relayed_store import (
+    RESTART_LIST_WAITS,
+    FirstListWaits,
+    RelayedStore,
+)
 from amaranthbend.controllers.store_watch import StoreWatch, monitor_watches
 from amaranthbend.core.change_relay import (
     MAX_CONFIRMATION_AGE_S,
@@ -50,14 +55,22 @@
 class Host:
     """One host: its watch, and the values that it knows."""
 
-    def __init__(self, entry: HostEntry, store_address: str) -> None:
+    def __init__(
+        self,
+        entry: HostEntry,
+        store_address: str,
+        list_waits: FirstListWaits = RESTART_LIST_WAITS,
+    ) -> None:
         self.entry = entry
+        self.store_address = store_address
         self.counters = Counters()
         selector = PeerSelector(entry.name, entry.data_centre)
         store = StoreClient(store_address)
-        self.relayed = RelayedStore(store, selector, self.counters)
+        self.relayed = RelayedStore(store, selector, self.counters, list_waits=list_waits)
         self.watch = StoreWatch(self.relayed, KIND, self, self.counters)
-        self.server = make_change_relay_server(self.relayed.wait_for_changes)
+        self.server = make_change_relay_server(
+            self.relayed.wait_for_changes, self.relayed.wait_for_list
+        )
         self.values: dict[str, Any] = {}
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -111,7 +124,10 @@
         return sum(host.counters.get(stat) for host in self.hosts)
 
 
-def run_fleet(check: Callable[[Fleet], Coroutine[Any, Any, None]]) -> None:
+def run_fleet(
+    check: Callable[[Fleet], Coroutine[Any, Any, None]],
+    list_waits: FirstListWaits = RESTART_LIST_WAITS,
+) -> None:
     """Run a check with hosts that have listed the store and read changes from their peers."""
 
     async def run() -> None:
@@ -124,7 +140,7 @@
             HostEntry(f"host-{n:03}", "huye", f"{ADDRESS}:{pick_endpoint(ADDRESS).port}")
             for n in range(HOSTS)
         ]
-        fleet = Fleet(store, [Host(entry, f"{ADDRESS}:{port}") for entry in entries])
+        fleet = Fleet(store, [Host(entry, f"{ADDRESS}:{port}", list_waits) for entry in entries])
         for host in fleet.hosts:
             host.start(entries)
         try:
@@ -174,11 +190,11 @@
     async def check(fleet: Fleet) -> None:
         frozen = fleet.hosts.pop(0)
 
-        async def hang(_kind: str, _after: int, awaits_store: bool) -> Any:
+        async def hang(_kind: str, _after: int = 0, _awaits_store: bool = False) -> Any:
             await asyncio.sleep(3600)
 
         frozen.server.stop()
-        silent = make_change_relay_server(hang)
+        silent = make_change_relay_server(hang, hang)
         address, port = split_address(frozen.entry.peer_address)
         silent.listen(port, address)
         fleet.store.put(KIND, "u0", 2)
@@ -212,7 +228,8 @@
     asyncio.run(check())
 
 
-def test_relayed_changes_are_compressed() -> None:
+@pytest.mark.parametrize("path", ["/news/config?after=1", "/list/config"])
+def test_relayed_changes_are_compressed(path: str) -> None:
     """Guards against a large configuration that saturates the links between hosts."""
 
     async def check() -> None:
@@ -221,19 +238,19 @@
         relayed = PeerChanges(StoreChanges([event], 7), 0.1)
 
         async def answer(
-            _kind: str, _after: int, awaits_store: bool
+            _kind: str, _after: int = 0, _awaits_store: bool = False
         ) -> Result[PeerChanges, StoreError]:
             return Ok(relayed)
 
-        server = make_change_relay_server(answer)
+        server = make_change_relay_server(answer, answer)
         port = pick_endpoint(ADDRESS).port
         server.listen(port, ADDRESS)
         reader, writer = await asyncio.open_connection(ADDRESS, port)
-        writer.write(b"GET /news/config?after=1 HTTP/1.0\r\nAccept-Encoding: gzip\r\n\r\n")
+        writer.write(f"GET {path} HTTP/1.0\r\nAccept-Encoding: gzip\r\n\r\n".encode())
         assert len(await reader.read()) < len(encode_peer_changes(relayed)) / 4
-        assert (
-            await ChangeRelayClient().fetch(f"{ADDRESS}:{port}", "config", 1)
-        ).unwrap() == relayed
+        client = ChangeRelayClient()
+        assert (await client.fetch(f"{ADDRESS}:{port}", "config", 1)).unwrap() == relayed
+        assert (await client.fetch_list(f"{ADDRESS}:{port}", "config")).unwrap() == relayed
         writer.close()
         server.stop()
 
