Let few hosts of a data centre try a lost store

Cause: in an outage each host tried the store once and then every 1.5 to 3 s, and each reader every 0.6 s for each kind: about 1,400 refused calls in 8 s at 312 hosts, by count, each at full price; a host that restarted then tried to register again and again. Change: readers try it every 0.3 to 0.6 s for all kinds together from the second failure on, the next eight hosts as before, and all others wait for these and try the store themselves at intervals that grow with their number. A host that restarts repeats its list, not its registration.

--- a/amaranthbend/controllers/host_directory.py
+++ b/amaranthbend/controllers/host_directory.py
@@ -34,7 +34,7 @@
 MIN_LIST_INTERVAL_S = 10.0
 # Limit for all hosts together: a list grows, and costs more, with the number of hosts.
 MAX_DEPLOYMENT_LISTS_PER_S = 5.0
-REGISTRATION_RETRY_DELAY_S = 1.5
+RETRY_DELAY_S = 1.5
 
 
 class HostDirectory:
@@ -85,8 +85,8 @@
         A host that starts again is in the list already. Reading the list from a replica costs
         less than an attempt to register, and the list is needed anyway.
         """
-        if not self._is_first_start:
-            await self._update()
+        while not self._is_first_start and not await self._update():
+            await asyncio.sleep(RETRY_DELAY_S * random.uniform(0.5, 1.5))
         if self._host not in self._hosts:
             await self._register()
             await asyncio.sleep(FIRST_LIST_DELAY_S if self._is_first_start else 0.0)
@@ -106,20 +106,22 @@
             created = await self._store.create_object(self._kind, self._host.name, entry)
             if not isinstance(created, Err):
                 return
-            await asyncio.sleep(REGISTRATION_RETRY_DELAY_S * random.uniform(0.5, 1.5))
+            await asyncio.sleep(RETRY_DELAY_S * random.uniform(0.5, 1.5))
 
-    async def _update(self) -> None:
+    async def _update(self) -> bool:
+        """List the hosts, and return whether the store has answered."""
         listed = await self._store.list_objects(self._kind, may_lag=True)
         if isinstance(listed, Err):
             # The known hosts stay in use, since hosts change rarely.
             log_event("hosts_not_listed", error=listed.err_value.kind, kept=len(self._hosts))
-            return
+            return False
         hosts = [_decode_host(event.object) for event in listed.ok_value.events]
         if not hosts or hosts == self._hosts:
-            return
+            return True
         log_event("hosts_listed", count=len(hosts), before=len(self._hosts))
         self._hosts = hosts
         self._on_change(hosts, time.monotonic())
+        return True
 
 
 def _decode_host(stored: StoredObject) -> HostEntry:
--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -255,6 +255,7 @@
             if awaits_store or unconfirmed_peers >= selector.readers:
                 # The call to the store does not wait, so that peers are asked again soon.
                 wait_s = 0.0
+                selector.record_lost_peers(now)
                 break
         else:
             self._record_source("")
--- a/amaranthbend/core/change_relay.py
+++ b/amaranthbend/core/change_relay.py
@@ -36,12 +36,22 @@
 # Time for which a peer is skipped that waits for the store itself, so that another one is asked
 # next: it may have reached the store earlier.
 WAITING_PEER_SKIP_S = 2.0
-# Longest time between two calls of a follower to a store that none of its peers reaches. It ends
-# before the 3 s have passed after which a host counts as connected to the store again.
+# Longest time between two calls of a reader, for all kinds of objects, to a store that is lost. The
+# end of an outage is noticed within about a second.
+READER_STORE_TURN_S = 0.6
+# The same for the first followers of a data centre. It ends before the 3 s have passed after which
+# a host counts as connected to the store again.
 MAX_STORE_TURN_S = 3.0
-# The same for each host that precedes the follower, so that hosts of a small data centre need not
+# The same for each host that precedes one of them, so that hosts of a small data centre need not
 # wait longer than their calls together are apart.
 STORE_TURN_PER_HOST_S = 0.8
+# Hosts of a data centre that try a lost store at these short intervals. If the store refuses only
+# some hosts, hardly ever all of these are among them, and the others ask these.
+OUTAGE_HOSTS = 10
+# Longest time between two calls of each further host, and the least one for each of them, so that
+# the calls of a data centre do not grow with the number of its hosts.
+FURTHER_STORE_TURN_S = 6.0
+FURTHER_STORE_TURN_PER_HOST_S = 0.2
 # Changes are relayed only if the store confirmed at most this long ago that there are no newer
 # ones. Longer than the interval between two checks of a slow store (1.3 s); together with the
 # follower's own call well within the 2 s in which changes must take effect.
@@ -99,6 +109,7 @@
         self._order_key = _get_order_key(host_id)
         self._data_centre = data_centre
         self._preceding_hosts: list[HostEntry] = []
+        self._local_hosts = 1
         self.readers = READERS_PER_DATA_CENTRE
         self._draw = draw
         self._skipped_until: dict[str, float] = {}
@@ -117,6 +128,7 @@
         self._preceding_hosts = [
             host for host in local if _get_order_key(host.name) < self._order_key
         ]
+        self._local_hosts = len(local)
         self.readers = 1 if len(local) <= MAX_HOSTS_PER_READER else READERS_PER_DATA_CENTRE
 
     def record_failure(self, name: str, now: float) -> None:
@@ -139,9 +151,29 @@
             for name in self._unconfirmed_peers:
                 self._skipped_until.pop(name, None)
             self._unconfirmed_peers.clear()
+        # A watch may be cut off at any time, so the first failure does not delay a reader.
+        is_delayed = self.is_store_lost or len(self._preceding_hosts) >= self.readers
         self.is_store_lost = True
-        turn_s = min(MAX_STORE_TURN_S, STORE_TURN_PER_HOST_S * len(self._preceding_hosts))
-        self._store_turn_at = now + turn_s * (0.5 + 0.5 * self._draw())
+        if is_delayed:
+            self._store_turn_at = now + self._compute_store_turn() * (0.5 + 0.5 * self._draw())
+
+    def record_lost_peers(self, now: float) -> None:
+        """Record that no peer which this host may follow has the store.
+
+        The first hosts of a data centre then try the store themselves; the others wait for them.
+        """
+        if not self.is_store_lost and len(self._preceding_hosts) >= OUTAGE_HOSTS:
+            self.record_store_failure(now)
+
+    def _compute_store_turn(self) -> float:
+        """Return the longest time between two calls to a lost store, in seconds."""
+        rank = len(self._preceding_hosts)
+        if rank < self.readers:
+            return READER_STORE_TURN_S
+        if rank < OUTAGE_HOSTS:
+            return min(MAX_STORE_TURN_S, STORE_TURN_PER_HOST_S * rank)
+        further_hosts = self._local_hosts - OUTAGE_HOSTS
+        return max(FURTHER_STORE_TURN_S, FURTHER_STORE_TURN_PER_HOST_S * further_hosts)
 
     def record_confirmed_changes(self) -> None:
         """Record that this host reached the store, by itself or through a peer."""
@@ -149,8 +181,8 @@
         self._store_turn_at = -math.inf
 
     def may_call_store(self, now: float) -> bool:
-        """Return whether this host may call the store, always True for a reader."""
-        return len(self._preceding_hosts) < self.readers or now >= self._store_turn_at
+        """Return whether this host may call the store."""
+        return now >= self._store_turn_at
 
     def select_peer(self, now: float) -> HostEntry | None:
         """Return the peer to follow, or None if this host reads the store itself."""
--- a/tests/test_host_directory.py
+++ b/tests/test_host_directory.py
@@ -111,6 +111,7 @@
 def started(monkeypatch: pytest.MonkeyPatch) -> Start:
     """All hosts after their first start."""
     monkeypatch.setattr(host_directory, "FIRST_LIST_DELAY_S", 0.05)
+    monkeypatch.setattr(host_directory, "RETRY_DELAY_S", 0.05)
     start = Start(PagedStore())
     start.run(is_first_start=True)
     return start
@@ -160,3 +161,28 @@
     entry = make_entries()[0]
     directory = HostDirectory(PagedStore(), entry, lambda _hosts, _now: None, data_centres=6)
     assert directory.share_count == ASSUMED_SHARE_COUNT
+
+
+def test_restart_in_an_outage_registers_nobody_again(started: Start) -> None:
+    """Guards against refused calls of hosts that restart while the store is away.
+
+    Each attempt to register costs ten times as much as a list of a replica.
+    """
+    entry = make_entries()[0]
+    known: list[list[HostEntry]] = []
+    directory = HostDirectory(
+        started.store, entry, lambda hosts, _now: known.append(hosts), is_first_start=False
+    )
+
+    async def run() -> None:
+        started.store.is_down = True
+        started.store.calls.clear()
+        task = asyncio.ensure_future(directory.run())
+        await wait_until(lambda: started.store.calls["page"] >= 2)
+        started.store.is_down = False
+        await wait_until(lambda: bool(known))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(run())
+    assert not started.store.calls["create"]
