Try hedges again that found no retry or no idle upstream

Cause: the hedge of a slow read was dropped for good if the host had no retry, or no idle upstream answered, when it was due. Change: such a hedge is tried again after a quarter of the latency goal; with few probes left only the first try asks upstreams.

Before: two new tests fail (no hedge is sent). After: they pass.

--- a/amaranthbend/core/attempts.py
+++ b/amaranthbend/core/attempts.py
@@ -29,6 +29,7 @@
         "retry_reason",
         "running",
         "hedge_at",
+        "has_postponed_hedge",
         "tried_upstreams",
     )
 
@@ -41,6 +42,8 @@
         self.load_summary = ""
         # Time from which the request may be hedged even if the retry budget is not full.
         self.hedge_at = 0.0
+        # Whether a hedge was due before and could not be sent.
+        self.has_postponed_hedge = False
         # Numbers of the attempts in flight.
         self.running: set[int] = set()
         # Attempt with a complete error response, which the caller gets if no other attempt
--- a/amaranthbend/core/probing_dispatcher.py
+++ b/amaranthbend/core/probing_dispatcher.py
@@ -58,6 +58,8 @@
 # hedge uses the shared retry budget and must be more certain.
 COMPLETION_TIME_SHARE = 0.5
 HEDGE_COMPLETION_TIME_SHARE = 0.8
+# Share of the latency goal after which a hedge is tried again that could not be sent.
+HEDGE_RETRY_SHARE = 0.25
 # A report up to this age shows whether an upstream had room for the request that it refused.
 REFUSAL_REPORT_MAX_AGE_S = 0.1
 
@@ -322,12 +324,14 @@
                 else self._requests.fail(record, OutcomeReason.DEADLINE_UNREACHABLE)
             )
         load = probe_round.choose(self._router.slots, self._ejector.mean_duration_s, now)
-        if load is not None and probe_round.is_hedge:
-            return self._send_hedge(record, load, now)
+        if probe_round.is_hedge:
+            hedge = None if load is None else self._send_hedge(record, load, now)
+            if hedge is None:
+                self._postpone_hedge(record, now)
+                return []
+            return [hedge]
         if load is not None and self._has_room_at(load, record, now):
             return [self._send_and_schedule_hedge(record, load, now)]
-        if probe_round.is_hedge:
-            return []
         if probe_round.number < self._rounds.policy.max_rounds:
             return self._start_round(record, probe_round.probed, probe_round.number + 1, False, now)
         return self._end_probing(record, probe_round.probed, now)
@@ -420,23 +424,41 @@
             if now < record.hedge_at and not self._retry_budget.is_full():
                 self._schedule_hedge(record.hedge_at, record)
                 continue
-            if not self._retry_budget.has_token(now):
+            if not self._retry_budget.has_token(now) or self._lacks_probes_for(record):
+                self._postpone_hedge(record, now)
                 continue
             actions += self._start_round(record, frozenset(), 1, True, now)
         return actions
 
-    def _send_hedge(self, record: RequestState, load: UpstreamLoad, now: float) -> list[Action]:
-        """Send a hedge if the upstream has a free slot and will probably complete it in time."""
+    def _lacks_probes_for(self, record: RequestState) -> bool:
+        """Return whether probes are too scarce to look for an idle upstream again."""
+        return (
+            record.has_postponed_hedge
+            and self._probe_budget.compute_token_share() < MULTI_ROUND_TOKEN_SHARE
+        )
+
+    def _postpone_hedge(self, record: RequestState, now: float) -> None:
+        """Schedule another try of a hedge for which there was no retry or no idle upstream.
+
+        Load pattern: a host with few requests has a retry to spend only every few seconds. A
+        request at an instance that never responds would otherwise wait until its deadline.
+        """
+        if record.info.latency_goal_s and self._may_hedge(record):
+            record.has_postponed_hedge = True
+            self._schedule_hedge(now + HEDGE_RETRY_SHARE * record.info.latency_goal_s, record)
+
+    def _send_hedge(self, record: RequestState, load: UpstreamLoad, now: float) -> Send | None:
+        """Return a hedge if the upstream has a free slot and will probably complete it in time."""
         info = record.info
         slots = self._router.slots if load.report is None else load.report.slots
         best_concurrency = self._occupancy_profile.find_best_concurrency(slots)
         if not self._may_hedge(record) or count_excess(load, best_concurrency) > 0:
-            return []
+            return None
         completion_s = estimate_completion_s(load, slots, self._ejector.mean_duration_s, now)
         if (
             now + HEDGE_COMPLETION_TIME_SHARE * completion_s >= info.deadline
             or not self._retry_budget.take(now)
         ):
-            return []
+            return None
         record.retry_reason = RetryReason.SLOW_ATTEMPT
-        return [self._send(record, load, now)]
+        return self._send(record, load, now)
--- a/tests/test_asked_dispatching.py
+++ b/tests/test_asked_dispatching.py
@@ -22,7 +22,11 @@
 from amaranthbend.core.outcomes import Outcome, OutcomeReason, RetryReason
 from amaranthbend.core.policy import ProbePolicy, RequestProbePolicy, RetryPolicy, ServicePolicy
 from amaranthbend.core.probe_rounds import MAX_PROBE_TOKENS, RequestProbeBudget
-from amaranthbend.core.probing_dispatcher import ProbingDispatcher
+from amaranthbend.core.probing_dispatcher import (
+    HEDGE_RETRY_SHARE,
+    MULTI_ROUND_TOKEN_SHARE,
+    ProbingDispatcher,
+)
 
 ANSWERED = AttemptResult(AttemptStatus.ANSWERED, 200)
 SERVER_ERROR = AttemptResult(AttemptStatus.ANSWERED, 500)
@@ -37,7 +41,10 @@
 
 
 def make_dispatcher(
-    upstreams: int = 4, retries: RetryPolicy = AMPLE_RETRIES, **request_probes: float
+    upstreams: int = 4,
+    retries: RetryPolicy = AMPLE_RETRIES,
+    budget: RequestProbeBudget | None = None,
+    **request_probes: float,
 ) -> ProbingDispatcher:
     """Return a dispatcher with upstreams u0, u1, ... in its own data centre."""
     policy = ServicePolicy(
@@ -46,7 +53,7 @@
         retries=retries,
         request_probes=RequestProbePolicy()._replace(**request_probes),
     )
-    dispatcher = ProbingDispatcher(policy, ProbePolicy(), "huye", seed=1)
+    dispatcher = ProbingDispatcher(policy, ProbePolicy(), "huye", seed=1, budget=budget)
     members = [Member(f"u{n}", f"127.0.0.1:{9000 + n}", "huye", 1) for n in range(upstreams)]
     dispatcher.set_members(members, 0.0)
     return dispatcher
@@ -168,6 +175,57 @@
     assert get_send(answer_probes(dispatcher, dispatcher.tick(due), due)).attempt == 2
 
 
+def advance_hedges(dispatcher: ProbingDispatcher, start: float, end: float) -> list[Send]:
+    """Handle the timers between two times, answering the probes; return the hedges sent."""
+    sends: list[Send] = []
+    now = start
+    while now < end:
+        now += 0.01
+        actions = answer_probes(dispatcher, dispatcher.tick(now), now)
+        sends += [action for action in actions if isinstance(action, Send)]
+    return sends
+
+
+def test_hedge_without_a_retry_is_tried_again() -> None:
+    """Guards against a read that waits for a silent instance until its deadline.
+
+    The budget of the host has no retry when the hedge is due, and earns one later. Seen in the
+    benchmark eeslikoda-adopt-large: reads of 10 s at instances that answer only their probes.
+    """
+    dispatcher = make_dispatcher(retries=RetryPolicy(0.5, 0.0, 2, burst=1.0))
+    submit_and_answer(dispatcher, make_request(1))
+    assert not advance_hedges(dispatcher, 0.0, 0.6)
+    quick = submit_and_answer(dispatcher, make_request(2, idempotent=False), 0.6)
+    dispatcher.finish(2, quick.attempt, ANSWERED, 0.65)
+    hedges = advance_hedges(dispatcher, 0.65, 1.0)
+    assert [(hedge.request_id, hedge.attempt) for hedge in hedges] == [(1, 2)]
+
+
+def test_hedge_without_an_idle_upstream_is_tried_again() -> None:
+    """Guards against a read that stays at a slow instance because others were full for a moment."""
+    dispatcher = make_dispatcher()
+    submit_and_answer(dispatcher, make_request())
+    due = RequestProbePolicy().hedge_delay_share * GOAL_S
+    full = {f"u{n}": make_report(SLOTS) for n in range(4)}
+    assert not answer_probes(dispatcher, dispatcher.tick(due), due, full)
+    assert len(advance_hedges(dispatcher, due, due + HEDGE_RETRY_SHARE * GOAL_S + 0.02)) == 1
+
+
+def test_hedges_that_are_tried_again_leave_the_probes_to_others() -> None:
+    """Guards against requests that are placed blindly in a peak, because hedges use the probes."""
+    budget = RequestProbeBudget()
+    budget.set_limit(1.0)
+    dispatcher = make_dispatcher(budget=budget)
+    submit_and_answer(dispatcher, make_request())
+    due = RequestProbePolicy().hedge_delay_share * GOAL_S
+    full = {f"u{n}": make_report(SLOTS) for n in range(4)}
+    answer_probes(dispatcher, dispatcher.tick(due), due, full)
+    assert budget.compute_token_share() < MULTI_ROUND_TOKEN_SHARE
+    tokens = budget.get_tokens()
+    assert not advance_hedges(dispatcher, due, 1.5)
+    assert budget.get_tokens() == tokens
+
+
 def test_failed_hedge_leaves_the_first_attempt() -> None:
     """Guards against a failed hedge that ends a request whose first attempt is in flight."""
     dispatcher = make_dispatcher()
