--- a/tests/test_first_lists.py
+++ b/tests/test_first_lists.py
@@ -227,7 +227,9 @@
     asyncio.run(run())
 
 
-@pytest.mark.parametrize("body", [b"", b"{}", gzip.compress(b"[]"), b"\x1f\x8b garbage"])
+@pytest.mark.parametrize(
+    "body", [b"", b"{}", gzip.compress(b"[]", mtime=0), b"\x1f\x8b garbage"], ids=range(4)
+)
 def test_malformed_list_of_a_peer_is_replaced_by_the_store(body: bytes) -> None:
     """Guards against a host that never starts because a peer of another version answers."""
 
