Wait for the answers that a test needs, and show the reason of a failed one

Cause of the flaky test_no_answer_of_another_request: 68 requests in 1.5 s beside a load of 21, more than 100 needed (88 ms a call). It now waits until there are as many, up to 30 s; what it checks is the same.

--- a/tests/test_system_platform.py
+++ b/tests/test_system_platform.py
@@ -26,7 +26,8 @@
         deployment.set_platform_faults(outage=outage)
         with repeat(lambda n: call(entries[n % 6], f"/profiles/{n}"), 4, 0.02) as answers:
             time.sleep(OUTAGE_S)
-        assert {answer.outcome for answer in answers} == {"answered"}
+        assert answers
+        assert [answer for answer in answers if answer.outcome != "answered"] == []
         refused = post(entries[0], "/adoptions", "k1")
         assert (refused.status, refused.outcome) == (503, "not-run")
         assert refused.reason == "claim_unavailable"
--- a/tests/test_system_upstreams.py
+++ b/tests/test_system_upstreams.py
@@ -125,7 +125,7 @@
 
         with repeat(read, 4, 0.005) as answers:
             time.sleep(1.5)
-        assert len(answers) > 100
+            wait_until(lambda: len(answers) > 100, 30.0, "answers")
         for number, answer in answers:
             if answer.status != 200 or not answer.complete:
                 continue
