Ask a peer for the first list also when the list of hosts comes late

Cause: a host that restarts while the store is slow waited 0.25 s for the list of hosts and then listed all objects page by page, although the list of hosts, and with it a peer, came long before the end of that. Change: the peer is asked as soon as the hosts are known, beside the store; the first list is used.

Before: test_list_of_a_slow_store_is_not_waited_for waits for the store (5 s in the test). After: 0.5 s, when the hosts are known.

--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -155,12 +155,9 @@
 
     async def _fetch_first_list(self, kind: str) -> Result[FirstList, StoreError]:
         """Return the list of a peer; if that is late or fails, whichever list arrives first."""
+        peer_call = asyncio.ensure_future(self._fetch_peer_list(kind))
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._hosts_known.wait(), self._list_waits.hosts_s)
-        peer = self._selector.select_peer(self._clock())
-        if peer is None:
-            return await self._fetch_store_list(kind)
-        peer_call = asyncio.ensure_future(self._fetch_peer_list(peer, kind))
         await asyncio.wait({peer_call}, timeout=self._list_waits.peer_s)
         if peer_call.done() and isinstance(peer_call.result(), Ok):
             return peer_call.result()
@@ -174,7 +171,12 @@
                     return call.result()
         return store_call.result()
 
-    async def _fetch_peer_list(self, peer: HostEntry, kind: str) -> Result[FirstList, StoreError]:
+    async def _fetch_peer_list(self, kind: str) -> Result[FirstList, StoreError]:
+        """Return the list of the peer to follow, as soon as the hosts are known."""
+        await self._wait_for_hosts()
+        peer = self._selector.select_peer(self._clock())
+        if peer is None:
+            return Err(StoreError(StoreErrorKind.UNAVAILABLE, "no peer to follow"))
         self._counters.incr(f"peers.lists.{kind}")
         asked_at = self._clock()
         fetched = await self._peer_client.fetch_list(peer.peer_address, kind)
--- a/tests/test_first_lists.py
+++ b/tests/test_first_lists.py
@@ -19,7 +19,6 @@
 from amaranthbend.controllers.relayed_store import (
     FIRST_START_LIST_WAITS,
     RESTART_LIST_WAITS,
-    FirstListWaits,
     RelayedStore,
 )
 from amaranthbend.core.change_relay import (
@@ -75,16 +74,19 @@
         return self.answer
 
 
-def make_follower(
-    store: Any, peer_address: str, waits: FirstListWaits = RESTART_LIST_WAITS
-) -> RelayedStore:
+def make_follower(store: Any, peer_address: str, *, known_hosts: bool = True) -> RelayedStore:
     """Return the second host of a data centre, which follows the first one."""
-    selector = PeerSelector("host-2", "huye")
-    relayed = RelayedStore(store, selector, Counters(), list_waits=waits)
+    relayed = RelayedStore(store, PeerSelector("host-2", "huye"), Counters())
+    if known_hosts:
+        set_two_hosts(relayed, peer_address)
+    return relayed
+
+
+def set_two_hosts(relayed: RelayedStore, peer_address: str) -> None:
+    """Tell the second host of a data centre about the first one."""
     relayed.set_hosts(
         [HostEntry("host-1", "huye", peer_address), HostEntry("host-2", "huye", f"{ADDRESS}:1")]
     )
-    return relayed
 
 
 async def no_changes(_kind: str, _after: int, _awaits: bool) -> Result[PeerChanges, StoreError]:
@@ -210,6 +212,28 @@
     run_with_peer(answer, check)
 
 
+def test_list_of_a_slow_store_is_not_waited_for() -> None:
+    """Guards against a restart of seconds while the store is slow and a peer has the list.
+
+    Each page of a list takes as long as the list of hosts, which arrives after its head start.
+    """
+
+    async def answer(_kind: str) -> Result[PeerChanges, StoreError]:
+        return Ok(PeerChanges(make_objects("u0", revision=9), 0.1))
+
+    async def check(address: str) -> None:
+        store = ReplicaStore(Ok(make_objects("old", revision=3)), 5.0)
+        relayed = make_follower(store, address, known_hosts=False)
+        listed = asyncio.ensure_future(relayed.list_objects(KIND))
+        await asyncio.sleep(2 * RESTART_LIST_WAITS.hosts_s)
+        assert store.lists == [True]
+        set_two_hosts(relayed, address)
+        async with asyncio.timeout(SCHEDULING_SLACK_S):
+            assert list_names((await listed).unwrap()) == {"u0"}
+
+    run_with_peer(answer, check)
+
+
 def test_lists_of_a_start_without_the_store_stay_cheap() -> None:
     """Guards against full-price lists of a host that restarts in an outage of the store."""
 
