Start the tests of the shared store when only its readers read it

Cause of the flaky test_lost_history_loses_no_change, found by starting the two readers 0.6 s late: the third host reads the store for 5 s then, and lists it again after the loss of history, so that three hosts list instead of two. The tests now wait until two hosts read the store; with the late start the test failed before and passes now. A failure prints whom each host follows.

--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -24,6 +24,7 @@
 )
 from amaranthbend.controllers.store_watch import StoreWatch, monitor_watches
 from amaranthbend.core.change_relay import (
+    FAILED_PEER_SKIP_S,
     MAX_CONFIRMATION_AGE_S,
     MAX_STORE_TURN_S,
     READERS_PER_DATA_CENTRE,
@@ -41,7 +42,7 @@
 from standins.processes import pick_endpoint
 from standins.store import StoreState, make_store_app
 
-from .node_cases import ADDRESS, wait_until
+from .node_cases import ADDRESS, WAIT_TIMEOUT_S, wait_until
 
 KIND = "servers"
 HOSTS = 30
@@ -123,6 +124,10 @@
         """Return the sum of a counter over all running hosts."""
         return sum(host.counters.get(stat) for host in self.hosts)
 
+    def count_readers(self) -> int:
+        """Return the number of hosts that have not read changes from a peer last."""
+        return sum(not host.relayed._peer_name for host in self.hosts)
+
 
 def run_fleet(
     check: Callable[[Fleet], Coroutine[Any, Any, None]],
@@ -146,6 +151,12 @@
         try:
             await wait_until(lambda: fleet.all_have("u0", 1))
             await wait_until(lambda: fleet.sum_counter(f"peers.calls.{KIND}") >= 2 * HOSTS)
+            # On a busy machine a reader may start late; another host then reads the store for
+            # a while.
+            await wait_until(
+                lambda: fleet.count_readers() == READERS_PER_DATA_CENTRE,
+                FAILED_PEER_SKIP_S + WAIT_TIMEOUT_S,
+            )
             await check(fleet)
         finally:
             for host in fleet.hosts:
@@ -315,7 +326,10 @@
         fleet.store.put(KIND, "u0", 2)
         await wait_until(lambda: fleet.all_have("u0", 2) and fleet.all_have("u1", 1), IN_FORCE_S)
         # Only the readers list again. Counts lists, since each page of a list is a call.
-        assert fleet.sum_counter(f"store.lists.{KIND}") - lists <= READERS_PER_DATA_CENTRE
+        assert fleet.sum_counter(f"store.lists.{KIND}") - lists <= READERS_PER_DATA_CENTRE, {
+            host.entry.name: (host.relayed._peer_name, host.counters.get("peers.failures"))
+            for host in fleet.hosts
+        }
 
     run_fleet(check)
 
