Bring changes to all hosts soon after an outage, also with a reader cut off

The other reader had the configuration at 9.47 s, its followers from 10.3 to 13.0 s, too late on two of them. Change: each host tries the store once, readers have no turns again, and a follower asks its readers, and between them another host, one after the other without a pause, as each waits for the store itself. Kept: the turns of hosts that have tried.

Before: with the pauses and any preceding host in place of the readers, test_few_hosts_try_the_store_in_an_outage[0] failed in 3 s; the new test of WatchPlan fails.

--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -214,8 +214,7 @@
                 return change_log.get_list(now)
             if now >= deadline:
                 return Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{kind} has not been listed"))
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._changed.wait(), deadline - now + TIMER_MARGIN_S)
+            await self._wait_for_news(deadline - now)
 
     async def watch_objects(
         self, kind: str, revision: int, wait_s: float
@@ -254,10 +253,11 @@
                 continue
             selector.record_unconfirmed_peer(peer.name, now)
             unconfirmed_peers += 1
+            if awaits_store and not selector.may_call_store(now):
+                return Err(error)
             if awaits_store or unconfirmed_peers >= selector.readers:
                 # The call to the store does not wait, so that peers are asked again soon.
                 wait_s = 0.0
-                selector.record_lost_peers(now)
                 break
         else:
             self._record_source("")
@@ -331,14 +331,21 @@
         awaits_store : bool
             Whether to wait for the next confirmation too if the last one is too old.
         """
-        change_log = self._change_logs.get(kind)
-        if change_log is None or not change_log.has_list:
-            return Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{kind} has not been listed yet"))
         deadline = self._clock() + PEER_LONG_POLL_S
         waited_for_store = False
         while True:
             now = self._clock()
             self._pauses.record_activity(now)
+            change_log = self._change_logs.get(kind)
+            if change_log is None or not change_log.has_list:
+                answer: Result[PeerChanges, StoreError] = Err(
+                    StoreError(StoreErrorKind.UNAVAILABLE, f"{kind} has not been listed yet")
+                )
+                if not awaits_store or now >= deadline:
+                    return answer
+                waited_for_store = True
+                await self._wait_for_news(deadline - now)
+                continue
             answer = change_log.get_changes(after, now)
             if now >= deadline:
                 return answer
@@ -352,9 +359,7 @@
                 return answer
             else:
                 wait_s = max(0.0, min(deadline, change_log.get_expiry_time()) - now)
-            with contextlib.suppress(TimeoutError):
-                # The margin makes sure that the time limit has passed when the wait ends.
-                await asyncio.wait_for(self._changed.wait(), wait_s + TIMER_MARGIN_S)
+            await self._wait_for_news(wait_s)
 
     async def _wait_for_hosts(self) -> None:
         """Wait until the hosts are known; without peers each host would watch the store itself."""
@@ -379,6 +384,12 @@
         if changes.events or was_outdated:
             self._wake_followers()
 
+    async def _wait_for_news(self, timeout_s: float) -> None:
+        """Wait until `_wake_followers` is called, or for a time."""
+        with contextlib.suppress(TimeoutError):
+            # The margin makes sure that the time limit has passed when the wait ends.
+            await asyncio.wait_for(self._changed.wait(), timeout_s + TIMER_MARGIN_S)
+
     def _wake_followers(self) -> None:
         """End the waits in `wait_for_changes`."""
         self._changed.set()
--- a/amaranthbend/core/change_relay.py
+++ b/amaranthbend/core/change_relay.py
@@ -33,20 +33,18 @@
 # Time for which a peer is skipped after a failed call. Longer than a brief pause of its machine,
 # so that it has checked the store again before it is used.
 FAILED_PEER_SKIP_S = 5.0
-# Time for which a peer is skipped that waits for the store itself, so that another one is asked
-# next: it may have reached the store earlier.
-WAITING_PEER_SKIP_S = 2.0
-# Longest time between two calls of a reader, for all kinds of objects, to a store that is lost. The
-# end of an outage is noticed within about a second.
-READER_STORE_TURN_S = 0.6
-# The same for the first followers of a data centre. It ends before the 3 s have passed after which
-# a host counts as connected to the store again.
+# Time for which a peer is skipped that waits for the store itself, so that others are asked next:
+# one of them may have reached the store earlier.
+WAITING_PEER_SKIP_S = 1.0
+# Longest time between two calls of a follower, one of the first hosts of a data centre, to a store
+# that none of its peers reaches. It ends before the 3 s have passed after which a host counts as
+# connected to the store again.
 MAX_STORE_TURN_S = 3.0
 # The same for each host that precedes one of them, so that hosts of a small data centre need not
 # wait longer than their calls together are apart.
 STORE_TURN_PER_HOST_S = 0.8
-# Hosts of a data centre that try a lost store at these short intervals. If the store refuses only
-# some hosts, hardly ever all of these are among them, and the others ask these.
+# Hosts of a data centre that try a lost store at these short intervals. The others have tried it
+# once, since it may be lost to their readers only, and then mostly wait for these.
 OUTAGE_HOSTS = 10
 # Longest time between two calls of each further host, and the least one for each of them, so that
 # the calls of a data centre do not grow with the number of its hosts.
@@ -151,25 +149,12 @@
             for name in self._unconfirmed_peers:
                 self._skipped_until.pop(name, None)
             self._unconfirmed_peers.clear()
-        # A watch may be cut off at any time, so the first failure does not delay a reader.
-        is_delayed = self.is_store_lost or len(self._preceding_hosts) >= self.readers
         self.is_store_lost = True
-        if is_delayed:
-            self._store_turn_at = now + self._compute_store_turn() * (0.5 + 0.5 * self._draw())
-
-    def record_lost_peers(self, now: float) -> None:
-        """Record that no peer which this host may follow has the store.
-
-        The first hosts of a data centre then try the store themselves; the others wait for them.
-        """
-        if not self.is_store_lost and len(self._preceding_hosts) >= OUTAGE_HOSTS:
-            self.record_store_failure(now)
+        self._store_turn_at = now + self._compute_store_turn() * (0.5 + 0.5 * self._draw())
 
     def _compute_store_turn(self) -> float:
         """Return the longest time between two calls to a lost store, in seconds."""
         rank = len(self._preceding_hosts)
-        if rank < self.readers:
-            return READER_STORE_TURN_S
         if rank < OUTAGE_HOSTS:
             return min(MAX_STORE_TURN_S, STORE_TURN_PER_HOST_S * rank)
         further_hosts = self._local_hosts - OUTAGE_HOSTS
@@ -181,11 +166,19 @@
         self._store_turn_at = -math.inf
 
     def may_call_store(self, now: float) -> bool:
-        """Return whether this host may call the store."""
-        return now >= self._store_turn_at
+        """Return whether this host may call the store, always True for a reader."""
+        return len(self._preceding_hosts) < self.readers or now >= self._store_turn_at
 
     def select_peer(self, now: float) -> HostEntry | None:
-        """Return the peer to follow, or None if this host reads the store itself."""
+        """Return the peer to follow, or None if this host reads the store itself.
+
+        While the store is lost to this host and its peers, it asks the readers in turn and, between
+        them, any other host that precedes it, in case both readers are cut off from the store.
+        """
+        if self.is_store_lost and len(self._preceding_hosts) >= self.readers:
+            pool = self._list_usable(self._preceding_hosts[: self.readers], now)
+            pool = pool or self._list_usable(self._preceding_hosts[self.readers :], now)
+            return pool[int(self._draw() * len(pool))] if pool else None
         usable: list[HostEntry] = []
         for host in self._preceding_hosts:
             if self._skipped_until.get(host.name, -math.inf) > now:
@@ -196,6 +189,9 @@
                 return usable[len(self._preceding_hosts) % self.readers]
         return None
 
+    def _list_usable(self, hosts: Iterable[HostEntry], now: float) -> list[HostEntry]:
+        return [host for host in hosts if self._skipped_until.get(host.name, -math.inf) <= now]
+
 
 def _get_order_key(name: str) -> tuple[int, str]:
     """Return a sort key that orders numbered names by their numbers, such as host-2, host-10."""
--- a/amaranthbend/core/watching.py
+++ b/amaranthbend/core/watching.py
@@ -122,6 +122,9 @@
         if error.kind is StoreErrorKind.MALFORMED:
             self.revision = None
         self.is_reachable = False
+        if error.kind is StoreErrorKind.UNCONFIRMED:
+            # The peer has waited for the store; the next one is asked without a pause.
+            return 0.0
         return self._backoff.next_delay()
 
     def record_abandoned_call(self) -> None:
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -73,3 +73,16 @@
     assert not plan.should_restart_watch(7, Ok(StoreChanges([EVENT], 8)))
     plan.record_failure(UNAVAILABLE)
     assert not plan.should_restart_watch(8, Err(UNAVAILABLE))
+
+
+def test_call_to_a_waiting_peer_is_followed_by_the_next_at_once() -> None:
+    """Guards against news that waits for the end of a pause when the store is back.
+
+    The peer has waited for the store itself. The store still counts as lost, so that entries which
+    vanish with its return are kept for a while.
+    """
+    plan = WatchPlan(lambda: 0.5)
+    plan.record_changes(StoreChanges([], 5))
+    assert plan.record_failure(StoreError(StoreErrorKind.UNCONFIRMED, "503")) == 0.0
+    assert not plan.is_reachable
+    assert plan.revision == 5
