Wait at a stop for requests whose bodies are still read

Change: requests count as in progress from their head on; those whose bodies are still incomplete when the process has to leave are refused, not run, before it exits. The entry process waits for its connections and has no such gap.

Before: both cases of test_shutdown_waits_for_bodies_that_are_still_read fail (the first by its assertion, shown as an internal error of the parser of tracebacks).

--- a/amaranthbend/adapters/caller_server.py
+++ b/amaranthbend/adapters/caller_server.py
@@ -13,7 +13,7 @@
 
 from ..core.buffers import BufferBudget
 from ..core.outcomes import OutcomeReason
-from ..filters.local_responses import make_refusal
+from ..filters.local_responses import LocalResponse, make_refusal
 from .caller import CallerRequest, RequestHandler
 
 __all__ = ["CallerServer", "CallerStream"]
@@ -124,6 +124,11 @@
         """Do nothing; the server sets the option once per connection."""
 
 
+def _is_in_progress(request: CallerRequest | None) -> bool:
+    """Return whether the head of a request has been received, and the request has not ended."""
+    return request is not None and bool(request.method) and not request.has_ended
+
+
 class CallerServer(HTTPServer, HTTPServerConnectionDelegate):
     """Server for callers.
 
@@ -182,6 +187,17 @@
         """Return the number of open connections."""
         return len(self._streams)
 
+    def count_requests(self) -> int:
+        """Return the number of requests in progress, those whose bodies are still read included."""
+        return sum(_is_in_progress(stream.request) for stream in self._streams)
+
+    def refuse_incomplete(self, response: LocalResponse) -> None:
+        """Refuse the requests whose bodies are still read, which have not been passed on."""
+        for stream in list(self._streams):
+            request = stream.request
+            if request is not None and _is_in_progress(request) and not request.is_running:
+                request.send_local_response(response)
+
     def close_idle(self) -> None:
         """Close connections on which no part of a request has been received."""
         for stream in list(self._streams):
--- a/amaranthbend/filters/chain.py
+++ b/amaranthbend/filters/chain.py
@@ -87,8 +87,6 @@
         self.held_body_bytes = held_body_bytes
         self.buffers = buffers
         self.is_draining = False
-        # Requests that have entered the request filters and have not ended.
-        self.active_request_count = 0
         self._header_filters = tuple(header_filters)
         self._request_filters = tuple(request_filters)
         self._counters = counters
@@ -105,7 +103,6 @@
 
     def run(self, request: CallerRequest) -> None:
         """Run the request filters on a request whose body is complete or will be streamed."""
-        self.active_request_count += 1
         self._run_from(request, 0)
 
     def _run_from(self, request: CallerRequest, start: int) -> None:
@@ -148,8 +145,6 @@
 
     def record_end(self, request: CallerRequest, outcome: Outcome, reason: str) -> None:
         """Count and log the outcome of a request, and inform the filters."""
-        if request.is_running:
-            self.active_request_count -= 1
         self._counters.incr(f"outcome.{outcome}")
         if reason:
             self._counters.incr(f"reason.{reason}")
--- a/amaranthbend/filters/shutdown.py
+++ b/amaranthbend/filters/shutdown.py
@@ -4,7 +4,7 @@
 from ..core.outcomes import OutcomeReason
 from .local_responses import LocalResponse, make_refusal
 
-__all__ = ["ShutdownFilter"]
+__all__ = ["ShutdownFilter", "make_shutdown_refusal"]
 
 # The caller's next connection is routed to another host, so a longer delay is unnecessary.
 RETRY_AFTER_S = 0.02
@@ -18,6 +18,9 @@
 
     def check(self, request: CallerRequest, now: float) -> LocalResponse | None:  # noqa: ARG002
         """Refuse the request if the process would stop before its end."""
-        if not self.refuses_requests:
-            return None
-        return make_refusal(OutcomeReason.SHUTTING_DOWN, RETRY_AFTER_S, closes=True)
+        return make_shutdown_refusal() if self.refuses_requests else None
+
+
+def make_shutdown_refusal() -> LocalResponse:
+    """Return the response to a request that the stopping process does not finish."""
+    return make_refusal(OutcomeReason.SHUTTING_DOWN, RETRY_AFTER_S, closes=True)
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -44,7 +44,7 @@
 from ..filters.request_log import RequestLog
 from ..filters.routes import RouteFilter
 from ..filters.services import DispatchSettings
-from ..filters.shutdown import ShutdownFilter
+from ..filters.shutdown import ShutdownFilter, make_shutdown_refusal
 from ..filters.validation import ValidationFilter
 from ..platform.dialect import PlatformDialect
 from ..platform.documents import (
@@ -305,14 +305,14 @@
         self.chain.is_draining = True
         log_event("node_draining", connections=self.server.count_connections())
         elapsed_s = 0.0
-        while not plan.may_exit(elapsed_s, self.chain.active_request_count):
+        while not plan.may_exit(elapsed_s, self.server.count_requests()):
             self.shutdown_filter.refuses_requests = (
                 plan.find_step(elapsed_s) is not ShutdownStep.ACCEPT
             )
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
             elapsed_s = time.monotonic() - started_at
         log_event(
-            "node_leaving", elapsed_ms=int(elapsed_s * 1000), cut=self.chain.active_request_count
+            "node_leaving", elapsed_ms=int(elapsed_s * 1000), cut=self.server.count_requests()
         )
         await self.close_connections()
         log_event("node_stopped")
@@ -321,6 +321,7 @@
         """Abort the requests in flight, refuse new ones and close all connections."""
         self.shutdown_filter.refuses_requests = True
         self.server.stop()
+        self.server.refuse_incomplete(make_shutdown_refusal())
         self.dispatch.abort_all()
         deadline = time.monotonic() + FINAL_REFUSAL_PERIOD_S
         while self.server.count_connections() > 0 and time.monotonic() < deadline:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from amaranthbend.core.shutdown import BALANCER_LAG_S
+from amaranthbend.programs.node_process import FINAL_REFUSAL_PERIOD_S
 from standins.instance import Instance
 from standins.node_caller import exchange, make_call, make_configuration
 
@@ -307,6 +309,44 @@
     run_node(check)
 
 
+BODY_BYTES = 20_000
+
+
+@pytest.mark.parametrize("is_completed", [True, False])
+def test_shutdown_waits_for_bodies_that_are_still_read(is_completed: bool) -> None:
+    """Guards against an accepted upload that a stopping process cuts off.
+
+    Its body was complete some milliseconds after the process had decided to leave, as no request
+    was running. Seen in benchmark kithul-gw trouble-2 (seed 291171404078): LOST 1. One that never
+    becomes complete has not run, and its caller is told so before the process exits.
+    """
+
+    async def check(case: NodeCase) -> None:
+        # The body takes longer than the timeout of the usual route.
+        case.store.put("config", "main", make_configuration(2, timeout="8s"))
+        await wait_until(lambda: case.process.configuration.version == 2)
+        reader, writer = await case.connect()
+        writer.write(
+            b"POST /unsafe/x HTTP/1.1\r\nHost: shop.example\r\nX-Amaranthbend-Attempt-Id: u1\r\n"
+            b"X-Amaranthbend-Request-Deadline: 9000\r\nContent-Length: %d\r\n\r\n" % BODY_BYTES
+        )
+        writer.write(b"x" * (BODY_BYTES // 2))
+        await asyncio.sleep(0.1)
+        stop = asyncio.ensure_future(case.process.shut_down())
+        await asyncio.sleep(BALANCER_LAG_S + 2 * FINAL_REFUSAL_PERIOD_S)
+        assert not stop.done()
+        if is_completed:
+            writer.write(b"x" * (BODY_BYTES - BODY_BYTES // 2))
+        async with asyncio.timeout(case.process.settings.grace_s - BALANCER_LAG_S):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            await stop
+        assert head.startswith("HTTP/1.1 200" if is_completed else "HTTP/1.1 503")
+        assert case.count_executions("u1") == is_completed
+        writer.close()
+
+    run_node(check)
+
+
 def test_instance_restarted_under_its_id_is_used_again() -> None:
     """Guards against an instance that stays excluded after a restart."""
 
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -29,7 +29,6 @@
     """The attributes of a request that `FilterChain.record_end` uses."""
 
     arrived_at = 0.0
-    is_running = False
 
 
 def record_end(response: LocalResponse) -> Counters:
