--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -39,7 +39,8 @@
     hosts_s : float
         For the list of hosts, which names the peer.
     peer_s : float
-        For the peer's answer; then the store is asked as well, and the first list is used.
+        For the peer's answer; then the store is asked as well, and the list that arrives first is
+        used.
     """
 
     hosts_s: float
@@ -98,7 +99,7 @@
         self._selector = selector
         self._counters = counters
         self._peer_client = ChangeRelayClient()
-        # By kind of object; a kind without an entry has never been listed.
+        # By kind of object.
         self._change_logs: defaultdict[str, ChangeLog] = defaultdict(ChangeLog)
         self._hosts_known = asyncio.Event()
         self._changed = asyncio.Event()
@@ -112,7 +113,7 @@
         self._next_watch_at: defaultdict[str, float] = defaultdict(lambda: -math.inf)
 
     def set_hosts(self, hosts: Iterable[HostEntry]) -> None:
-        """Replace the known hosts of the deployment."""
+        """Replace the known hosts of the data centre."""
         self._selector.set_hosts(hosts)
         self._hosts_known.set()
 
--- a/amaranthbend/core/change_relay.py
+++ b/amaranthbend/core/change_relay.py
@@ -98,7 +98,8 @@
         Its data centre. Changes are not relayed between data centres, since traffic between them
         has a price.
     draw : callable
-        Returns a random number from 0 up to 1, so that followers do not call the store together.
+        Returns a random number from 0 up to 1, so that followers do not all call the store, or the
+        same peer, at the same time.
     """
 
     def __init__(
