Keep one hedge timer for each request

Found on reading the change again. Since hedges are tried again, each change of the members started another chain of tries for a request whose upstream had vanished, and a chain ended for good if no other upstream was a candidate at the moment. Cause: a heap of timers to which every caller added. Change: HedgeTimers has one timer for each request, a vanished upstream is acted on once, and a hedge without candidates is postponed like the others.

Before: test_store_changes_start_no_further_hedges counts 44 probe rounds in 1.5 s where 18 are due, test_hedge_without_a_candidate_is_tried_again sends none. After: both pass.

--- a/amaranthbend/core/attempts.py
+++ b/amaranthbend/core/attempts.py
@@ -57,7 +57,7 @@
 class AttemptState:
     """One attempt that occupies a connection, possibly after its request has ended."""
 
-    __slots__ = ("health", "incarnation", "is_long", "load", "started_at")
+    __slots__ = ("has_vanished", "health", "incarnation", "is_long", "load", "started_at")
 
     def __init__(
         self, load: UpstreamLoad, health: UpstreamHealth, started_at: float, is_long: bool
@@ -68,6 +68,8 @@
         self.health = health
         self.started_at = started_at
         self.is_long = is_long
+        # Whether the entry of its upstream was found to be gone from the store.
+        self.has_vanished = False
 
 
 def make_end_action(
--- a/amaranthbend/core/probing_dispatcher.py
+++ b/amaranthbend/core/probing_dispatcher.py
@@ -1,6 +1,5 @@
 """Dispatcher that probes a few upstreams for their load before each attempt."""
 
-import heapq
 import math
 import random
 from collections.abc import Iterable
@@ -19,6 +18,7 @@
 from .attempts import RequestState, is_upstream_failure
 from .candidates import choose_candidates
 from .dispatching import Dispatcher
+from .hedging import HedgeTimers
 from .occupancy import OccupancyProfile
 from .outcomes import OutcomeReason, RetryReason
 from .policy import ProbePolicy, ServicePolicy
@@ -33,6 +33,7 @@
     describe_load,
     estimate_completion_s,
 )
+from .refusals import has_refused_with_room
 from .retries import RetryBudget, count_attempts_allowed
 from .routing import UpstreamLoad
 
@@ -60,32 +61,6 @@
 HEDGE_COMPLETION_TIME_SHARE = 0.8
 # Share of the latency goal after which a hedge is tried again that could not be sent.
 HEDGE_RETRY_SHARE = 0.25
-# A report up to this age shows whether an upstream had room for the request that it refused.
-REFUSAL_REPORT_MAX_AGE_S = 0.1
-
-
-def has_refused_with_room(load: UpstreamLoad, result: AttemptResult, now: float) -> bool:
-    """Return whether an upstream refused a request although its latest report shows a free slot.
-
-    Load pattern: a faulty instance answers its probes, looks idle, and refuses a part of its
-    requests. Each refusal costs a retry, which the deployment has only a few of, so such refusals
-    count as failures when the next upstream is chosen. Those of a full upstream don't.
-
-    Parameters
-    ----------
-    load : UpstreamLoad
-        Load of the upstream.
-    result : AttemptResult
-        Result of the attempt.
-    now : float
-        Present time.
-    """
-    if result.status is not AttemptStatus.REFUSED or result.is_draining or result.is_ambiguous:
-        return False
-    report = load.report
-    if report is None or now - load.report_at > REFUSAL_REPORT_MAX_AGE_S:
-        return False
-    return report.in_flight + report.queued < report.slots
 
 
 class ProbingDispatcher(Dispatcher):
@@ -128,8 +103,7 @@
         self._retry_budget = RetryBudget(policy.retries, self._rng.random)
         # Consecutive failed probes by upstream; an upstream that answered has no entry.
         self._probe_failures: dict[str, int] = {}
-        # Heap of the times at which requests in flight may be hedged, with their identifiers.
-        self._hedge_timers: list[tuple[float, int]] = []
+        self._hedge_timers = HedgeTimers()
         # Highest priority of all requests so far.
         self._highest_priority = -math.inf
         self._occupancy_profile = OccupancyProfile()
@@ -206,7 +180,8 @@
                 continue
             if member is not None:
                 actions.append(Cancel(request_id, number, OutcomeReason.UPSTREAM_FAILED))
-            elif record.info.idempotent and self._may_hedge(record):
+            elif not attempt.has_vanished and record.info.idempotent and self._may_hedge(record):
+                attempt.has_vanished = True
                 record.hedge_at = now
                 self._schedule_hedge(now, record)
         return actions
@@ -225,9 +200,11 @@
 
     def get_next_tick_time(self, now: float) -> float | None:
         """Return the time of the next timer, or None without one."""
-        times = [super().get_next_tick_time(now), self._rounds.get_next_check_time(now)]
-        if self._hedge_timers:
-            times.append(self._hedge_timers[0][0])
+        times = [
+            super().get_next_tick_time(now),
+            self._rounds.get_next_check_time(now),
+            self._hedge_timers.get_next_time(),
+        ]
         return min((max(now, time) for time in times if time is not None), default=None)
 
     def _find_refusal(self, request: RequestInfo, now: float) -> OutcomeReason | None:
@@ -279,6 +256,8 @@
             # All upstreams were tried before: another attempt at one of them is better than none.
             candidates = choose_candidates(loads, policy, frozenset(), max_probes, self._rng, now)
         if not candidates:
+            if is_hedge:
+                self._postpone_hedge(record, now)
             return [] if record.running else self._end_probing(record, probed, now)
         probe_round = ProbeRound(record.info.request_id, candidates, probed, number, is_hedge, now)
         probes = self._rounds.begin(probe_round, now)
@@ -391,7 +370,7 @@
     def _schedule_hedge(self, due: float, record: RequestState) -> None:
         """Set the timer for a hedge, unless the deadline comes first."""
         if due < record.info.deadline:
-            heapq.heappush(self._hedge_timers, (due, record.info.request_id))
+            self._hedge_timers.schedule(record.info.request_id, due)
 
     def _may_hedge(self, record: RequestState) -> bool:
         """Return whether a request has one attempt in flight and may have another."""
@@ -414,8 +393,7 @@
     def _start_due_hedges(self, now: float) -> list[Action]:
         """Start probe rounds for the hedges that are due."""
         actions: list[Action] = []
-        while self._hedge_timers and self._hedge_timers[0][0] <= now:
-            _, request_id = heapq.heappop(self._hedge_timers)
+        for request_id in self._hedge_timers.pop_due(now):
             record = self._requests.get(request_id)
             if record is None or self._rounds.get(request_id) is not None:
                 continue
