--- a/benchmarks/regression.py
+++ b/benchmarks/regression.py
@@ -11,7 +11,6 @@
 import datetime
 import json
 import platform
-import re
 import subprocess
 import sys
 from collections.abc import Callable, Iterable, Sequence
@@ -22,16 +21,15 @@
 from tqdm import tqdm
 
 from amaranthbend.core.errors import SettingsError
+from amaranthbend.platform.scores import DayResult, find_entry_id, is_played_day, parse_days
 from amaranthbend.settings.process import load_process_settings
 
 __all__ = [
     "DayComparison",
-    "DayResult",
     "RegressionSettings",
     "compare_days",
     "find_earlier_entry",
     "format_table",
-    "parse_days",
 ]
 
 DEFAULT_SETTINGS = "benchmarks/regression.jsonc"
@@ -39,8 +37,6 @@
 JOURNAL = Path("journal")
 # Days of a quick score; only the progress display depends on their number.
 QUICK_DAYS = 3
-PLAYED_PATTERN = re.compile(r"^(\S+) is played, after (\d+) s")
-ENTRY_PATTERN = re.compile(r"^snapshot (\w+)")
 
 
 class RegressionSettings(NamedTuple):
@@ -64,31 +60,6 @@
     max_fall: float = 0.03
 
 
-class DayResult(NamedTuple):
-    """Result of one day.
-
-    Parameters
-    ----------
-    name : str
-        Name of the day.
-    worth, score : float
-        The day's worth, and its score between the marks of the site.
-    broken_rules : tuple of str
-        Rules that were broken.
-    has_passed : bool
-        Whether the day passes the gate.
-    fault : str
-        Why the day does not count, empty if it counts.
-    """
-
-    name: str
-    worth: float
-    score: float
-    broken_rules: tuple[str, ...] = ()
-    has_passed: bool = True
-    fault: str = ""
-
-
 class DayComparison(NamedTuple):
     """A day, the earlier result of the same day if there is one, and what is wrong with it."""
 
@@ -98,23 +69,6 @@
     problems: tuple[str, ...]
 
 
-def parse_days(entry: dict[str, Any]) -> list[DayResult]:
-    """Return the results of the days in an entry of the journal."""
-    days: list[DayResult] = []
-    for day in entry.get("days", []):
-        days.append(
-            DayResult(
-                day["name"],
-                float(day["G"] or 0.0),
-                float(day["score"] or 0.0),
-                tuple(f"{name} {count}" for name, count in sorted(day["rules"].items())),
-                bool(day["gate"]),
-                str(day["fault"] or ""),
-            )
-        )
-    return days
-
-
 def compare_days(
     site: str, days: Iterable[DayResult], before: Iterable[DayResult], max_fall: float
 ) -> list[DayComparison]:
@@ -193,10 +147,9 @@
     ) as bench:
         assert bench.stdout is not None
         for line in bench.stdout:
-            if PLAYED_PATTERN.match(line):
+            if is_played_day(line):
                 record_day()
-            found = ENTRY_PATTERN.match(line)
-            entry_id = found[1] if found else entry_id
+            entry_id = find_entry_id(line) or entry_id
     return entry_id
 
 
--- a/tests/test_regression.py
+++ b/tests/test_regression.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from benchmarks.regression import DayResult, compare_days, find_earlier_entry, format_table
+from amaranthbend.platform.scores import DayResult, is_played_day
+from benchmarks.regression import compare_days, find_earlier_entry, format_table
 
 ROOT = Path(__file__).parent.parent
 GOOD = DayResult("trouble-1", 0.70, 1.0)
@@ -61,6 +62,13 @@
     assert find_earlier_entry(lines, "c", "aarch64", lambda _entry: True) is None
 
 
+def test_lines_of_played_days_are_counted() -> None:
+    """Guards against a progress display that stands still, or counts other lines."""
+    assert is_played_day("trouble-1 is played, after 48 s")
+    assert is_played_day("mix --seed 44236000882 is played, after 929 s")
+    assert not is_played_day("quick estimate on the standard days of kithul-gw: 0.890")
+
+
 def make_day(worth: float, rules: dict[str, int] | None = None) -> dict[str, Any]:
     """Return a day as the bench records it."""
     return {
