--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,19 +20,24 @@
 )
 
 BODY_BYTES = 2_000_000
-REQUESTS = 12
+REQUESTS = 24
 USUAL_RUN_S = 0.2
-# "Instances turn slow" (`srv_slow`): five times as long, the figure of the site file.
+# "Instances turn slow" (`srv_slow`): one in three, five times as long. The days of the site file
+# go up to a share of 0.4 and twelve times as long.
+INSTANCES = 3
 SLOW_FACTOR = 5.0
 
 
 async def play(case: Case) -> str:
-    """Send long bodies while one of two instances is slow; return how UNASKED was broken."""
+    """Send long bodies while one instance is slow; return how UNASKED was broken."""
     store = Store(case.record)
     await store.start()
     node = Node(case.folder, "frontend-tartu-a-1", store.address, case.record)
     case.nodes.append(node)
-    instances = [Instance(f"i-{n}", "adopt-desk", case.record, USUAL_RUN_S) for n in (1, 2)]
+    instances = [
+        Instance(f"i-{number}", "adopt-desk", case.record, USUAL_RUN_S)
+        for number in range(1, INSTANCES + 1)
+    ]
     for instance in instances:
         await instance.start()
         store.put("servers", instance.name, instance.describe())
