Log how much of a streamed request body each attempt sent

Each attempt with a streamed body now ends with the bytes sent.

The stand-in of the instance reads chunked bodies and keeps them, for the tests to come.

--- a/amaranthbend/adapters/calls.py
+++ b/amaranthbend/adapters/calls.py
@@ -177,6 +177,7 @@
         "curl",
         "last_progress",
         "request",
+        "sent_body_bytes",
     )
 
     def __init__(
@@ -199,6 +200,8 @@
         self._received_bytes = 0
         self._buffered_bytes = 0
         self._send_count = 0
+        # Bytes of a streamed request body that libcurl has taken.
+        self.sent_body_bytes = 0
         self._opened_connection = False
         self._is_paused = False
         self._accepts_body = True
@@ -297,6 +300,7 @@
             source.call_when_readable(self._resume_sending)
             return int(pycurl.READFUNC_PAUSE)
         self.last_progress = time.monotonic()
+        self.sent_body_bytes += len(data)
         return data
 
     def _resume_sending(self) -> None:
--- a/amaranthbend/filters/attempts.py
+++ b/amaranthbend/filters/attempts.py
@@ -294,9 +294,10 @@
         duration_ms = (time.monotonic() - self.sent_at) * MS_PER_S
         cause = result.reason or result.http_status or ""
         upstream = self._load_summary or self.upstream
-        self.request.attempt_results.append(
-            f"{upstream}:{result.status}:{cause}:{duration_ms:.0f}ms"
-        )
+        summary = f"{upstream}:{result.status}:{cause}:{duration_ms:.0f}ms"
+        if self.call is not None and self.call.request.source is not None:
+            summary += f":{self.call.sent_body_bytes}B"
+        self.request.attempt_results.append(summary)
         self._owner.finish_attempt(self, result)
 
     def stop_timer(self) -> None:
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -12,6 +12,8 @@
 import asyncio
 from typing import Any
 
+from .node_caller import read_chunks
+
 __all__ = ["ENDLESS_PARTS", "Instance"]
 
 REASONS = {200: "OK", 421: "Misdirected Request", 500: "Error", 503: "Unavailable"}
@@ -29,6 +31,13 @@
 }
 
 
+async def read_body(reader: asyncio.StreamReader, fields: dict[str, str]) -> bytes:
+    """Return the body of a request, which has a length, is chunked or is empty."""
+    if fields.get("transfer-encoding") == "chunked":
+        return await read_chunks(reader)
+    return await reader.readexactly(int(fields.get("content-length", "0")))
+
+
 class Instance:
     """One instance, on raw sockets, so that it can break the protocol.
 
@@ -65,6 +74,8 @@
         # Ids of the requests that ran, in order, with their deadlines in milliseconds.
         self.ran: list[tuple[str, int]] = []
         self.cancelled: list[str] = []
+        # Bodies of the requests that ran, by id.
+        self.bodies: dict[str, list[bytes]] = {}
         self.endless_bytes = 0
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -119,7 +130,7 @@
         start, *lines = head.strip().split("\r\n")
         fields = dict(line.split(": ", 1) for line in lines if ": " in line)
         fields = {name.lower(): value for name, value in fields.items()}
-        await reader.readexactly(int(fields.get("content-length", "0")))
+        body = await read_body(reader, fields)
         path = start.split(" ")[1]
         if path == "/health":
             self._answer(writer, 200 if self.is_healthy else 503, b"", self._describe_self())
@@ -141,6 +152,7 @@
             self.late_copies -= 1
             self._answer(writer, 200, b"copy", {**self._sign("copy"), **echo, **COPIED_ID})
         self.ran.append((request_id, int(fields.get("x-amaranthbend-request-deadline", "0"))))
+        self.bodies.setdefault(request_id, []).append(body)
         if not await self._run(reader, fault):
             self.cancelled.append(request_id)
             return False
--- a/standins/node_caller.py
+++ b/standins/node_caller.py
@@ -3,9 +3,19 @@
 import asyncio
 from typing import Any, NamedTuple
 
-__all__ = ["DESK", "Answer", "exchange", "make_call", "make_configuration"]
+__all__ = [
+    "DESK",
+    "Answer",
+    "exchange",
+    "exchange_upload",
+    "make_call",
+    "make_configuration",
+    "read_chunks",
+]
 
 WAIT_S = 8.0
+# Parts in which the body of an upload is written.
+UPLOAD_PIECES = 20
 DESK = "desk"
 
 
@@ -59,6 +69,40 @@
 ) -> Answer:
     """Send one request, and read its response."""
     writer.write(make_call(path, method, request_id, deadline_ms))
+    return await read_answer(reader)
+
+
+async def exchange_upload(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    path: str,
+    request_id: str,
+    body: bytes,
+    *,
+    chunked: bool,
+    duration_s: float,
+    deadline_ms: int = 4000,
+) -> Answer:
+    """Send a request whose body arrives in `duration_s` seconds, and read its response."""
+    framing = "Transfer-Encoding: chunked" if chunked else f"Content-Length: {len(body)}"
+    writer.write(
+        f"POST {path} HTTP/1.1\r\nHost: shop.example\r\n"
+        f"X-Amaranthbend-Attempt-Id: {request_id}\r\n"
+        f"X-Amaranthbend-Request-Deadline: {deadline_ms}\r\n{framing}\r\n\r\n".encode()
+    )
+    piece_bytes = -(-len(body) // UPLOAD_PIECES)
+    for start in range(0, len(body), piece_bytes):
+        piece = body[start : start + piece_bytes]
+        writer.write(b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece)
+        await writer.drain()
+        await asyncio.sleep(duration_s / UPLOAD_PIECES)
+    if chunked:
+        writer.write(b"0\r\n\r\n")
+    return await read_answer(reader)
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Read a response, whose status is 0 if it breaks off."""
     try:
         head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), WAIT_S)).decode("latin1")
         start, *lines = head.strip().split("\r\n")
@@ -76,6 +120,11 @@
     if fields.get("transfer-encoding") != "chunked":
         # The body ends with the connection; a reset raises ConnectionError.
         return await reader.read()
+    return await read_chunks(reader)
+
+
+async def read_chunks(reader: asyncio.StreamReader) -> bytes:
+    """Return a whole chunked body; raises IncompleteReadError if it breaks off."""
     parts: list[bytes] = []
     while size := int(await reader.readuntil(b"\r\n"), 16):
         parts.append(await reader.readexactly(size))
