Send large bodies without waiting for an interim response

Callers: each upload of more than 1 MiB took a second longer than its run, at instances that do not answer `Expect: 100-continue`; with a route timeout of two seconds some ended with 504.

Cause: libcurl adds the field to a large body and waits a second for the interim response. The protocol of the instances does not know the field.

Evidence: the head that libcurl sends, and the first byte of the body after 1.005 s (length known) and 1.004 s (chunked) on loopback. The field is now suppressed like the other defaults of libcurl, and the body follows the head at once. Both cases of the new test fail before the change.

--- a/amaranthbend/filters/attempts.py
+++ b/amaranthbend/filters/attempts.py
@@ -33,11 +33,13 @@
     "content-length",
     "expect",
 }
-# Fields that libcurl adds by default; a line without a value suppresses the field.
+# Fields that libcurl adds by default; a line without a value suppresses the field. For a large body
+# libcurl would wait a second for an interim response that upstreams need not send.
 LIBCURL_DEFAULT_FIELDS = {
     "user-agent": b"User-Agent:",
     "accept": b"Accept:",
     "content-type": b"Content-Type:",
+    "expect": b"Expect:",
 }
 
 
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -1,9 +1,11 @@
 """Request bodies that are too large to be buffered: what the instances receive of them."""
 
 import re
+import time
 
 import pytest
 
+from standins.instance import RUN_S
 from standins.node_caller import Answer, exchange_upload, make_configuration
 
 from .node_cases import NodeCase, run_node, wait_until
@@ -12,6 +14,8 @@
 BODY_BYTES = 1_500_000
 # The latency goal of the route is 300 ms; a hedge is sent after 0.6 of it at the latest.
 SLOW_RUN_S = 0.8
+# Several times what an upload takes on loopback, and well below the wait of libcurl.
+MAX_UPLOAD_S = 0.7
 
 
 async def make_slow_instance(case: NodeCase) -> None:
@@ -42,6 +46,21 @@
         writer.close()
 
 
+@pytest.mark.parametrize("chunked", [True, False])
+def test_large_body_is_sent_without_waiting(chunked: bool) -> None:
+    """Guards against uploads that wait a second for an interim response of the instance."""
+
+    async def check(case: NodeCase) -> None:
+        await make_slow_instance(case)
+        case.instances[0].run_s = RUN_S
+        started_at = time.monotonic()
+        answer = await upload(case, "u1", b"x" * BODY_BYTES, chunked=chunked)
+        assert answer.status == 200
+        assert time.monotonic() - started_at < MAX_UPLOAD_S
+
+    run_node(check, instances=2)
+
+
 def test_request_log_tells_how_much_of_a_streamed_body_was_sent(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
