Accept a hedge in the test of the log of streamed bodies

What it is about, that the size appears for a streamed body and for no other, is now checked for each attempt.

--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -81,4 +81,5 @@
 
     run_node(check, instances=2)
     assert re.fullmatch(rf"[^,]*:answered:200:\d+ms:{BODY_BYTES}B", attempts["u1"])
-    assert re.search(r":answered:200:\d+ms$", attempts["u2"])
+    assert re.search(r":answered:200:\d+ms(,|$)", attempts["u2"])
+    assert not re.search(r"ms:\d+B", attempts["u2"])
