Give a request with a streamed body one attempt only

Cause: a streamed body can be read once. Retries asked whether a request can be sent again, hedges did not, whether due by time or because the upstream vanished from the store.

Evidence: with the bytes sent in the log, the answered attempts of the case had sent 0B and the cancelled first ones 2000000B, as second attempts of the dispatcher; a resend by libcurl would be one attempt.

The limit on attempts is now 1 for such a request, in the one function that retries and hedges both ask, so neither can pass it.

--- a/amaranthbend/core/retries.py
+++ b/amaranthbend/core/retries.py
@@ -18,7 +18,13 @@
 
 
 def count_attempts_allowed(request: RequestInfo, policy: RetryPolicy) -> int:
-    """Return the maximum number of attempts, set by the route or else by the service."""
+    """Return the maximum number of attempts, set by the route or else by the service.
+
+    A streamed body can be read only once, so a request with one gets no further attempt, neither a
+    retry nor a hedge.
+    """
+    if not request.replayable:
+        return 1
     return policy.max_attempts if request.max_attempts is None else request.max_attempts
 
 
@@ -42,7 +48,7 @@
     now : float
         Present time.
     """
-    if result.response_started or not request.replayable:
+    if result.response_started:
         return None
     if attempts >= count_attempts_allowed(request, policy) or now >= request.deadline:
         return None
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -190,6 +190,21 @@
     assert any(isinstance(action, Probe) for action in actions) is idempotent
 
 
+@pytest.mark.parametrize("has_vanished", [False, True])
+def test_request_with_a_streamed_body_is_not_hedged(has_vanished: bool) -> None:
+    """Guards against a hedge that sends what the first attempt has left of the body.
+
+    A hedge is due early, at its usual time, and when the upstream vanishes.
+    """
+    dispatcher = make_dispatcher(retries=RetryPolicy(0.5, 0.0, 2, burst=1.5, initial_tokens=1.5))
+    first = submit_and_answer(dispatcher, make_request()._replace(replayable=False))
+    if has_vanished:
+        members = [view.member for view in dispatcher.snapshot(0.0)]
+        others = [member for member in members if member.upstream != first.upstream]
+        assert not list_probes(dispatcher.set_members(others, 0.01))
+    assert not advance_hedges(dispatcher, 0.01, 1.9)
+
+
 def test_store_changes_start_no_further_hedges() -> None:
     """Guards against probe rounds of a waiting request that multiply with each store change.
 
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -1,5 +1,6 @@
 """Request bodies that are too large to be buffered: what the instances receive of them."""
 
+import random
 import re
 import time
 
@@ -16,6 +17,7 @@
 SLOW_RUN_S = 0.8
 # Several times what an upload takes on loopback, and well below the wait of libcurl.
 MAX_UPLOAD_S = 0.7
+REQUESTS = 6
 
 
 async def make_slow_instance(case: NodeCase) -> None:
@@ -61,6 +63,29 @@
     run_node(check, instances=2)
 
 
+@pytest.mark.parametrize("chunked", [True, False])
+@pytest.mark.parametrize("duration_s", [0.0, 0.5])
+def test_slow_upload_runs_with_its_whole_body_only(chunked: bool, duration_s: float) -> None:
+    """Guards against a hedge that sends what is left of a streamed body, or nothing.
+
+    A streamed body can be read once. The instance would run the remainder as if it were whole, and
+    the caller would be told of success.
+    """
+
+    async def check(case: NodeCase) -> None:
+        await make_slow_instance(case)
+        source = random.Random(1)
+        for number in range(REQUESTS):
+            body = source.randbytes(BODY_BYTES)
+            answer = await upload(case, f"u{number}", body, chunked=chunked, duration_s=duration_s)
+            assert answer.status == 200
+            ran = [sent for entry in case.instances for sent in entry.bodies.get(f"u{number}", [])]
+            assert [len(sent) for sent in ran] == [BODY_BYTES]
+            assert ran == [body]
+
+    run_node(check, instances=2)
+
+
 def test_request_log_tells_how_much_of_a_streamed_body_was_sent(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
