Check watches at the store itself instead of a replica

Cause: a silent watch was found only by a peek at a replica, once a second. A replica that lags returns no changes, like one that is up to date. The relay to other hosts took the same peek for a confirmation by the store.

The check now asks the store, 1.2 s after its last answer. One call that reads the store's revision covers all kinds that are due, so that an idle reader makes one call in 1.2 s. watch_behind tells what a check found.

--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -5,7 +5,7 @@
 import math
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from result import Err, Ok, Result
 
@@ -26,6 +26,12 @@
 # a price. Hosts that read changes from a peer get them without this delay, so that it and one more
 # call have to fit into the 2 s in which changes must be in force.
 STORE_BATCH_DELAY_S = 0.9
+# Age of the last confirmation at which the store is asked whether a watch has missed changes. The
+# 2 s in which changes must be in force leave the rest for the check, one more call to the store and
+# the relay to the followers.
+CHECK_AGE_S = 1.2
+# Kinds whose last confirmation has at least this share of that age are checked together.
+SHARED_CHECK_AGE_SHARE = 0.5
 # Timers may fire early by up to this time.
 TIMER_MARGIN_S = 0.002
 MS_PER_S = 1000
@@ -33,6 +39,13 @@
 STORE_SOURCE = "store"
 
 
+class RevisionedStore(ObjectStore, Protocol):
+    """An object store whose revision can be read without its objects."""
+
+    async def read_revision(self, kind: str) -> Result[int, StoreError]:
+        """Return the present revision of the store; `kind` names the objects to ask for."""
+
+
 class FirstListWaits(NamedTuple):
     """How long the first list waits for a peer, in seconds.
 
@@ -82,7 +95,7 @@
 
     Parameters
     ----------
-    store : ObjectStore
+    store : RevisionedStore
         Client of the store.
     selector : PeerSelector
         Selects the peer to read changes from.
@@ -96,7 +109,7 @@
 
     def __init__(
         self,
-        store: ObjectStore,
+        store: RevisionedStore,
         selector: PeerSelector,
         counters: Counters,
         clock: Callable[[], float] = read_clock,
@@ -306,23 +319,60 @@
         """Return the seconds to wait until the next watch, 0 after changes from a peer."""
         return max(0.0, self._next_watch_at[kind] - self._clock())
 
-    async def peek_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
-        """Return the changes that a replica knows.
+    def get_check_delay(self, kind: str) -> float:
+        """Return the seconds to wait until a watch of a kind has to be checked."""
+        now = self._clock()
+        if not self._reads_store(kind, now):
+            return CHECK_AGE_S
+        return max(0.0, self._change_logs[kind].confirmed_at + CHECK_AGE_S - now)
+
+    def _reads_store(self, kind: str, now: float) -> bool:
+        """Return whether changes are read from the store itself, as far as is known."""
+        if self._store_watches[kind]:
+            return True
+        return self._hosts_known.is_set() and self._selector.select_peer(now) is None
 
-        None while changes are read from a peer, or before it is known whether there is one.
+    async def check_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
+        """Return the changes after a revision that the store has now.
+
+        None while changes are read from a peer, before it is known whether there is one, and while
+        an earlier answer of the store is recent.
+
+        Load pattern: each call has a price, and most of the time nothing changes. So one call that
+        reads the store's revision checks all kinds that are due, and only a kind whose known
+        changes do not reach that revision is checked by itself.
         """
         asked_at = self._clock()
         self._pauses.record_activity(asked_at)
-        may_follow = self._selector.select_peer(asked_at) is not None
-        if not self._store_watches[kind] and (may_follow or not self._hosts_known.is_set()):
-            return Ok(StoreChanges([], revision))
-        self._counters.incr(f"store.looks.{kind}")
-        answer = await self._store.peek_changes(kind, revision)
-        change_log = self._change_logs.get(kind)
-        if change_log is not None and isinstance(answer, Ok) and not answer.ok_value.events:
-            change_log.confirm(asked_at)
+        unchanged = StoreChanges([], revision)
+        if self.get_check_delay(kind) > 0.0 or not self._reads_store(kind, asked_at):
+            return Ok(unchanged)
+        change_log = self._change_logs[kind]
+        is_shared = any(
+            other is not change_log and self._is_check_shared(other, asked_at)
+            for other in self._change_logs.values()
+        )
+        if is_shared:
+            self._counters.incr("store.revision_checks")
+            read = await self._store.read_revision(kind)
+            if isinstance(read, Err):
+                return read
+            for confirmed in self._change_logs.values():
+                if confirmed.reaches(read.ok_value):
+                    confirmed.confirm(asked_at)
+            if change_log.reaches(read.ok_value):
+                return Ok(unchanged)
+        self._counters.incr(f"store.checks.{kind}")
+        answer = await self._store.check_changes(kind, revision)
+        if isinstance(answer, Ok) and not answer.ok_value.events:
+            change_log.record_changes(answer.ok_value, asked_at)
         return answer
 
+    def _is_check_shared(self, change_log: ChangeLog, now: float) -> bool:
+        """Return whether a kind that has been confirmed before is due for a check as well."""
+        share_at = change_log.confirmed_at + SHARED_CHECK_AGE_SHARE * CHECK_AGE_S
+        return not change_log.is_unconfirmed and now >= share_at
+
     async def wait_for_changes(
         self, kind: str, after: int, awaits_store: bool = False
     ) -> Result[PeerChanges, StoreError]:
--- a/amaranthbend/controllers/store_watch.py
+++ b/amaranthbend/controllers/store_watch.py
@@ -15,11 +15,10 @@
 __all__ = ["StoreWatch", "WatchHandler", "monitor_watches"]
 
 # Time for which a watch call waits for changes. Longer waits need fewer calls. A connection that
-# was lost silently is detected earlier, by the periodic checks.
+# was lost silently is detected earlier, by the checks.
 LONG_POLL_WAIT_S = 10.0
-# Interval between two checks. A silent connection is detected within this time plus the timeout of
-# a call, which is less than the 3 s after which a host counts as connected to the store again.
-CHECK_INTERVAL_S = 1.0
+# Shortest pause between two rounds of checks, while a check is due that cannot be made.
+MIN_CHECK_PAUSE_S = 0.1
 
 
 class WatchHandler(Protocol):
@@ -36,11 +35,14 @@
 
 
 class WatchedStore(ObjectStore, Protocol):
-    """A store whose watches are spread in time."""
+    """A store whose watches and checks are spread in time."""
 
     def get_watch_delay(self, kind: str) -> float:
         """Return the seconds to wait until the next watch of a kind."""
 
+    def get_check_delay(self, kind: str) -> float:
+        """Return the seconds to wait until a watch of a kind has to be checked."""
+
 
 class StoreWatch:
     """Lists all objects, then watches for changes; lists again after errors that may hide changes.
@@ -77,18 +79,30 @@
                 await asyncio.sleep(pause_s)
 
     async def should_restart(self) -> bool:
-        """Query a replica of the store, and return whether the watch has to be restarted.
+        """Check the store if it is time to, and return whether the watch has to be restarted.
 
-        Between two calls there is nothing to restart, but the query still confirms what is known.
+        Between two calls there is nothing to restart, but the check still confirms what is known.
         """
         revision = self._plan.revision
         if revision is None or not self._plan.is_reachable:
             return False
         call = self._restart_requested
-        result = await self._store.peek_changes(self._kind, revision)
+        result = await self._store.check_changes(self._kind, revision)
         if call is None or call is not self._restart_requested:
             return False
-        return self._plan.should_restart_watch(revision, result)
+        if not self._plan.should_restart_watch(revision, result):
+            return False
+        log_event(
+            "watch_behind",
+            kind=self._kind,
+            revision=revision,
+            store=result.err_value.kind if isinstance(result, Err) else result.ok_value.revision,
+        )
+        return True
+
+    def get_check_delay(self) -> float:
+        """Return the seconds to wait until the watch has to be checked."""
+        return self._store.get_check_delay(self._kind)
 
     def restart(self) -> None:
         """Abandon the running call, and repeat it on another connection."""
@@ -148,11 +162,16 @@
 
 
 async def monitor_watches(watches: Sequence[StoreWatch]) -> None:
-    """Check the watches periodically, and restart all of them when one has to be restarted."""
+    """Check the watches when due, and restart all of them when one has to be restarted.
+
+    One after the other, since the check of one may confirm what the others know as well.
+    """
     while True:
-        await asyncio.sleep(CHECK_INTERVAL_S)
-        results = await asyncio.gather(*[watch.should_restart() for watch in watches])
-        if not any(results):
-            continue
-        for watch in watches:
-            watch.restart()
+        delay_s = min(watch.get_check_delay() for watch in watches)
+        await asyncio.sleep(max(MIN_CHECK_PAUSE_S, delay_s))
+        for checked in watches:
+            if not await checked.should_restart():
+                continue
+            for watch in watches:
+                watch.restart()
+            break
--- a/amaranthbend/core/change_relay.py
+++ b/amaranthbend/core/change_relay.py
@@ -272,6 +272,10 @@
         """Record that the store had no further changes at a given time."""
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
+    def reaches(self, revision: int) -> bool:
+        """Return whether all changes up to a revision are known."""
+        return self._revision is not None and self._revision >= revision
+
     @property
     def has_list(self) -> bool:
         """Whether a list has been recorded."""
--- a/amaranthbend/core/watching.py
+++ b/amaranthbend/core/watching.py
@@ -80,8 +80,8 @@
     ) -> Result[StoreChanges, StoreError]:
         """Return the changes after a revision, waiting up to `wait_s` seconds for one."""
 
-    async def peek_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
-        """Return without waiting the changes after a revision, from a replica that may lag."""
+    async def check_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
+        """Return without waiting the changes after a revision; never from a replica."""
 
 
 class WatchPlan:
@@ -132,24 +132,24 @@
         self.may_long_poll = False
 
     def should_restart_watch(
-        self, peeked_revision: int | None, peek_result: Result[StoreChanges, StoreError]
+        self, checked_revision: int | None, check_result: Result[StoreChanges, StoreError]
     ) -> bool:
-        """Return whether a waiting watch should be restarted, given a peek at the store.
+        """Return whether a waiting watch should be restarted, given a check of the store.
 
-        A connection can stop delivering data without being closed. A peek that fails, or that
+        A connection can stop delivering data without being closed. A check that fails, or that
         returns changes which the watch has not returned, shows this long before the watch times
         out.
 
         Parameters
         ----------
-        peeked_revision : int or None
-            Revision that was peeked from. If the watch has reached another one meanwhile, the
-            result says nothing about it.
-        peek_result : Result
-            Result of the peek.
+        checked_revision : int or None
+            Revision that the check started from. If the watch has reached another one meanwhile,
+            the result says nothing about it.
+        check_result : Result
+            Result of the check.
         """
-        if not self.is_reachable or self.revision is None or self.revision != peeked_revision:
+        if not self.is_reachable or self.revision is None or self.revision != checked_revision:
             return False
-        if isinstance(peek_result, Err):
+        if isinstance(check_result, Err):
             return True
-        return bool(peek_result.ok_value.events)
+        return bool(check_result.ok_value.events)
--- a/amaranthbend/platform/store.py
+++ b/amaranthbend/platform/store.py
@@ -28,6 +28,8 @@
 # Far more pages than the objects of any deployment fill; ends a list in which a faulty store
 # repeats its pages.
 MAX_PAGES = 1000
+# Sorts after the names of all objects.
+LAST_NAME = "\U0010ffff"
 
 
 class StoreClient:
@@ -91,14 +93,31 @@
             after = objects[-1].name
         return Err(StoreError(StoreErrorKind.MALFORMED, f"list of {kind} does not end"))
 
-    async def peek_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
-        """Return at once the changes after a revision that a replica has.
+    async def check_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
+        """Return at once the changes after a revision.
 
-        The replica may lag behind; reading from it costs a tenth as much.
+        Not from a replica, although that costs a tenth as much: it may lag behind by seconds, and
+        then returns no changes like one that is up to date.
         """
-        query = {"watch": str(revision), "waitMs": "0", "serializable": "1"}
+        query = {"watch": str(revision), "waitMs": "0"}
         return await self._call_watch(kind, query, CALL_TIMEOUT_S)
 
+    async def read_revision(self, kind: str) -> Result[int, StoreError]:
+        """Return the present revision of the store, which any object of any kind may have raised.
+
+        Parameters
+        ----------
+        kind : str
+            Kind whose list is read; only what follows its last possible name, so no objects.
+        """
+        result = await self._call(kind, {"after": LAST_NAME}, CALL_TIMEOUT_S)
+        if isinstance(result, Err):
+            return result
+        try:
+            return Ok(get_non_negative_int(result.ok_value, "at"))
+        except (KeyError, TypeError, ValueError) as error:
+            return Err(StoreError(StoreErrorKind.MALFORMED, f"revision of {kind}: {error!r}"))
+
     async def watch_objects(
         self, kind: str, revision: int, wait_s: float
     ) -> Result[StoreChanges, StoreError]:
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -47,6 +47,11 @@
         latest = {c.name: c for c in self._seen(kind, seen_at) if c.revision > after}
         return list(latest.values())
 
+    def find_revision(self, seen_at: float) -> int:
+        """Return the revision as of `seen_at`."""
+        later = sum(change.at > seen_at for log in self._changes.values() for change in log)
+        return self.revision - later
+
     def count_objects(self) -> dict[str, int]:
         """Return the number of existing objects by kind."""
         counts = Counter(key[0] for key, change in self._latest.items() if change.value is not None)
--- a/standins/store.py
+++ b/standins/store.py
@@ -5,7 +5,8 @@
 - `mode`: "none", "busy" (503), "many" (429), "reset" (connection closed) or "silent" (no answer
   until it ends);
 - `delay_s`: delay of each answer;
-- `loses_writes`: writes take effect, but their connection is closed without an answer.
+- `loses_writes`: writes take effect, but their connection is closed without an answer;
+- `replica_lag_s`: age of the state that a `serializable` call returns.
 """
 
 import asyncio
@@ -31,6 +32,7 @@
         self.mode = "none"
         self.delay_s = 0.0
         self.loses_writes = False
+        self.replica_lag_s = 0.0
 
 
 class StoreState:
@@ -43,6 +45,9 @@
         # Changes up to this revision are forgotten.
         self.compacted = 0
         self.calls = 0
+        # Watches that began before this number was raised get no answer.
+        self.silenced = 0
+        self.waiting_watches = 0
 
     def put(self, kind: str, name: str, specification: Any) -> int:
         """Write an object as its owner would, and return the revision."""
@@ -60,6 +65,10 @@
         self.objects.revision += 1
         self.notify()
 
+    def silence_watches(self) -> None:
+        """Let the connections of the waiting watches go silent, without closing them."""
+        self.silenced += 1
+
     def notify(self) -> None:
         """Wake the waiting watches."""
         self.changed.set()
@@ -122,31 +131,54 @@
             await self.watch(kind, int(watch), int(self.get_query_argument("waitMs", "0")) / 1000)
             return
         after = self.get_query_argument("after", "")
-        changes = self.state.objects.list_changes(kind, time.monotonic())
+        seen_at = time.monotonic() - self.get_lag_s()
+        changes = self.state.objects.list_changes(kind, seen_at)
         found = sorted((c for c in changes if c.value is not None), key=lambda c: c.name)
         found = [change for change in found if change.name > after]
         items = [describe(change) for change in found[:PAGE_ITEMS]]
         more = len(found) > PAGE_ITEMS
-        self.answer({"items": items, "hasMore": more, "at": self.state.objects.revision})
+        self.answer({"items": items, "hasMore": more, "at": self.find_revision(seen_at)})
+
+    def get_lag_s(self) -> float:
+        """Return the age of the state that this call sees."""
+        may_lag = bool(self.get_query_argument("serializable", ""))
+        return self.state.faults.replica_lag_s if may_lag else 0.0
+
+    def find_revision(self, seen_at: float) -> int:
+        """Return the revision of the store at a time."""
+        return self.state.objects.find_revision(seen_at)
 
     async def watch(self, kind: str, revision: int, wait_s: float) -> None:
         """Answer as soon as there is a change after a revision."""
         until = time.monotonic() + min(wait_s, MAX_WAIT_S)
+        silenced = self.state.silenced
         while True:
+            await self.wait_while_silenced(silenced)
             if revision < self.state.compacted:
                 raise tornado.web.HTTPError(410)
             now = time.monotonic()
-            changes = self.state.objects.list_changes(kind, now, revision)
+            seen_at = now - self.get_lag_s()
+            changes = self.state.objects.list_changes(kind, seen_at, revision)
             if changes or now >= until:
                 break
             changed = self.state.changed
+            self.state.waiting_watches += 1
             try:
                 await asyncio.wait_for(changed.wait(), until - now)
             except TimeoutError:
                 continue
+            finally:
+                self.state.waiting_watches -= 1
             await self.prepare()
         events = [{"object": describe(c), "deleted": c.value is None} for c in changes]
-        self.answer({"events": events, "at": self.state.objects.revision})
+        self.answer({"events": events, "at": max(revision, self.find_revision(seen_at))})
+
+    async def wait_while_silenced(self, silenced: int) -> None:
+        """Give no answer on a connection that has gone silent, until the caller closes it."""
+        while silenced != self.state.silenced:
+            if self.request.connection.stream.closed():  # type: ignore[union-attr]
+                raise tornado.web.Finish
+            await asyncio.sleep(RECHECK_S)
 
     async def post(self, kind: str) -> None:
         document = json.loads(self.request.body)
--- a/tests/test_host_directory.py
+++ b/tests/test_host_directory.py
@@ -63,7 +63,7 @@
         """Fail: the directory does not watch."""
         raise AssertionError
 
-    async def peek_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
+    async def check_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
         """Fail: the directory does not watch."""
         raise AssertionError
 
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -15,7 +15,11 @@
 )
 from amaranthbend.adapters.clock import read_clock
 from amaranthbend.adapters.metrics import Counters
-from amaranthbend.controllers.relayed_store import STORE_BATCH_DELAY_S, RelayedStore
+from amaranthbend.controllers.relayed_store import (
+    CHECK_AGE_S,
+    STORE_BATCH_DELAY_S,
+    RelayedStore,
+)
 from amaranthbend.core.change_relay import (
     FAILED_PEER_SKIP_S,
     HostEntry,
@@ -35,6 +39,7 @@
 from .node_cases import ADDRESS
 
 KIND = "servers"
+OTHER_KIND = "config"
 HOSTS = 30
 # Changes must be in force within 2 s in the smaller deployments.
 IN_FORCE_S = 2.0
@@ -46,7 +51,7 @@
 def test_call_in_place_of_a_peer_does_not_wait() -> None:
     """Guards against a watch of the store that hangs unnoticed while a peer could be followed.
 
-    Peeks detect watches that hang, but only at hosts without a peer. Seen in benchmark kithul-gw
+    Checks detect watches that hang, but only at hosts without a peer. Seen in benchmark kithul-gw
     scale-1 (e732f7a2, replayed with logs): four hosts had a configuration 4.6 s late.
     """
 
@@ -122,12 +127,76 @@
         await asyncio.sleep(0)
         assert store.waits == [0.0, 10.0]
         store.now += FAILED_PEER_SKIP_S
-        await relayed.peek_changes(KIND, 1)
-        assert store.peeks == 1
+        await relayed.check_changes(KIND, 1)
+        assert store.checks == 1
         watch.cancel()
         await asyncio.wait({watch})
-        await relayed.peek_changes(KIND, 1)
-        assert store.peeks == 1
+        store.now += CHECK_AGE_S
+        await relayed.check_changes(KIND, 1)
+        assert store.checks == 1
+
+    asyncio.run(run())
+
+
+async def read_two_kinds(store: "ClockedStore") -> RelayedStore:
+    """Return a host that has read two kinds of objects from the store at revision 1."""
+    relayed = RelayedStore(store, PeerSelector("host-1", "huye"), Counters(), store.read_clock)
+    relayed.set_hosts([])
+    for kind in (KIND, OTHER_KIND):
+        await relayed.list_objects(kind)
+        await relayed.watch_objects(kind, 1, 10.0)
+    return relayed
+
+
+def test_recent_answer_is_not_checked() -> None:
+    """Guards against calls to the store that tell nothing new."""
+
+    async def run() -> None:
+        store = ClockedStore()
+        relayed = await read_two_kinds(store)
+        store.now += 0.9 * CHECK_AGE_S
+        assert relayed.get_check_delay(KIND) == pytest.approx(0.1 * CHECK_AGE_S)
+        assert (await relayed.check_changes(KIND, 1)).unwrap().events == []
+        assert (store.checks, store.revision_reads) == (0, 0)
+
+    asyncio.run(run())
+
+
+def test_unchanged_revision_confirms_all_kinds() -> None:
+    """Guards against one call for each kind in each interval, and against followers left alone."""
+
+    async def run() -> None:
+        store = ClockedStore()
+        relayed = await read_two_kinds(store)
+        for _ in range(3):
+            store.now += CHECK_AGE_S
+            for kind in (KIND, OTHER_KIND):
+                assert (await relayed.check_changes(kind, 1)).unwrap().events == []
+                assert (await relayed.wait_for_list(kind)).unwrap().age_s == 0.0
+        assert (store.checks, store.revision_reads) == (0, 3)
+
+    asyncio.run(run())
+
+
+def test_kind_behind_the_revision_is_checked_by_itself() -> None:
+    """Guards against confirming a kind whose changes the watch has not returned."""
+
+    async def run() -> None:
+        store = ClockedStore()
+        relayed = await read_two_kinds(store)
+        store.now += CHECK_AGE_S
+        store.revision = 2
+        store.events = [ObjectEvent(StoredObject("u0", 2, {}), False)]
+        assert (await relayed.check_changes(KIND, 1)).unwrap().events == store.events
+        assert relayed.get_check_delay(KIND) == 0.0
+        # The change was one of the first kind, so the other one is confirmed up to it.
+        store.events = []
+        assert (await relayed.check_changes(OTHER_KIND, 1)).unwrap().events == []
+        assert relayed.get_check_delay(OTHER_KIND) == pytest.approx(CHECK_AGE_S)
+        store.now += CHECK_AGE_S
+        await relayed.check_changes(OTHER_KIND, 1)
+        assert relayed.get_check_delay(OTHER_KIND) == pytest.approx(CHECK_AGE_S)
+        assert relayed.get_check_delay(KIND) == 0.0
 
     asyncio.run(run())
 
@@ -182,7 +251,10 @@
         # Seconds that pass until the response of the next watch is read.
         self.pause_s = 0.0
         self.events: list[ObjectEvent] = []
-        self.peeks = 0
+        self.checks = 0
+        self.revision_reads = 0
+        # Revision of the store.
+        self.revision = 1
         # Seconds for which each watch may wait for changes.
         self.waits: list[float] = []
         # Whether watches hang.
@@ -208,10 +280,15 @@
         self.now += self.pause_s
         return Ok(StoreChanges(self.events, revision + len(self.events)))
 
-    async def peek_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
+    async def check_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
         """Return the events at once."""
-        self.peeks += 1
-        return Ok(StoreChanges(self.events, revision + len(self.events)))
+        self.checks += 1
+        return Ok(StoreChanges(self.events, max(self.revision, revision + len(self.events))))
+
+    async def read_revision(self, kind: str) -> Result[int, StoreError]:
+        """Return the revision of the store."""
+        self.revision_reads += 1
+        return Ok(self.revision)
 
 
 def run_relayed_store(
@@ -251,19 +328,19 @@
     run_relayed_store(check)
 
 
-def test_unknown_hosts_cost_no_peeks() -> None:
-    """Guards against peeks of every host while it waits for the list of hosts at its start."""
+def test_unknown_hosts_cost_no_checks() -> None:
+    """Guards against checks of every host while it waits for the list of hosts at its start."""
 
     async def run() -> None:
         store = ClockedStore()
         relayed = RelayedStore(store, PeerSelector("host-1", "huye"), Counters(), store.read_clock)
         await relayed.list_objects(KIND)
-        answer = await relayed.peek_changes(KIND, 1)
+        answer = await relayed.check_changes(KIND, 1)
         assert answer.unwrap().events == []
-        assert store.peeks == 0
+        assert store.checks == 0
         relayed.set_hosts([])
-        await relayed.peek_changes(KIND, 1)
-        assert store.peeks == 1
+        await relayed.check_changes(KIND, 1)
+        assert store.checks == 1
 
     asyncio.run(run())
 
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -28,9 +28,9 @@
 
     def __init__(self, *answers: Result[StoreChanges, StoreError] | None) -> None:
         self.waits: list[float] = []
-        self.peeks = 0
-        # Answer to a peek, None for no changes; and the delay before each watch.
-        self.peeked: Result[StoreChanges, StoreError] | None = None
+        self.checks = 0
+        # Answer to a check, None for no changes; and the delay before each watch.
+        self.checked: Result[StoreChanges, StoreError] | None = None
         self.delay_s = 0.0
         self._answers = list(answers)
 
@@ -55,15 +55,19 @@
         assert answer is not None
         return answer
 
-    async def peek_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
+    async def check_changes(self, kind: str, revision: int) -> Result[StoreChanges, StoreError]:
         """Return what the test sets."""
-        self.peeks += 1
-        return self.peeked or Ok(StoreChanges([], revision))
+        self.checks += 1
+        return self.checked or Ok(StoreChanges([], revision))
 
     def get_watch_delay(self, kind: str) -> float:
         """Return what the test sets."""
         return self.delay_s
 
+    def get_check_delay(self, kind: str) -> float:
+        """Return that a check is due."""
+        return 0.0
+
 
 class IgnoringHandler:
     """Ignores all changes."""
@@ -120,20 +124,20 @@
 def test_pause_between_calls_is_no_reason_to_restart() -> None:
     """Guards against calls to the store for changes that the next watch returns anyway.
 
-    A peek during the pause after changes sees further ones. Restarting the watches of all kinds for
-    that doubled the calls of busy days.
+    A check during the pause after changes sees further ones. Restarting the watches of all kinds
+    for that doubled the calls of busy days.
     """
 
     async def check() -> None:
         event = ObjectEvent(StoredObject("main", 2, {}), False)
         store = ScriptedStore(Ok(StoreChanges([event], 2)))
-        store.peeked = Ok(StoreChanges([ObjectEvent(StoredObject("main", 3, {}), False)], 3))
+        store.checked = Ok(StoreChanges([ObjectEvent(StoredObject("main", 3, {}), False)], 3))
         store.delay_s = 0.2
         watch = StoreWatch(store, KIND, IgnoringHandler(), Counters())
         task = asyncio.ensure_future(watch.run())
         await asyncio.sleep(0.1)
         assert not await watch.should_restart()
-        # The watch that follows hangs, and the peek shows that.
+        # The watch that follows hangs, and the check shows that.
         await asyncio.sleep(0.4)
         assert await watch.should_restart()
         task.cancel()
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -66,8 +66,8 @@
     assert plan.should_restart_watch(7, Err(UNAVAILABLE))
 
 
-def test_peek_overtaken_by_the_watch_is_ignored() -> None:
-    """Guards against restarting a watch that has returned the peeked changes meanwhile."""
+def test_check_overtaken_by_the_watch_is_ignored() -> None:
+    """Guards against restarting a watch that has returned the checked changes meanwhile."""
     plan = make_plan()
     plan.record_changes(StoreChanges([EVENT], 8))
     assert not plan.should_restart_watch(7, Ok(StoreChanges([EVENT], 8)))
