Limit the head of a response whatever the version of libcurl

A report of other operators: an instance sent bytes without end, and the machine that had called it kept them all.

The process now counts the bytes of a head, interim responses included, and ends the call as malformed beyond 64 KiB. Both cases of the new test get a complete response before the change.

--- a/amaranthbend/adapters/calls.py
+++ b/amaranthbend/adapters/calls.py
@@ -27,6 +27,9 @@
 
 # Maximum size of one read; limits the memory that a request of a slow caller occupies.
 READ_SIZE_BYTES = 64 * 1024
+# Maximum size of the head of a response. Whether and how libcurl limits the number of its lines
+# depends on the version.
+MAX_HEAD_BYTES = 64 * 1024
 # libcurl error codes; the type stubs of pycurl lack some of them.
 ERROR_UNSUPPORTED_PROTOCOL = 1
 ERROR_WEIRD_SERVER_REPLY = 8
@@ -164,6 +167,7 @@
         "_chunks",
         "_client",
         "_head",
+        "_head_bytes",
         "_head_error",
         "_connection_was_kept",
         "_accepts_body",
@@ -193,6 +197,8 @@
         self._response_handler: ResponseHandler | None = response_handler
         self.curl = curl
         self._header_lines: list[bytes] = []
+        # Size of the head with all interim responses before it.
+        self._head_bytes = 0
         self._head: ResponseHead | None = None
         self._pending_head: ResponseHead | None = None
         self._head_error = ""
@@ -247,6 +253,11 @@
             return True
         if line.startswith(b"HTTP/") and self._header_lines:
             self._header_lines.clear()
+        self._head_bytes += len(line)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._head_error = f"the head is larger than {MAX_HEAD_BYTES} bytes"
+            self._header_lines.clear()
+            return False
         text = line.rstrip(b"\r\n")
         if text:
             self._header_lines.append(text)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from amaranthbend.adapters.calls import CallEnd, EndKind, UpstreamRequest
+from amaranthbend.adapters.calls import MAX_HEAD_BYTES, CallEnd, EndKind, UpstreamRequest
 from amaranthbend.adapters.headers import ResponseHead
 from amaranthbend.adapters.upstream import UpstreamClient
 from amaranthbend.core.outcomes import OutcomeReason
@@ -161,3 +161,30 @@
         assert (result.end.kind, result.end.reason) == (EndKind.NEVER_CONNECTED, reason)
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize("piece", [b"X-More: 0123456789\r\n", b"HTTP/1.1 103 Hints\r\n\r\n"])
+def test_head_beyond_its_limit_is_no_response(piece: bytes) -> None:
+    """Guards against a head that is kept in memory for as long as a faulty upstream sends it.
+
+    All lines are short: it depends on the version of libcurl whether their number is limited.
+    """
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_message(reader)
+        lines = piece * (MAX_HEAD_BYTES // len(piece) + 1)
+        start = b"" if piece.startswith(b"HTTP/") else b"HTTP/1.1 200 OK\r\n"
+        end = b"HTTP/1.1 200 OK\r\n" if not start else b""
+        writer.write(start + lines + end + b"Content-Length: 0\r\n\r\n")
+        await writer.drain()
+
+    async def check() -> None:
+        client = UpstreamClient(force_instance=True)
+        async with ScriptedUpstream(script) as upstream:
+            recorder = await call(client, upstream.address, idempotent=False)
+        assert recorder.end is not None
+        assert recorder.end.kind is EndKind.FAILED
+        assert recorder.end.reason is OutcomeReason.MALFORMED_ANSWER
+        assert recorder.head is None
+
+    asyncio.run(check())
