End a health check whose body does not end

Found while looking for responses without end: a health check with a good head and an endless body was read until its timeout of 0.25 s, at several hundred MB a second on loopback, and each request starts several. Its result was a failed probe in any case. It now fails at 64 KiB of body.

--- a/amaranthbend/filters/services.py
+++ b/amaranthbend/filters/services.py
@@ -36,6 +36,8 @@
 # same time.
 MAX_RETRY_AFTER_FACTOR = 2.0
 MIN_TIMER_DELAY_S = 0.001
+# A probe with a longer body has failed: a faulty upstream may send one without end.
+MAX_PROBE_BODY_BYTES = 64 * 1024
 
 
 class DispatchSettings(NamedTuple):
@@ -103,16 +105,24 @@
         self._dialect = dialect
         self._report: LoadReport | None = None
         self._is_own_response = False
+        self._body_bytes = 0
+        self.call: UpstreamCall | None = None
 
     def is_own_response(self, head: ResponseHead) -> bool:
         """Return False for a late response to a request."""
         self._is_own_response = self._dialect.is_probe_response(head)
         return self._is_own_response
 
-    def deliver(self, head: ResponseHead | None, data: bytes, end: CallEnd | None) -> bool:  # noqa: ARG002
+    def deliver(self, head: ResponseHead | None, data: bytes, end: CallEnd | None) -> bool:
         """Process a part of the response; called by the upstream client."""
         if head is not None:
             self._report = self._dialect.parse_probe_response(head, self._member)
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_PROBE_BODY_BYTES:
+            if self.call is not None:
+                self.call.abort()
+            self._service.finish_probe(self._member.upstream, None)
+            return False
         if end is not None:
             if end.on_reused_connection and not self._is_own_response:
                 self._service.repeat_probe(self._member)
@@ -292,9 +302,8 @@
             may_reuse_connection=may_reuse_connection,
             connect_timeout_s=PROBE_TIMEOUT_S,
         )
-        call = self._client.start(
-            upstream_request, ProbeResponseHandler(self, member, self._settings.dialect)
-        )
+        handler = ProbeResponseHandler(self, member, self._settings.dialect)
+        call = handler.call = self._client.start(upstream_request, handler)
         loop = asyncio.get_running_loop()
         loop.call_later(PROBE_TIMEOUT_S, self._time_out_probe, member.upstream, call)
 
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -5,8 +5,8 @@
 - `cut`: the response breaks off; `extra`: another response follows it; `late`: the response of
   another request comes first; `unsigned`, `encoded`, `error`, `shed`, `plain503`, `hang`;
 - `slow`: the run takes a second;
-- `endless_chunks`, `endless_body`, `endless_trailers`, `endless_extension`: a signed response whose
-  named part continues until the caller closes.
+- a name in `ENDLESS_PARTS`: a signed response whose named part continues until the caller closes;
+- a name in `ENDLESS_BYTES`: bytes that are no response, until the caller closes.
 """
 
 import asyncio
@@ -14,7 +14,7 @@
 
 from .node_caller import read_chunks
 
-__all__ = ["ENDLESS_PARTS", "Instance"]
+__all__ = ["ENDLESS_BYTES", "ENDLESS_PARTS", "Instance"]
 
 REASONS = {200: "OK", 421: "Misdirected Request", 500: "Error", 503: "Unavailable"}
 RUN_S = 0.01
@@ -28,6 +28,20 @@
     "endless_body": (b"Connection: close\r\n\r\n", FILLER),
     "endless_trailers": (b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"X-More: 1\r\n"),
     "endless_extension": (b"Transfer-Encoding: chunked\r\n\r\n4;x=", FILLER),
+    "endless_fields": (b"", b"X-More: 1\r\n" * 1000),
+    "endless_field": (b"X-More: ", FILLER),
+}
+# Bytes in place of a response: first ones, and the piece that is repeated.
+ENDLESS_BYTES = {
+    "endless_garbage": (b"", FILLER),
+    "endless_lines": (b"", b"garbage\r\n" * 1000),
+    "endless_status": (b"HTTP/1.1 200 ", FILLER),
+    "endless_interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500),
+    "endless_error": (b"HTTP/1.1 500 Error\r\n\r\n", FILLER),
+    "endless_refusal": (
+        b"HTTP/1.1 503 Unavailable\r\nX-Amaranthbend-Not-Executed: 1\r\n\r\n",
+        FILLER,
+    ),
 }
 
 
@@ -61,6 +75,8 @@
         self.run_s = RUN_S
         self.percent = 100
         self.is_healthy = True
+        # Whether health checks get a good head and a body without end.
+        self.has_endless_health = False
         # Fault that all requests meet; empty for the one that their path names.
         self.fault = ""
         # Header fields of a refusal that is written once more before the next request of a kept
@@ -132,6 +148,8 @@
         fields = {name.lower(): value for name, value in fields.items()}
         body = await read_body(reader, fields)
         path = start.split(" ")[1]
+        if path == "/health" and self.has_endless_health:
+            await self._send_endless(writer, "endless_chunks", self._describe_self())
         if path == "/health":
             self._answer(writer, 200 if self.is_healthy else 503, b"", self._describe_self())
             return True
@@ -157,17 +175,21 @@
             self.cancelled.append(request_id)
             return False
         fields = {**echo, **self._sign(request_id), **self._describe_self()}
-        if fault in ENDLESS_PARTS:
+        if fault in ENDLESS_PARTS or fault in ENDLESS_BYTES:
             await self._send_endless(writer, fault, fields)
         return self._finish(writer, fault, request_id, fields)
 
     async def _send_endless(
         self, writer: asyncio.StreamWriter, fault: str, fields: dict[str, str]
     ) -> None:
-        """Send a response until the caller closes, which raises ConnectionError."""
-        framing, piece = ENDLESS_PARTS[fault]
-        lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-        writer.write(b"HTTP/1.1 200 OK\r\n" + lines.encode("latin1") + framing)
+        """Send a response, or other bytes, until the caller closes: raises ConnectionError."""
+        if fault in ENDLESS_BYTES:
+            start, piece = ENDLESS_BYTES[fault]
+        else:
+            framing, piece = ENDLESS_PARTS[fault]
+            lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+            start = b"HTTP/1.1 200 OK\r\n" + lines.encode("latin1") + framing
+        writer.write(start)
         while True:
             writer.write(piece)
             await writer.drain()
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -1,66 +1,28 @@
 """Tests of the node process as a separate program."""
 
 import asyncio
-import contextlib
 import os
 import re
 import signal
 import subprocess
 import sys
 import urllib.request
-from collections.abc import AsyncIterator, Callable, Coroutine
 from pathlib import Path
-from typing import Any
 
-from tornado.httpserver import HTTPServer
-
-from amaranthbend.adapters.addresses import split_address
 from amaranthbend.adapters.output import MAX_BUFFERED_BYTES, NonBlockingOutput
 from standins.instance import Instance
-from standins.node_caller import exchange, make_configuration
+from standins.node_caller import exchange
 from standins.node_program import NodeProgram
 from standins.processes import pick_endpoint
-from standins.store import StoreState, make_store_app
 
 from .node_cases import ADDRESS
-
-
-@contextlib.asynccontextmanager
-async def start_program(folder: Path) -> AsyncIterator[NodeProgram]:
-    """Run the program with a store and an instance."""
-    program = NodeProgram(folder, ADDRESS)
-    program.write_settings()
-    store = StoreState()
-    server = HTTPServer(make_store_app(store))
-    server.listen(split_address(program.names["store"])[1], ADDRESS)
-    instance = Instance("i-0", "desk", "huye")
-    await instance.start(ADDRESS, pick_endpoint(ADDRESS).port)
-    store.put("servers", "i-0", instance.describe())
-    store.put("config", "main", make_configuration())
-    await program.start()
-    try:
-        await program.wait_ready()
-        yield program
-    finally:
-        await program.kill()
-        server.stop()
-        await instance.stop()
-
-
-def run_program(folder: Path, check: Callable[[NodeProgram], Coroutine[Any, Any, None]]) -> None:
-    """Run a check against the program."""
-
-    async def run() -> None:
-        async with start_program(folder) as program:
-            await check(program)
-
-    asyncio.run(run())
+from .program_cases import run_program
 
 
 def test_request_metrics_and_graceful_shutdown(tmp_path: Path) -> None:
     """Guards against missing metrics and log lines, and requests aborted by a shutdown."""
 
-    async def check(program: NodeProgram) -> None:
+    async def check(program: NodeProgram, _instance: Instance) -> None:
         reader, writer = await program.connect()
         assert (await exchange(reader, writer, "/safe/x", request_id="r1")).status == 200
         page = await asyncio.to_thread(read_metrics, program.names["metrics"])
@@ -86,7 +48,7 @@
     The import took 1.55 s on machines with 0.43 of a core.
     """
 
-    async def check(program: NodeProgram) -> None:
+    async def check(program: NodeProgram, _instance: Instance) -> None:
         await program.restart()
         reader, writer = await program.connect_early()
         assert not await program.is_ready()
@@ -99,7 +61,7 @@
 def test_start_without_the_store_answers_503_with_retry_after(tmp_path: Path) -> None:
     """Guards against callers that wait for a process without a configuration."""
 
-    async def check(program: NodeProgram) -> None:
+    async def check(program: NodeProgram, _instance: Instance) -> None:
         program.names["store"] = f"{ADDRESS}:{pick_endpoint(ADDRESS).port}"
         program.write_settings()
         await program.restart()
@@ -120,7 +82,7 @@
 def test_changed_settings_are_reloaded(tmp_path: Path) -> None:
     """Guards against settings that need a restart, and a process that an invalid file stops."""
 
-    async def check(program: NodeProgram) -> None:
+    async def check(program: NodeProgram, _instance: Instance) -> None:
         program.file.write_text("[self")
         program.signal(signal.SIGHUP)
         await asyncio.sleep(0.3)
