Use no entry whose address, name or times are out of range

Callers: an entry with a port of digits other than 0 to 9 cut off a request (connection closed, UnicodeEncodeError in the log); one with a port above 65535, a name in place of an address or a name that no header field can carry joined the instances and cost probes.

Cause: ports were checked with str.isdigit only, addresses and names not at all; a time of 400 digits became infinite.

An address is now an IP address and a port from 1 to 65535, in one function that the settings, the entries of instances and those of hosts share. Errors abbreviate the value, which may have a megabyte.

Before: 22 cases of tests/test_odd_entries.py and 5 of tests/test_host_directory.py fail.

--- a/amaranthbend/controllers/host_directory.py
+++ b/amaranthbend/controllers/host_directory.py
@@ -14,6 +14,7 @@
 
 from result import Err
 
+from ..adapters.addresses import is_address
 from ..adapters.logs import log_event
 from ..core.change_relay import HostEntry
 from ..core.watching import ObjectStore, StoredObject
@@ -126,8 +127,9 @@
 
 
 def _decode_host(stored: StoredObject) -> HostEntry:
-    """Return a host; without a peer address it relays no changes, but is counted."""
+    """Return a host; without a usable peer address it relays no changes, but is counted."""
     value: dict[str, Any] = stored.value if isinstance(stored.value, dict) else {}
-    return HostEntry(
-        stored.name, str(value.get("data_centre", "")), str(value.get("peer_address", ""))
-    )
+    peer_address = value.get("peer_address", "")
+    if not isinstance(peer_address, str) or not is_address(peer_address):
+        peer_address = ""
+    return HostEntry(stored.name, str(value.get("data_centre", "")), peer_address)
--- a/amaranthbend/platform/documents.py
+++ b/amaranthbend/platform/documents.py
@@ -1,6 +1,7 @@
 """Decodes the objects in the platform's store: the configuration and the instances."""
 
 from collections.abc import Callable
+from reprlib import repr as abbreviate
 from typing import Any, TypeVar
 
 from ..core.actions import Member, UpstreamState
@@ -18,6 +19,7 @@
     get_path,
     get_string,
     parse_duration,
+    parse_name,
 )
 
 __all__ = [
@@ -179,7 +181,9 @@
     kind = get_string(rule, "kind")
     if kind not in IDEMPOTENCE_BY_KIND:
         known = ", ".join(IDEMPOTENCE_BY_KIND)
-        raise ValueError(f"kind {kind!r} is not one of {known}; its requests run once at most")
+        raise ValueError(
+            f"kind {abbreviate(kind)} is not one of {known}; its requests run once at most"
+        )
     return IDEMPOTENCE_BY_KIND[kind]
 
 
@@ -232,14 +236,14 @@
         raise ValueError(f"entry is {type(document).__name__}, not an object")
     state = get_string(document, "state")
     if state not in UPSTREAM_STATES:
-        raise ValueError(f"state {state!r} is not one of {', '.join(UPSTREAM_STATES)}")
+        raise ValueError(f"state {abbreviate(state)} is not one of {', '.join(UPSTREAM_STATES)}")
     address = get_address(document, "address")
     cold = document.get("coldRemaining")
     cold_s = 0.0 if cold is None else parse_duration(cold)
     # Start time in Unix milliseconds, which distinguishes an instance restarted under the same id.
     incarnation = get_non_negative_int(document, "born", 0)
     member = Member(
-        name, address, get_string(document, "zone"), incarnation, UPSTREAM_STATES[state]
+        parse_name(name), address, get_string(document, "zone"), incarnation, UPSTREAM_STATES[state]
     )
     slots = get_non_negative_int(document, "slots", DEFAULT_SLOTS)
     return Listing(get_string(document, "service"), member, slots, cold_s, revision)
@@ -248,7 +252,7 @@
 def _get_object(document: dict[str, Any], key: str) -> dict[str, Any]:
     value = document.get(key, {})
     if not isinstance(value, dict):
-        raise ValueError(f"{key!r} is {value!r}, not an object")
+        raise ValueError(f"{key!r} is {abbreviate(value)}, not an object")
     return value
 
 
--- a/tests/test_host_directory.py
+++ b/tests/test_host_directory.py
@@ -18,7 +18,7 @@
     StoreErrorKind,
 )
 
-from .node_cases import wait_until
+from .node_cases import ADDRESS, wait_until
 
 PAGE_ITEMS = 50
 # Hosts by data centre, as in a large deployment.
@@ -186,3 +186,24 @@
 
     asyncio.run(run())
     assert not started.store.calls["create"]
+
+
+@pytest.mark.parametrize(
+    "address", ["127.0.0.1:99999", "127.0.0.1:\u00b2", "host.invalid:1", 5, []]
+)
+def test_host_with_an_odd_peer_address_is_counted_only(address: Any) -> None:
+    """Guards against calls to an address that end the task which follows the store."""
+
+    async def check() -> None:
+        store = PagedStore()
+        entry = HostEntry("host-a-1", "a", f"{ADDRESS}:7720")
+        odd = {"data_centre": "a", "peer_address": address}
+        await store.create_object("hosts-a", "host-a-2", odd)
+        known: list[list[HostEntry]] = []
+        directory = HostDirectory(store, entry, lambda hosts, _now: known.append(hosts))
+        task = asyncio.ensure_future(directory.run())
+        await wait_until(lambda: bool(known))
+        task.cancel()
+        assert known[-1] == [HostEntry("host-a-2", "a", ""), entry]
+
+    asyncio.run(check())
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -16,6 +16,7 @@
 IN_FORCE_S = 2.0
 GOOD = {
     "service": "desk",
+    "address": f"{ADDRESS}:1",
     "zone": "huye",
     "slots": 4,
     "state": "ready",
@@ -45,13 +46,23 @@
     "infinite number": make_raw("slots", b"1e999"),
     "negative number": make_raw("slots", b"-1"),
     "start time beyond exact integers": make_raw("born", b"99999999999999999999"),
+    "endless cold time": {**GOOD, "coldRemaining": "9" * 400 + "s"},
     "not a number": make_raw("slots", b"NaN"),
     "invalid UTF-8": make_raw("zone", b'"\xff\xfe"'),
     "lone surrogate": make_raw("service", b'"\\ud800"'),
+    "port above the range": {**GOOD, "address": f"{ADDRESS}:65536"},
+    "port far above the range": {**GOOD, "address": f"{ADDRESS}:99999999999999999999"},
+    "port 0": {**GOOD, "address": f"{ADDRESS}:0"},
+    "port of other digits": {**GOOD, "address": f"{ADDRESS}:\u00b2\u00b2"},
+    "address with a path": {**GOOD, "address": f"{ADDRESS}/x?:80"},
+    "address with a user": {**GOOD, "address": f"user@{ADDRESS}:80"},
+    "name instead of an address": {**GOOD, "address": "instance.invalid:80"},
+    "address with a line break": {**GOOD, "address": "127.0.0.1\r\nX: 1:80"},
     "list": [GOOD],
     "null": RawJson(b"null"),
     "long text": "x" * 500_000,
 }
+ODD_NAMES = ["i-\r\nX-More: 1", "i-\u20ac", "i- 9", "i-" + "9" * 5000]
 
 
 async def check_others(case: NodeCase) -> None:
@@ -92,6 +103,19 @@
     run_node(check, entries={"i-odd": ODD_VALUES[odd]} if is_first else {})
 
 
+@pytest.mark.parametrize("name", ODD_NAMES)
+def test_odd_name_leaves_the_others_in_use(name: str) -> None:
+    """Guards against an entry whose name cannot be sent in a header field."""
+
+    async def check(case: NodeCase) -> None:
+        case.store.put("servers", name, GOOD)
+        await asyncio.sleep(0.1)
+        await check_others(case)
+        assert case.process.counters.get("upstreams.rejected") > 0
+
+    run_node(check)
+
+
 def test_entry_that_turns_unreadable_names_no_instance() -> None:
     """Guards against requests to an instance whose entry another writer has replaced."""
 
