Keep watching the store after a change that cannot be applied

An error that no handler expects ended the task of the watch without a log line, and its process followed no more changes of that kind. The watch now logs watch_error, counts it, and lists again after a pause.

Found while looking for entries that end this task; none is known that still does. The new test fails before the change: the task is done after the error.

--- a/amaranthbend/controllers/store_watch.py
+++ b/amaranthbend/controllers/store_watch.py
@@ -10,7 +10,7 @@
 
 from ..adapters.logs import log_event
 from ..adapters.metrics import Counters
-from ..core.watching import ObjectStore, StoreChanges, StoreError, WatchPlan
+from ..core.watching import ObjectStore, StoreChanges, StoreError, StoreErrorKind, WatchPlan
 
 __all__ = ["StoreWatch", "WatchHandler", "monitor_watches"]
 
@@ -74,7 +74,15 @@
     async def run(self) -> None:
         """List and watch until cancelled."""
         while True:
-            pause_s = await self._call()
+            try:
+                pause_s = await self._call()
+            except Exception as error:
+                # The watch would end without notice, and its process follow no more changes.
+                self._counters.incr("store.watch_errors")
+                log_event("watch_error", kind=self._kind, error=repr(error))
+                pause_s = self._plan.record_failure(
+                    StoreError(StoreErrorKind.MALFORMED, repr(error))
+                )
             if pause_s > 0:
                 await asyncio.sleep(pause_s)
 
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -82,6 +82,35 @@
         """Ignore whether the store is reachable."""
 
 
+class FailingHandler(IgnoringHandler):
+    """Raises an error for the first list, and counts the lists after it."""
+
+    def __init__(self) -> None:
+        self.lists = 0
+
+    def replace_all(self, changes: StoreChanges, now: float) -> None:
+        """Raise an error that no handler expects, once."""
+        self.lists += 1
+        if self.lists == 1:
+            raise OverflowError("value out of range")
+
+
+def test_watch_goes_on_after_an_unexpected_error() -> None:
+    """Guards against a process that follows no more changes, since one could not be applied."""
+
+    async def check() -> None:
+        handler = FailingHandler()
+        counters = Counters()
+        watch = StoreWatch(ScriptedStore(), KIND, handler, counters)
+        task = asyncio.ensure_future(watch.run())
+        await asyncio.sleep(0.5)
+        assert not task.done()
+        assert (handler.lists, counters.get("store.watch_errors")) == (2, 1)
+        task.cancel()
+
+    asyncio.run(check())
+
+
 def run_watch(store: ScriptedStore, restarts: int = 0) -> list[float]:
     """Run a watch for a moment, and return the wait in seconds that each of its calls asked for."""
 
