Start no request late in the grace period of a planned stop

Cause: half of the grace period was open to new requests, 5 s of 10 on the large fleets, and only headers were checked, not when the body is complete.

Evidence: in a process with a grace period of 8 s, GET and POST sent 3.3 s after the signal ran at an instance and got 502; so did a POST whose body was complete 3.3 s after it, with 6 s.

New requests are refused from 3 s on, as not run and with Retry-After, and the check is made again when the body is complete.

Before: 3 cases of tests/test_planned_stop.py and 2 of tests/test_shutdown.py fail.

--- a/amaranthbend/core/shutdown.py
+++ b/amaranthbend/core/shutdown.py
@@ -14,6 +14,9 @@
 # Share of the grace period in which new requests are accepted; the last ones have the other half
 # to finish.
 ACCEPT_SHARE = 0.5
+# Longest time for which new requests are accepted. The balancer sends none any more by then, and a
+# request on a persistent connection reaches another host without loss if it is refused.
+MAX_ACCEPT_S = 3.0
 # Time before the kill at which requests in flight are aborted, so that their callers get a
 # response, also from a slow machine.
 ABORT_MARGIN_S = 0.6
@@ -68,5 +71,5 @@
 def make_shutdown_plan(grace_s: float) -> ShutdownPlan:
     """Return the plan for a grace period, the seconds between the signal and the kill."""
     abort_s = max(0.0, grace_s - ABORT_MARGIN_S)
-    refuse_s = min(abort_s, grace_s * ACCEPT_SHARE)
+    refuse_s = min(abort_s, grace_s * ACCEPT_SHARE, MAX_ACCEPT_S)
     return ShutdownPlan(min(refuse_s, BALANCER_LAG_S), refuse_s, abort_s)
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -139,7 +139,7 @@
                 self.route_filter,
                 IdempotencyAndDeadlineFilter(dialect),
             ),
-            (self.dispatch,),
+            (self.shutdown_filter, self.dispatch),
             self.counters,
             MAX_BUFFERED_BODY_BYTES,
             BufferBudget(compute_buffer_bytes(settings)),
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -74,6 +74,8 @@
         # Time of a run, and how long it takes at this moment in percent of that.
         self.run_s = RUN_S
         self.percent = 100
+        # Body of its good responses, None for one that tells its name and the request's id.
+        self.body: bytes | None = None
         self.is_healthy = True
         # Whether health checks get a good head and a body without end.
         self.has_endless_health = False
@@ -215,7 +217,7 @@
     def _finish(
         self, writer: asyncio.StreamWriter, fault: str, request_id: str, fields: dict[str, str]
     ) -> bool:
-        body = f"{self.name} {request_id}".encode()
+        body = f"{self.name} {request_id}".encode() if self.body is None else self.body
         if fault == "late":
             other = {**fields, **self._sign("other"), "X-Amaranthbend-Attempt-Id": "other"}
             self._answer(writer, 200, b"other", other)
--- a/tests/node_cases.py
+++ b/tests/node_cases.py
@@ -90,7 +90,7 @@
 
 @contextlib.asynccontextmanager
 async def start_node(
-    instances: int, configured: bool, entries: dict[str, Any]
+    instances: int, configured: bool, entries: dict[str, Any], grace_s: float
 ) -> AsyncIterator[NodeCase]:
     """Run a node, a store with further entries, and instances."""
     store = StoreState()
@@ -98,7 +98,7 @@
     store_port = pick_endpoint(ADDRESS).port
     store_server.listen(store_port, ADDRESS)
     group = [Instance(f"i-{n}", DESK, "huye") for n in range(instances)]
-    process = NodeProcess(make_settings(store_port))
+    process = NodeProcess(make_settings(store_port)._replace(grace_s=grace_s))
     case = NodeCase(process, store, group)
     for instance in group:
         await instance.start(ADDRESS, pick_endpoint(ADDRESS).port)
@@ -135,11 +135,26 @@
     instances: int = 3,
     configured: bool = True,
     entries: dict[str, Any] | None = None,
+    grace_s: float = 6.0,
 ) -> None:
-    """Run a check against a node; the store has further entries of instances from the start."""
+    """Run a check against a node.
+
+    Parameters
+    ----------
+    check : callable
+        Checks a running node.
+    instances : int
+        Instances that are registered from the start.
+    configured : bool
+        Whether the store has a configuration from the start.
+    entries : dict or None
+        Further entries of instances that the store has from the start, by name.
+    grace_s : float
+        Seconds between the signal to stop and the kill.
+    """
 
     async def run() -> None:
-        async with start_node(instances, configured, entries or {}) as case:
+        async with start_node(instances, configured, entries or {}, grace_s) as case:
             await check(case)
 
     asyncio.run(run())
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,74 @@
+"""A planned stop of a node process: what callers get whose requests it has read."""
+
+import asyncio
+
+import pytest
+
+from standins.node_caller import exchange, make_call, make_configuration
+
+from .node_cases import NodeCase, run_node, wait_until
+
+# Requests that are sent later than this after the signal must not be cut off at the end of the
+# grace period, whatever their instance does.
+LAST_START_S = 3.0
+LONG_GRACE_S = 8.0
+DEADLINE_MS = 12_000
+
+
+async def configure(case: NodeCase) -> None:
+    """Let requests take longer than any grace period."""
+    case.store.put("config", "main", make_configuration(2, timeout="12s"))
+    await wait_until(lambda: case.process.configuration.version == 2)
+
+
+@pytest.mark.parametrize(("path", "method"), [("/safe/hang", "GET"), ("/unsafe/hang", "POST")])
+def test_request_late_in_a_long_grace_period_is_not_started(path: str, method: str) -> None:
+    """Guards against requests that are passed on and cut off when the process is killed.
+
+    Half of the grace period was open to new requests, also where that is more than their last
+    start, and an instance may be at work on them until its end.
+    """
+
+    async def check(case: NodeCase) -> None:
+        await configure(case)
+        reader, writer = await case.connect()
+        assert (await exchange(reader, writer, "/safe/x", request_id="r0")).status == 200
+        stop = asyncio.ensure_future(case.process.shut_down())
+        # Keeps the process from leaving early.
+        held = asyncio.ensure_future(case.call("/unsafe/hang", "POST", "held", DEADLINE_MS))
+        await asyncio.sleep(LAST_START_S + 0.3)
+        answer = await exchange(reader, writer, path, method, "late", DEADLINE_MS)
+        assert (answer.status, case.count_executions("late")) == (503, 0)
+        assert float(answer.fields["retry-after"]) >= 0.0
+        assert not stop.done()
+        writer.close()
+        for instance in case.instances:
+            await instance.stop()
+        await asyncio.gather(stop, held)
+
+    run_node(check, grace_s=LONG_GRACE_S)
+
+
+def test_body_that_is_complete_late_is_not_started() -> None:
+    """Guards against an upload that is passed on just before the process is killed.
+
+    Its head came in time, its body when new requests were refused already.
+    """
+
+    async def check(case: NodeCase) -> None:
+        await configure(case)
+        reader, writer = await case.connect()
+        head, separator, body = make_call("/unsafe/hang", "POST", "u1", DEADLINE_MS).partition(
+            b"\r\n\r\n"
+        )
+        writer.write(head + separator)
+        await asyncio.sleep(0.1)
+        stop = asyncio.ensure_future(case.process.shut_down())
+        await asyncio.sleep(LAST_START_S + 0.3)
+        writer.write(body)
+        status = int((await reader.readuntil(b"\r\n")).split()[1])
+        assert (status, case.count_executions("u1")) == (503, 0)
+        writer.close()
+        await stop
+
+    run_node(check)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -27,6 +27,12 @@
     assert plan.find_step(5.9) is ShutdownStep.ABORT
 
 
+@pytest.mark.parametrize("grace_s", [6.0, 10.0, 60.0])
+def test_long_grace_period_is_not_open_for_longer(grace_s: float) -> None:
+    """Guards against requests that come late in the grace period and are cut off at its end."""
+    assert make_shutdown_plan(grace_s).find_step(3.1) is ShutdownStep.REFUSE
+
+
 @pytest.mark.parametrize("grace_s", [0.0, 0.2, 1.0, 6.0, 60.0])
 def test_ends_within_the_grace_period(grace_s: float) -> None:
     """Guards against a process that is killed with requests in flight."""
