End every request with an answer before a stopping process exits

Callers: at the end of the grace period of a planned stop, safe requests that were still in progress got a closed connection in place of an answer.

Cause: their attempts were aborted as failed, and a failed attempt of an idempotent request is retried. The process exited 0.2 s later, with the new attempt in flight. Requests without an attempt, for instance while upstreams are probed, were not ended at all.

Evidence: eight GET requests at an instance that does not answer, grace period 3 s: none got an answer; eight POST requests got 502.

The dispatcher now ends all its requests by itself: those with attempts as unknown, the others as not run, none with a retry.

Before: test_request_at_the_end_of_the_grace_period_is_answered fails for GET. After: it passes; the state machine of the dispatcher has the stop as a rule.

--- a/amaranthbend/core/dispatching.py
+++ b/amaranthbend/core/dispatching.py
@@ -156,6 +156,19 @@
         actions.append(self._requests.end(record, OutcomeReason.CALLER_GONE))
         return actions + self._end_expired(now)
 
+    def end_all(self) -> list[Action]:
+        """End all requests, because the process is about to be killed.
+
+        None is retried: a further attempt would not end in time, and its caller get no answer.
+        """
+        actions: list[Action] = []
+        for record in self._requests.list_pending():
+            self._queues.get(record.info.work_class).remove(record.info.request_id)
+            if record.running:
+                record.may_have_run = True
+            actions += self._requests.fail(record, OutcomeReason.SHUTTING_DOWN)
+        return actions
+
     def tick(self, now: float) -> list[Action]:
         """Handle the timers that are due."""
         self._reclassify_overdue(now)
--- a/amaranthbend/core/probing_dispatcher.py
+++ b/amaranthbend/core/probing_dispatcher.py
@@ -153,6 +153,12 @@
         self._rounds.cancel(request_id)
         return super().abandon(request_id, now)
 
+    def end_all(self) -> list[Action]:
+        """End all requests, because the process is about to be killed."""
+        for record in self._requests.list_pending():
+            self._rounds.cancel(record.info.request_id)
+        return super().end_all()
+
     def set_members(self, members: Iterable[Member], now: float) -> list[Action]:
         """Replace the members of the service."""
         actions = super().set_members(members, now)
--- a/amaranthbend/core/request_table.py
+++ b/amaranthbend/core/request_table.py
@@ -50,6 +50,10 @@
         """Return the state of a request, or None if it has ended."""
         return self._records.get(request_id)
 
+    def list_pending(self) -> list[RequestState]:
+        """Return the states of all requests that have not ended."""
+        return list(self._records.values())
+
     def require(self, request_id: int) -> RequestState:
         """Return the state of a request that must be pending."""
         return self._records[request_id]
--- a/amaranthbend/filters/dispatch.py
+++ b/amaranthbend/filters/dispatch.py
@@ -177,7 +177,7 @@
             service.abort_stalled_streams(now)
 
     def abort_all(self) -> None:
-        """Abort all attempts in flight, because the process is about to be killed."""
+        """End all requests, because the process is about to be killed."""
         for service in self.services.values():
             service.abort_all()
 
--- a/amaranthbend/filters/services.py
+++ b/amaranthbend/filters/services.py
@@ -374,10 +374,8 @@
         self.apply(self.dispatcher.tick(time.monotonic()))
 
     def abort_all(self) -> None:
-        """Abort all attempts in flight."""
-        for active in list(self.active_requests.values()):
-            for attempt in list(active.attempts.values()):
-                attempt.fail(OutcomeReason.SHUTTING_DOWN)
+        """End all requests, because the process is about to be killed."""
+        self.apply(self.dispatcher.end_all())
 
     def abort_stalled_streams(self, now: float) -> None:
         """Abort streams that made no progress within the stall timeout."""
--- a/tests/test_dispatching_states.py
+++ b/tests/test_dispatching_states.py
@@ -152,6 +152,15 @@
         self.check(self.dispatcher.abandon(request_id, self.now))
         assert request_id in self.ended
 
+    @rule()
+    def end_all(self) -> None:
+        """Stop the process: each request ends, in flight or queued, without another attempt."""
+        self.may_have_run |= {key[0] for key in self.running}
+        actions = self.dispatcher.end_all()
+        assert not any(isinstance(action, Send) for action in actions)
+        self.check(actions)
+        assert self.ended == set(self.requests)
+
     @rule(
         name=st.sampled_from(UPSTREAMS),
         in_flight=st.integers(0, 3),
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -6,6 +6,7 @@
     Cancel,
     Complete,
     Probe,
+    Refuse,
     Send,
 )
 from amaranthbend.core.hedging import HedgeTimers
@@ -190,6 +191,17 @@
     assert any(isinstance(action, Probe) for action in actions) is idempotent
 
 
+def test_request_that_is_being_probed_for_ends_with_the_process() -> None:
+    """Guards against a caller without an answer, whose request has no attempt in flight."""
+    dispatcher = make_dispatcher()
+    probes = list_probes(dispatcher.submit(make_request(), 0.0))
+    (refusal,) = dispatcher.end_all()
+    assert isinstance(refusal, Refuse)
+    assert refusal.reason is OutcomeReason.SHUTTING_DOWN
+    for upstream in probes:
+        assert dispatcher.report(upstream, make_report(), 0.01) == []
+
+
 @pytest.mark.parametrize("has_vanished", [False, True])
 def test_request_with_a_streamed_body_is_not_hedged(has_vanished: bool) -> None:
     """Guards against a hedge that sends what the first attempt has left of the body.
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -72,3 +72,26 @@
         await stop
 
     run_node(check)
+
+
+@pytest.mark.parametrize(("path", "method"), [("/safe/hang", "GET"), ("/unsafe/hang", "POST")])
+def test_request_at_the_end_of_the_grace_period_is_answered(path: str, method: str) -> None:
+    """Guards against a closed connection in place of an answer, after a retry at the last moment.
+
+    A safe request whose attempt is aborted must not get another one that cannot end either.
+    """
+
+    async def check(case: NodeCase) -> None:
+        await configure(case)
+        calls = [
+            asyncio.ensure_future(case.call(path, method, f"r{number}", DEADLINE_MS))
+            for number in range(8)
+        ]
+        await asyncio.sleep(0.5)
+        started = sum(len(entry.ran) for entry in case.instances)
+        await case.process.shut_down()
+        statuses = {answer.status for answer in await asyncio.gather(*calls)}
+        assert statuses == {502}
+        assert sum(len(entry.ran) for entry in case.instances) == started
+
+    run_node(check, grace_s=3.0)
