Let a stopping process wait for slow readers

Cause: a request counts as ended when its last bytes are handed to the stream. The process exited with what the callers had not read yet in its memory.

Evidence: the record of the case; in a process with a response of 540,000 bytes and small segments, shutdown ends after 2.32 s with the reader idle.

The count of requests in progress now includes streams that still write, so the process waits for them until the end of its grace period.

Before: the new test fails for the reader that resumes.

--- a/amaranthbend/adapters/caller_server.py
+++ b/amaranthbend/adapters/caller_server.py
@@ -188,8 +188,12 @@
         return len(self._streams)
 
     def count_requests(self) -> int:
-        """Return the number of requests in progress, those whose bodies are still read included."""
-        return sum(_is_in_progress(stream.request) for stream in self._streams)
+        """Return the number of requests in progress.
+
+        They include those whose bodies are still read, and those whose response is not written
+        completely: the caller of a large one may be slow to read it.
+        """
+        return sum(_is_in_progress(stream.request) or stream.writing() for stream in self._streams)
 
     def refuse_incomplete(self, response: LocalResponse) -> None:
         """Refuse the requests whose bodies are still read, which have not been passed on."""
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,10 +1,13 @@
 """A planned stop of a node process: what callers get whose requests it has read."""
 
 import asyncio
+import socket
 
 import pytest
 
-from standins.node_caller import exchange, make_call, make_configuration
+from amaranthbend.adapters.addresses import split_address
+from amaranthbend.core.shutdown import BALANCER_LAG_S
+from standins.node_caller import Answer, exchange, make_call, make_configuration
 
 from .node_cases import NodeCase, run_node, wait_until
 
@@ -95,3 +98,52 @@
         assert sum(len(entry.ran) for entry in case.instances) == started
 
     run_node(check, grace_s=3.0)
+
+
+async def download_slowly(case: NodeCase, duration_s: float) -> Answer:
+    """Fetch a response over a slow line: nothing is read for some seconds, then all of it."""
+    connection = socket.socket()
+    # With the large segments of loopback the kernel would take the whole response at once.
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1400)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+    connection.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(connection, split_address(case.process.settings.caller_address))
+    await loop.sock_sendall(connection, make_call("/safe/x", "GET", "d1", DEADLINE_MS))
+    await asyncio.sleep(duration_s)
+    reader, writer = await asyncio.open_connection(sock=connection)
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+    body = await reader.read()
+    writer.close()
+    return Answer(int(head.split(" ")[1]), {}, body)
+
+
+@pytest.mark.parametrize("reads_after_s", [BALANCER_LAG_S + 1.0, None])
+def test_stop_waits_for_slow_readers_within_the_grace_period(reads_after_s: float | None) -> None:
+    """Guards against downloads of slow readers that a planned stop cuts off.
+
+    Their instance has answered, and the process holds what is left of the response in memory. A
+    reader that takes nothing must not keep the process beyond its grace period either.
+    """
+    body = b"r" * 540_000
+
+    async def check(case: NodeCase) -> None:
+        for instance in case.instances:
+            instance.body = body
+        pause_s = LONG_GRACE_S if reads_after_s is None else reads_after_s
+        download = asyncio.ensure_future(download_slowly(case, pause_s))
+        await asyncio.sleep(0.3)
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        await case.process.shut_down()
+        elapsed_s = loop.time() - started_at
+        assert elapsed_s < case.process.settings.grace_s
+        if reads_after_s is None:
+            download.cancel()
+            await asyncio.wait({download})
+            return
+        assert elapsed_s >= reads_after_s - 0.3
+        answer = await download
+        assert (answer.status, len(answer.body)) == (200, len(body))
+
+    run_node(check)
