Leave a streamed response to the attempt that began it

Cause: the dispatcher did not know that a response had begun to reach the caller. A hedge that ended later completed the request although nothing of it had been forwarded; so did a kept error response when a stream broke off.

The attempt that begins to forward tells the dispatcher, which cancels the others, sends no further hedge and forgets an earlier error response.

--- a/amaranthbend/core/attempts.py
+++ b/amaranthbend/core/attempts.py
@@ -24,6 +24,7 @@
         "attempts",
         "load_summary",
         "fallback_attempt",
+        "has_response_started",
         "info",
         "may_have_run",
         "retry_reason",
@@ -49,6 +50,8 @@
         # Attempt with a complete error response, which the caller gets if no other attempt
         # succeeds; 0 without one.
         self.fallback_attempt = 0
+        # Whether the caller has got the beginning of a response, which only its attempt may end.
+        self.has_response_started = False
         self.may_have_run = False
         self.retry_reason: RetryReason | None = None
         self.tried_upstreams: frozenset[str] = frozenset()
--- a/amaranthbend/core/dispatching.py
+++ b/amaranthbend/core/dispatching.py
@@ -6,6 +6,7 @@
     Action,
     AttemptResult,
     AttemptStatus,
+    Cancel,
     LoadReport,
     Member,
     Probe,
@@ -114,6 +115,19 @@
             actions += self._end_queued_without_upstream()
         return actions + self._dispatch_ready(now)
 
+    def record_response_start(self, request_id: int, attempt: int) -> list[Action]:
+        """Record that the caller gets the beginning of a response, and cancel other attempts.
+
+        What the caller has got can be continued by that attempt only, so neither another attempt
+        nor an earlier error response may end the request.
+        """
+        record = self._requests.get(request_id)
+        if record is None:
+            return []
+        record.has_response_started = True
+        record.fallback_attempt = 0
+        return [Cancel(request_id, number) for number in sorted(record.running - {attempt})]
+
     def report(self, upstream: str, report: LoadReport, now: float) -> list[Action]:
         """Record a load report that came with a response or in answer to a probe."""
         before = self._membership.members.get(upstream)
--- a/amaranthbend/core/probing_dispatcher.py
+++ b/amaranthbend/core/probing_dispatcher.py
@@ -380,6 +380,8 @@
 
     def _may_hedge(self, record: RequestState) -> bool:
         """Return whether a request has one attempt in flight and may have another."""
+        if record.has_response_started:
+            return False
         max_attempts = count_attempts_allowed(record.info, self._policy.retries)
         return len(record.running) == 1 and record.attempts < max_attempts
 
--- a/amaranthbend/filters/attempts.py
+++ b/amaranthbend/filters/attempts.py
@@ -52,6 +52,9 @@
     def should_forward_response(self, attempt: "Attempt") -> bool:
         """Return whether this attempt's response is forwarded to the caller."""
 
+    def record_response_start(self, attempt: "Attempt") -> None:
+        """Record that the caller gets the beginning of this attempt's response."""
+
     def finish_attempt(self, attempt: "Attempt", result: AttemptResult) -> None:
         """Handle the result of the attempt."""
 
@@ -145,6 +148,8 @@
             self._buffer(data)
         elif self._is_forwarding:
             self.request.append(data)
+        if self.has_ended:
+            return False
         if end is not None:
             self._finish(self._make_result(end))
             return True
@@ -184,16 +189,20 @@
         The deadline of the request no longer applies: it limits the wait for the response, and a
         large response may take longer on a slow link.
         """
+        if not self._owner.should_forward_response(self):
+            # The caller gets the response of another attempt.
+            self.cancel()
+            return
+        self._owner.record_response_start(self)
         self.stop_timer()
         remaining_s = self.request.response_deadline - time.monotonic()
         if remaining_s < math.inf:
             self.timer = asyncio.get_running_loop().call_later(
                 remaining_s, self.fail, OutcomeReason.TIMEOUT
             )
-        if self._owner.should_forward_response(self):
-            self._is_forwarding = True
-            self.request.on_writable = self._resume
-            self.request.start_response(head)
+        self._is_forwarding = True
+        self.request.on_writable = self._resume
+        self.request.start_response(head)
 
     def _buffer(self, data: bytes) -> None:
         """Buffer a part of the body; start to forward the response if the buffer is full."""
--- a/amaranthbend/filters/services.py
+++ b/amaranthbend/filters/services.py
@@ -341,6 +341,11 @@
             and not attempt.request.has_response_started
         )
 
+    def record_response_start(self, attempt: Attempt) -> None:
+        """Record that the caller gets the beginning of this attempt's response."""
+        request_id = attempt.request.request_id
+        self.apply(self.dispatcher.record_response_start(request_id, attempt.number))
+
     def finish_attempt(self, attempt: Attempt, result: AttemptResult) -> None:
         """Pass the result of an attempt to the dispatcher."""
         request_id = attempt.request.request_id
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -10,6 +10,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from typing import Any
 
 from .node_caller import read_chunks
@@ -22,6 +24,7 @@
 COPIED_ID = {"X-Amaranthbend-Attempt-Id": "copy"}
 HANG_S = 30.0
 FILLER = b"x" * 16 * 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Framing of the responses without end, and the piece that is repeated.
 ENDLESS_PARTS = {
     "endless_chunks": (b"Transfer-Encoding: chunked\r\n\r\n", b"4000\r\n" + FILLER + b"\r\n"),
@@ -76,6 +79,12 @@
         self.percent = 100
         # Body of its good responses, None for one that tells its name and the request's id.
         self.body: bytes | None = None
+        # Time in which it sends them, 0 for all at once, and whether in chunks or until it closes.
+        self.send_s = 0.0
+        self.sends_chunks = True
+        # Such responses that break off in the middle, still to come; and those sent whole.
+        self.broken_responses = 0
+        self.whole_responses = 0
         self.is_healthy = True
         # Whether health checks get a good head and a body without end.
         self.has_endless_health = False
@@ -179,8 +188,34 @@
         fields = {**echo, **self._sign(request_id), **self._describe_self()}
         if fault in ENDLESS_PARTS or fault in ENDLESS_BYTES:
             await self._send_endless(writer, fault, fields)
+        if self.send_s and self.body is not None:
+            return await self._send_slowly(writer, self.body, fields)
         return self._finish(writer, fault, request_id, fields)
 
+    async def _send_slowly(
+        self, writer: asyncio.StreamWriter, body: bytes, fields: dict[str, str]
+    ) -> bool:
+        """Send a good response in `send_s` seconds; return whether the connection is kept."""
+        framing = "Transfer-Encoding: chunked" if self.sends_chunks else "Connection: close"
+        lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        writer.write(f"HTTP/1.1 200 OK\r\n{lines}{framing}\r\n\r\n".encode("latin1"))
+        for start in range(0, len(body), len(FILLER)):
+            if self.broken_responses and start > len(body) // 2:
+                self.broken_responses -= 1
+                # A response without a length would look complete at an orderly end.
+                connection = writer.get_extra_info("socket")
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                writer.transport.abort()
+                return False
+            piece = body[start : start + len(FILLER)]
+            writer.write(b"%x\r\n%b\r\n" % (len(piece), piece) if self.sends_chunks else piece)
+            await writer.drain()
+            await asyncio.sleep(self.send_s * len(piece) / len(body))
+        if self.sends_chunks:
+            writer.write(b"0\r\n\r\n")
+        self.whole_responses += 1
+        return self.sends_chunks
+
     async def _send_endless(
         self, writer: asyncio.StreamWriter, fault: str, fields: dict[str, str]
     ) -> None:
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -3,6 +3,8 @@
 import pytest
 
 from amaranthbend.core.actions import (
+    AttemptResult,
+    AttemptStatus,
     Cancel,
     Complete,
     Probe,
@@ -217,6 +219,39 @@
     assert not advance_hedges(dispatcher, 0.01, 1.9)
 
 
+def test_streamed_response_is_left_to_its_attempt() -> None:
+    """Guards against another attempt that ends a response in the middle, as if it were whole."""
+    dispatcher = make_dispatcher()
+    first = submit_and_answer(dispatcher, make_request())
+    due = RequestProbePolicy().hedge_delay_share * GOAL_S
+    hedge = get_send(answer_probes(dispatcher, dispatcher.tick(due), due))
+    assert dispatcher.record_response_start(1, hedge.attempt) == [Cancel(1, first.attempt)]
+    cancelled = AttemptResult(AttemptStatus.CANCELLED)
+    assert dispatcher.finish(1, first.attempt, cancelled, 0.3) == []
+    actions = dispatcher.finish(1, hedge.attempt, ANSWERED, 0.4)
+    assert actions == [Complete(1, Outcome.ANSWERED, attempt=hedge.attempt)]
+
+
+def test_streamed_response_is_not_hedged() -> None:
+    """Guards against work at an upstream whose response cannot be used any more."""
+    dispatcher = make_dispatcher()
+    first = submit_and_answer(dispatcher, make_request())
+    assert dispatcher.record_response_start(1, first.attempt) == []
+    assert not advance_hedges(dispatcher, 0.01, 1.9)
+
+
+def test_broken_stream_does_not_end_with_an_earlier_response() -> None:
+    """Guards against the error response of a first attempt in the middle of a streamed one."""
+    dispatcher = make_dispatcher()
+    first = submit_and_answer(dispatcher, make_request())
+    retry = dispatcher.finish(1, first.attempt, SERVER_ERROR, 0.01)
+    second = get_send(answer_probes(dispatcher, retry, 0.01))
+    assert dispatcher.record_response_start(1, second.attempt) == []
+    broken = FAILED._replace(response_started=True)
+    actions = dispatcher.finish(1, second.attempt, broken, 0.1)
+    assert actions == [Complete(1, Outcome.UNKNOWN, OutcomeReason.UPSTREAM_FAILED)]
+
+
 def test_store_changes_start_no_further_hedges() -> None:
     """Guards against probe rounds of a waiting request that multiply with each store change.
 
