Decide on checks of watches in the core

Which check is made, and when, moves from RelayedStore to core/watch_checks.py as functions of what is known of each kind and the present time. No change of behaviour; the tests are the same but for an import.

--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -15,6 +15,7 @@
 from ..adapters.metrics import Counters
 from ..core.change_relay import ChangeLog, HostEntry, PeerChanges, PeerSelector
 from ..core.pauses import PauseTracker
+from ..core.watch_checks import CHECK_AGE_S, WatchCheck, choose_check, compute_check_delay
 from ..core.watching import ObjectStore, StoreChanges, StoreError, StoreErrorKind
 
 __all__ = ["FIRST_START_LIST_WAITS", "RESTART_LIST_WAITS", "FirstListWaits", "RelayedStore"]
@@ -26,12 +27,6 @@
 # a price. Hosts that read changes from a peer get them without this delay, so that it and one more
 # call have to fit into the 2 s in which changes must be in force.
 STORE_BATCH_DELAY_S = 0.9
-# Age of the last confirmation at which the store is asked whether a watch has missed changes. The
-# 2 s in which changes must be in force leave the rest for the check, one more call to the store and
-# the relay to the followers.
-CHECK_AGE_S = 1.2
-# Kinds whose last confirmation has at least this share of that age are checked together.
-SHARED_CHECK_AGE_SHARE = 0.5
 # Timers may fire early by up to this time.
 TIMER_MARGIN_S = 0.002
 MS_PER_S = 1000
@@ -324,7 +319,7 @@
         now = self._clock()
         if not self._reads_store(kind, now):
             return CHECK_AGE_S
-        return max(0.0, self._change_logs[kind].confirmed_at + CHECK_AGE_S - now)
+        return compute_check_delay(self._change_logs[kind], now)
 
     def _reads_store(self, kind: str, now: float) -> bool:
         """Return whether changes are read from the store itself, as far as is known."""
@@ -337,22 +332,15 @@
 
         None while changes are read from a peer, before it is known whether there is one, and while
         an earlier answer of the store is recent.
-
-        Load pattern: each call has a price, and most of the time nothing changes. So one call that
-        reads the store's revision checks all kinds that are due, and only a kind whose known
-        changes do not reach that revision is checked by itself.
         """
         asked_at = self._clock()
         self._pauses.record_activity(asked_at)
         unchanged = StoreChanges([], revision)
-        if self.get_check_delay(kind) > 0.0 or not self._reads_store(kind, asked_at):
-            return Ok(unchanged)
         change_log = self._change_logs[kind]
-        is_shared = any(
-            other is not change_log and self._is_check_shared(other, asked_at)
-            for other in self._change_logs.values()
-        )
-        if is_shared:
+        check = choose_check(kind, self._change_logs, asked_at)
+        if check is WatchCheck.NONE or not self._reads_store(kind, asked_at):
+            return Ok(unchanged)
+        if check is WatchCheck.REVISION:
             self._counters.incr("store.revision_checks")
             read = await self._store.read_revision(kind)
             if isinstance(read, Err):
@@ -368,11 +356,6 @@
             change_log.record_changes(answer.ok_value, asked_at)
         return answer
 
-    def _is_check_shared(self, change_log: ChangeLog, now: float) -> bool:
-        """Return whether a kind that has been confirmed before is due for a check as well."""
-        share_at = change_log.confirmed_at + SHARED_CHECK_AGE_SHARE * CHECK_AGE_S
-        return not change_log.is_unconfirmed and now >= share_at
-
     async def wait_for_changes(
         self, kind: str, after: int, awaits_store: bool = False
     ) -> Result[PeerChanges, StoreError]:
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -15,11 +15,7 @@
 )
 from amaranthbend.adapters.clock import read_clock
 from amaranthbend.adapters.metrics import Counters
-from amaranthbend.controllers.relayed_store import (
-    CHECK_AGE_S,
-    STORE_BATCH_DELAY_S,
-    RelayedStore,
-)
+from amaranthbend.controllers.relayed_store import STORE_BATCH_DELAY_S, RelayedStore
 from amaranthbend.core.change_relay import (
     FAILED_PEER_SKIP_S,
     HostEntry,
@@ -27,6 +23,7 @@
     PeerSelector,
 )
 from amaranthbend.core.pauses import MAX_ACTIVITY_GAP_S, PauseTracker
+from amaranthbend.core.watch_checks import CHECK_AGE_S
 from amaranthbend.core.watching import (
     ObjectEvent,
     StoreChanges,
--- a/tests/test_silent_watches.py
+++ b/tests/test_silent_watches.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from amaranthbend.controllers.relayed_store import CHECK_AGE_S
 from amaranthbend.core.change_relay import READERS_PER_DATA_CENTRE
+from amaranthbend.core.watch_checks import CHECK_AGE_S
 from standins.node_caller import make_configuration
 
 from .node_cases import NodeCase, run_node, wait_until
