Soak beside an unreadable entry and replicas that lag

Each run has both from its start, so the faults of each seed stay as they were.

The heads have a table of their own now.

--- a/soak/site.py
+++ b/soak/site.py
@@ -11,7 +11,7 @@
 from standins.node_caller import DESK, make_configuration
 from standins.node_program import NodeProgram
 from standins.processes import pick_endpoint, pick_network
-from standins.store import StoreState, make_store_app
+from standins.store import RawJson, StoreState, make_store_app
 
 from .plan import Fault, FaultKind
 from .proxy import LinkState, Proxy
@@ -24,6 +24,9 @@
 # Time for which a leaving instance still serves, as on the platform.
 DRAIN_S = 2.0
 SLOW_STORE_S = 0.25
+# In each run: an entry of another writer, and replicas that lag behind.
+UNREADABLE_ENTRY = RawJson(b'{"slots":' + b"[" * 2000 + b"]" * 2000 + b"}")
+REPLICA_LAG_S = 3.0
 CLOSE_S = 0.1
 # Long enough that a fault meets several requests while they run.
 RUN_S = 0.06
@@ -81,6 +84,8 @@
             self.links.append(link)
         for number in range(INSTANCES):
             self.register(number)
+        self.store.put(SERVERS_KIND, "i-other-writer", UNREADABLE_ENTRY)
+        self.store.faults.replica_lag_s = REPLICA_LAG_S
         self.store.put("config", "main", make_configuration())
         for node in self.nodes:
             node.names["store"] = str(store)
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -5,7 +5,8 @@
 - `cut`: the response breaks off; `extra`: another response follows it; `late`: the response of
   another request comes first; `unsigned`, `encoded`, `error`, `shed`, `plain503`, `hang`;
 - `slow`: the run takes a second;
-- a name in `ENDLESS_PARTS`: a signed response whose named part continues until the caller closes;
+- a name in `ENDLESS_PARTS` or `ENDLESS_HEADS`: a signed response whose named part continues until
+  the caller closes;
 - a name in `ENDLESS_BYTES`: bytes that are no response, until the caller closes.
 """
 
@@ -16,7 +17,7 @@
 
 from .node_caller import read_chunks
 
-__all__ = ["ENDLESS_BYTES", "ENDLESS_PARTS", "Instance"]
+__all__ = ["ENDLESS_BYTES", "ENDLESS_HEADS", "ENDLESS_PARTS", "Instance"]
 
 REASONS = {200: "OK", 421: "Misdirected Request", 500: "Error", 503: "Unavailable"}
 RUN_S = 0.01
@@ -31,6 +32,9 @@
     "endless_body": (b"Connection: close\r\n\r\n", FILLER),
     "endless_trailers": (b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"X-More: 1\r\n"),
     "endless_extension": (b"Transfer-Encoding: chunked\r\n\r\n4;x=", FILLER),
+}
+# The same for heads without end. Kept apart, since the seeds of the soak choose among the parts.
+ENDLESS_HEADS = {
     "endless_fields": (b"", b"X-More: 1\r\n" * 1000),
     "endless_field": (b"X-More: ", FILLER),
 }
@@ -186,7 +190,7 @@
             self.cancelled.append(request_id)
             return False
         fields = {**echo, **self._sign(request_id), **self._describe_self()}
-        if fault in ENDLESS_PARTS or fault in ENDLESS_BYTES:
+        if fault in ENDLESS_PARTS | ENDLESS_HEADS | ENDLESS_BYTES:
             await self._send_endless(writer, fault, fields)
         if self.send_s and self.body is not None:
             return await self._send_slowly(writer, self.body, fields)
@@ -223,7 +227,7 @@
         if fault in ENDLESS_BYTES:
             start, piece = ENDLESS_BYTES[fault]
         else:
-            framing, piece = ENDLESS_PARTS[fault]
+            framing, piece = (ENDLESS_PARTS | ENDLESS_HEADS)[fault]
             lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
             start = b"HTTP/1.1 200 OK\r\n" + lines.encode("latin1") + framing
         writer.write(start)
--- a/tests/test_endless_memory.py
+++ b/tests/test_endless_memory.py
@@ -9,7 +9,7 @@
 import pytest
 
 from amaranthbend.core.probing import PROBE_TIMEOUT_S
-from standins.instance import ENDLESS_BYTES, ENDLESS_PARTS, Instance
+from standins.instance import ENDLESS_BYTES, ENDLESS_HEADS, ENDLESS_PARTS, Instance
 from standins.node_caller import exchange, make_call
 from standins.node_program import NodeProgram
 
@@ -48,7 +48,7 @@
     return peak
 
 
-@pytest.mark.parametrize("fault", sorted({**ENDLESS_PARTS, **ENDLESS_BYTES}))
+@pytest.mark.parametrize("fault", sorted(ENDLESS_PARTS | ENDLESS_HEADS | ENDLESS_BYTES))
 def test_bytes_without_end_leave_memory_and_service(tmp_path: Path, fault: str) -> None:
     """Guards against a faulty instance that ends the requests of all callers of a machine.
 
