--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -36,6 +36,7 @@
 # Timers may fire early by up to this time.
 TIMER_MARGIN_S = 0.002
 MS_PER_S = 1000
+# Time in which changes must take effect, unless the settings say otherwise.
 DEFAULT_APPLY_S = 2.0
 # Source of a list in logs that does not come from a peer.
 STORE_SOURCE = "store"
--- a/amaranthbend/filters/services.py
+++ b/amaranthbend/filters/services.py
@@ -118,9 +118,8 @@
         if head is not None:
             self._report = self._dialect.parse_probe_response(head, self._member)
         self._body_bytes += len(data)
-        if self._body_bytes > MAX_PROBE_BODY_BYTES:
-            if self.call is not None:
-                self.call.abort()
+        if self._body_bytes > MAX_PROBE_BODY_BYTES and self.call is not None:
+            self.call.abort()
             self._service.finish_probe(self._member.upstream, None)
             return False
         if end is not None:
--- a/amaranthbend/platform/store_pages.py
+++ b/amaranthbend/platform/store_pages.py
@@ -22,8 +22,8 @@
 
     Raises
     ------
-    ValueError
-        If the response itself is no JSON object.
+    KeyError, TypeError or ValueError
+        If the response itself is no JSON object, or lacks the store's own data of an object.
     """
     try:
         page = json.loads(body)
@@ -40,8 +40,8 @@
 
     Raises
     ------
-    ValueError
-        If the store's own data of an object are missing or invalid.
+    KeyError, TypeError or ValueError
+        If the store's own data of an object are missing, of another type or out of range.
     """
     return [_decode_object(item) for item in items]
 
@@ -51,8 +51,8 @@
 
     Raises
     ------
-    ValueError
-        If the store's own data of an event are missing or invalid.
+    KeyError, TypeError or ValueError
+        If the store's own data of an event are missing, of another type or out of range.
     """
     return [
         ObjectEvent(_decode_object(event["object"]), event["deleted"] is True) for event in events
@@ -98,7 +98,7 @@
 
     Raises
     ------
-    ValueError
+    KeyError or ValueError
         If anything else than the value of an object cannot be read.
     """
     page: dict[str, Any] = {}
