--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -5,7 +5,7 @@
 import math
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple, Protocol
+from typing import Any, Protocol
 
 from result import Err, Ok, Result
 
@@ -23,12 +23,16 @@
 from ..core.pauses import PauseTracker
 from ..core.watch_checks import WatchCheck, choose_check, compute_check_age, compute_check_delay
 from ..core.watching import ObjectStore, StoreChanges, StoreError, StoreErrorKind
+from .first_lists import (
+    MAX_HOSTS_WAIT_S,
+    RESTART_LIST_WAITS,
+    STORE_SOURCE,
+    FetchedList,
+    FirstListWaits,
+)
 
-__all__ = ["FIRST_START_LIST_WAITS", "RESTART_LIST_WAITS", "FirstListWaits", "RelayedStore"]
+__all__ = ["RelayedStore"]
 
-# Longest wait for the list of hosts before the first watch. It covers the time until hosts that
-# start together have registered, and the call for the list.
-MAX_HOSTS_WAIT_S = 2.5
 # Time from changes to the next watch of the store, in which further changes add up: each call has
 # a price. Hosts that read changes from a peer get them without this delay, so that it and one more
 # call have to fit into the 2 s in which changes must be in force.
@@ -38,8 +42,6 @@
 MS_PER_S = 1000
 # Time in which changes must take effect, unless the settings say otherwise.
 DEFAULT_APPLY_S = 2.0
-# Source of a list in logs that does not come from a peer.
-STORE_SOURCE = "store"
 
 
 class RevisionedStore(ObjectStore, Protocol):
@@ -49,47 +51,6 @@
         """Return the present revision of the store; `kind` names the objects to ask for."""
 
 
-class FirstListWaits(NamedTuple):
-    """How long the first list waits for a peer, in seconds.
-
-    Parameters
-    ----------
-    hosts_s : float
-        For the list of hosts, which names the peer.
-    peer_s : float
-        For the peer's answer; then the store is asked as well, and the list that arrives first is
-        used.
-    """
-
-    hosts_s: float
-    peer_s: float
-
-
-# Callers wait for a process that starts again: a peer answers within some milliseconds, or hardly
-# at all.
-RESTART_LIST_WAITS = FirstListWaits(hosts_s=0.25, peer_s=0.06)
-# At the first start of the deployment nobody calls yet, and the peer itself has to list first.
-FIRST_START_LIST_WAITS = FirstListWaits(hosts_s=MAX_HOSTS_WAIT_S, peer_s=PEER_LONG_POLL_S)
-
-
-class FetchedList(NamedTuple):
-    """All objects of a kind.
-
-    Parameters
-    ----------
-    changes : StoreChanges
-        The objects.
-    confirmed_at : float
-        Time in seconds at which the store confirmed them, negative infinity if it has not.
-    source : str
-        Name of the peer, or `STORE_SOURCE`.
-    """
-
-    changes: StoreChanges
-    confirmed_at: float
-    source: str
-
-
 class RelayedStore:
     """An `ObjectStore` that reads changes from a peer if possible, and relays them to followers.
 
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -21,12 +21,9 @@
 from ..adapters.metrics_page import MetricsPage
 from ..adapters.output import NonBlockingOutput
 from ..adapters.upstream import UpstreamClient
+from ..controllers.first_lists import FIRST_START_LIST_WAITS, RESTART_LIST_WAITS
 from ..controllers.host_directory import HostDirectory
-from ..controllers.relayed_store import (
-    FIRST_START_LIST_WAITS,
-    RESTART_LIST_WAITS,
-    RelayedStore,
-)
+from ..controllers.relayed_store import RelayedStore
 from ..controllers.store_watch import StoreWatch, monitor_watches
 from ..controllers.watch_handlers import (
     ConfigurationHandler,
--- a/tests/store_cases.py
+++ b/tests/store_cases.py
@@ -11,11 +11,8 @@
     make_change_relay_server,
 )
 from amaranthbend.adapters.metrics import Counters
-from amaranthbend.controllers.relayed_store import (
-    RESTART_LIST_WAITS,
-    FirstListWaits,
-    RelayedStore,
-)
+from amaranthbend.controllers.first_lists import RESTART_LIST_WAITS, FirstListWaits
+from amaranthbend.controllers.relayed_store import RelayedStore
 from amaranthbend.controllers.store_watch import StoreWatch, monitor_watches
 from amaranthbend.core.change_relay import (
     FAILED_PEER_SKIP_S,
--- a/tests/test_first_lists.py
+++ b/tests/test_first_lists.py
@@ -21,11 +21,8 @@
     make_change_relay_server,
 )
 from amaranthbend.adapters.metrics import Counters
-from amaranthbend.controllers.relayed_store import (
-    RESTART_LIST_WAITS,
-    FirstListWaits,
-    RelayedStore,
-)
+from amaranthbend.controllers.first_lists import RESTART_LIST_WAITS, FirstListWaits
+from amaranthbend.controllers.relayed_store import RelayedStore
 from amaranthbend.core.change_relay import (
     READERS_PER_DATA_CENTRE,
     ChangeLog,
