--- a/tests/test_silent_watches.py
+++ b/tests/test_silent_watches.py
@@ -10,7 +10,7 @@
 from .node_cases import NodeCase, run_node, wait_until
 from .store_cases import CHECK_AGE_S, IN_FORCE_S, KIND, Fleet, run_fleet
 
-# What the platform's pages call seconds old.
+# A lag that replicas of the store may have.
 REPLICA_LAG_S = 3.0
 
 
