--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -15,7 +15,7 @@
 BODY_BYTES = 1_500_000
 # The latency goal of the route is 300 ms; a hedge is sent after 0.6 of it at the latest.
 SLOW_RUN_S = 0.8
-# Several times what an upload takes on loopback, and well below the wait of libcurl.
+# Below the second for which libcurl waits for an interim response.
 MAX_UPLOAD_S = 0.7
 REQUESTS = 6
 
