Identify callers by the keys of their teams

Deployments whose configuration has tenants require a key on routes that are not public. The team's name replaces the key in requests to upstreams.

--- a/amaranthbend/adapters/caller.py
+++ b/amaranthbend/adapters/caller.py
@@ -12,7 +12,7 @@
 
 from ..core.buffers import BufferBudget
 from ..core.outcomes import Outcome, OutcomeReason
-from ..core.policy import RoutePolicy
+from ..core.policy import RoutePolicy, TeamPolicy
 from ..filters.local_responses import (
     LocalResponse,
     make_failure,
@@ -88,6 +88,10 @@
     # Request identifier that the caller sent, for logs.
     caller_request_id = ""
     service = ""
+    # Team that holds the key of the request, None without one.
+    team: TeamPolicy | None = None
+    # Whether the deployment has teams, so that the field with the team is set for upstreams.
+    has_team_fields = False
     claim: object = None
     dispatch: object = None
 
--- a/amaranthbend/adapters/dialect.py
+++ b/amaranthbend/adapters/dialect.py
@@ -59,6 +59,8 @@
     request_id_field: str
     # Lower-case names of request fields that only the entry process may set.
     reserved_request_fields: frozenset[str]
+    # Field that names the team of the caller to an upstream, empty if upstreams get no such field.
+    team_field: str
     # Whether a response is buffered until it is complete, so that an invalid one can be replaced.
     buffers_responses: bool
 
@@ -86,6 +88,7 @@
     deadline_field = DEADLINE_FIELD
     request_id_field = ""
     reserved_request_fields: frozenset[str] = frozenset()
+    team_field = ""
     buffers_responses = False
 
     def list_request_fields(self, member: Member) -> list[tuple[str, str]]:  # noqa: ARG002
--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -107,6 +107,10 @@
         self._selector.set_hosts(hosts)
         self._hosts_known.set()
 
+    def get_confirmation_age(self, kind: str) -> float:
+        """Return the seconds since the store confirmed the known objects, infinite if never."""
+        return self._clock() - self._change_logs[kind].confirmed_at
+
     async def create_object(self, kind: str, name: str, value: Any) -> Result[bool, StoreError]:
         """Create an object, and return whether it did not exist before."""
         return await self._store.create_object(kind, name, value)
--- a/amaranthbend/core/actions.py
+++ b/amaranthbend/core/actions.py
@@ -119,6 +119,10 @@
         Latency target: a later response is worth less to the caller. None without a target.
     max_attempts : int or None
         Maximum number of attempts; None for the limit of the service.
+    team : str
+        Team of the caller, empty without one.
+    team_priority : int
+        Priority of the team, compared before `priority`; higher values leave the queue first.
     """
 
     request_id: int
@@ -131,6 +135,8 @@
     body_bytes: int = 0
     latency_goal_s: float | None = None
     max_attempts: int | None = None
+    team: str = ""
+    team_priority: int = 0
 
 
 class AttemptStatus(StrEnum):
--- a/amaranthbend/core/outcomes.py
+++ b/amaranthbend/core/outcomes.py
@@ -40,6 +40,9 @@
     METHOD_NOT_ALLOWED = "method_not_allowed"
     BAD_DEADLINE = "bad_deadline"
     BAD_IDEMPOTENCY_KEY = "bad_idempotency_key"
+    UNKNOWN_KEY = "unknown_key"
+    OUTDATED_CONFIGURATION = "outdated_configuration"
+    QUOTA_EXCEEDED = "quota_exceeded"
     CLAIM_RATE = "claim_rate"
     CLAIM_UNAVAILABLE = "claim_unavailable"
 
--- a/amaranthbend/core/policy.py
+++ b/amaranthbend/core/policy.py
@@ -20,6 +20,7 @@
     "RetryPolicy",
     "RoutePolicy",
     "ServicePolicy",
+    "TeamPolicy",
     "WeightedService",
 ]
 
@@ -136,6 +137,8 @@
         Path of the probe requests, at which upstreams report their load.
     retry_after_s : float
         Delay after which a refused caller should retry; jitter is added.
+    cold_rate_per_s : float
+        Requests per second that a cold upstream tolerates from all hosts; 0 for no limit.
     """
 
     name: str
@@ -146,6 +149,32 @@
     request_probes: RequestProbePolicy | None = None
     probe_path: str = "/load"
     retry_after_s: float = 1.0
+    cold_rate_per_s: float = 0.0
+
+
+class TeamPolicy(NamedTuple):
+    """A team of callers, with its keys and its quota.
+
+    Parameters
+    ----------
+    name : str
+        Name of the team, which upstreams receive in place of the key.
+    key_digests : tuple of bytes
+        Digests of the team's keys, see `core.identity.compute_key_digest`.
+    priority : int or None
+        Priority that goes before that of the route; higher values are more urgent. None to leave
+        the order to the routes.
+    rate_per_s : float
+        Requests per second that the team may make at all hosts together; 0 for no limit.
+    burst : float
+        Requests that the team may make at once beyond that rate.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...] = ()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 class WeightedService(NamedTuple):
@@ -190,6 +219,8 @@
         Maximum number of attempts of one request; None for the limit of the service.
     max_response_s : float
         Maximum time until the response is complete, for requests whose caller sends no timeout.
+    is_public : bool
+        Whether callers need no key, in a deployment that has teams.
     """
 
     name: str
@@ -207,6 +238,7 @@
     latency_goal_s: float | None = None
     max_attempts: int | None = None
     max_response_s: float = math.inf
+    is_public: bool = False
 
 
 class ProbePolicy(NamedTuple):
@@ -249,6 +281,11 @@
         Maximum rate of platform writes for claims, over all entry hosts.
     claim_retention_s : float
         Age from which a claim may be removed.
+    teams : tuple of TeamPolicy
+        Teams whose keys callers need on routes that are not public; empty if callers need none.
+    is_prioritized : bool
+        Whether some routes or teams have the highest priority of the platform, so that requests
+        are ordered and wait when there is too little room.
     """
 
     deployment: str
@@ -258,6 +295,8 @@
     entry_hosts_max: int = 16
     claim_writes_per_s: float = 200.0
     claim_retention_s: float = 86_400.0
+    teams: tuple[TeamPolicy, ...] = ()
+    is_prioritized: bool = False
 
 
 class DecodedConfiguration(NamedTuple):
--- a/amaranthbend/filters/attempts.py
+++ b/amaranthbend/filters/attempts.py
@@ -28,6 +28,8 @@
 # Responses up to this size are buffered whatever the buffer budget.
 SMALL_RESPONSE_BYTES = 8 * 1024
 MS_PER_S = 1000
+KEY_FIELD = "authorization"
+KEY_SCHEME = "bearer"
 FIELDS_NOT_FORWARDED = HOP_BY_HOP_FIELDS | {
     "host",
     "content-length",
@@ -346,22 +348,27 @@
         connection, since the earlier attempt may have failed on an idle one that had died.
     """
     address = member.address
+    team_field = dialect.team_field if request.has_team_fields else ""
     deadline_field = dialect.deadline_field
     headers = request.headers
     excluded: frozenset[str] = FIELDS_NOT_FORWARDED | dialect.reserved_request_fields
     excluded |= {deadline_field.lower()}
+    if team_field:
+        excluded |= {team_field.lower()}
     if "Connection" in headers:
         excluded |= list_connection_options(headers.get_list("Connection"))
     fields = [("Host", request.host or address)]
     present: set[str] = set()
     for name, value in headers.get_all():
         key = name.lower()
-        if key in excluded:
+        if key in excluded or (request.has_team_fields and _may_hold_key(key, value, request)):
             continue
         present.add(key)
         fields.append((name, value))
     fields.append((deadline_field, str(max(1, int(timeout_s * MS_PER_S)))))
     fields += dialect.list_request_fields(member)
+    if team_field and request.team is not None:
+        fields.append((team_field, request.team.name))
     header_lines = encode_header_lines(fields)
     header_lines += [line for key, line in LIBCURL_DEFAULT_FIELDS.items() if key not in present]
     body = request.body
@@ -380,3 +387,15 @@
         connect_timeout_s=min(connect_timeout_s, timeout_s),
         allows_excess_bytes=dialect.buffers_responses,
     )
+
+
+def _may_hold_key(name: str, value: str, request: CallerRequest) -> bool:
+    """Return whether a field may hold the key of a team, which upstreams must not get.
+
+    On a public route other schemes belong to the upstream. A bearer token may be a key that has
+    been withdrawn, so it is not forwarded there either.
+    """
+    if name != KEY_FIELD:
+        return False
+    route = request.route
+    return route is None or not route.is_public or value.strip().lower().startswith(KEY_SCHEME)
--- a/amaranthbend/filters/local_responses.py
+++ b/amaranthbend/filters/local_responses.py
@@ -17,7 +17,10 @@
     OutcomeReason.METHOD_NOT_ALLOWED: HTTPStatus.METHOD_NOT_ALLOWED,
     OutcomeReason.BAD_DEADLINE: HTTPStatus.BAD_REQUEST,
     OutcomeReason.BAD_IDEMPOTENCY_KEY: HTTPStatus.BAD_REQUEST,
+    OutcomeReason.UNKNOWN_KEY: HTTPStatus.UNAUTHORIZED,
 }
+# All other refusals are 503.
+REFUSED_STATUSES = {OutcomeReason.QUOTA_EXCEEDED: HTTPStatus.TOO_MANY_REQUESTS}
 UNKNOWN_OUTCOME_STATUSES = {
     OutcomeReason.DUPLICATE_REQUEST: HTTPStatus.CONFLICT,
     OutcomeReason.TIMEOUT: HTTPStatus.GATEWAY_TIMEOUT,
@@ -78,8 +81,8 @@
     status = INVALID_REQUEST_STATUSES.get(reason)
     if status is not None:
         return LocalResponse(status, Outcome.NOT_RUN, reason, 0.0, allow, closes)
-    unavailable = HTTPStatus.SERVICE_UNAVAILABLE
-    return LocalResponse(unavailable, Outcome.NOT_RUN, reason, retry_after_s, closes=closes)
+    status = REFUSED_STATUSES.get(reason, HTTPStatus.SERVICE_UNAVAILABLE)
+    return LocalResponse(status, Outcome.NOT_RUN, reason, retry_after_s, closes=closes)
 
 
 def make_failure(reason: OutcomeReason, *, closes: bool = False) -> LocalResponse:
--- a/amaranthbend/filters/request_log.py
+++ b/amaranthbend/filters/request_log.py
@@ -46,6 +46,7 @@
             id=request.caller_request_id,
             route=request.route.name if request.route is not None else "",
             service=request.service,
+            team="" if request.team is None else request.team.name,
             version=self.version,
             outcome=outcome,
             reason=reason,
--- a/amaranthbend/filters/services.py
+++ b/amaranthbend/filters/services.py
@@ -179,6 +179,8 @@
             0 if request.body is None else request.body.buffered_bytes,
             route.latency_goal_s,
             route.max_attempts,
+            "" if request.team is None else request.team.name,
+            0 if request.team is None else request.team.priority or 0,
         )
         self.active_requests[request.request_id] = ActiveRequest(request, {}, {})
         self.apply(self.dispatcher.submit(info, now))
--- a/amaranthbend/platform/dialect.py
+++ b/amaranthbend/platform/dialect.py
@@ -15,6 +15,7 @@
 NOT_EXECUTED_FIELD = b"x-amaranthbend-not-executed"
 LOAD_FIELD = b"x-amaranthbend-instance-load"
 INSTANCE_FIELD = b"x-amaranthbend-instance-id"
+TEAM_FIELD = "X-Amaranthbend-Tenant"
 EXPECTED_INSTANCE_FIELD = "X-Amaranthbend-Expected-Instance"
 ENCODING_FIELD = b"content-encoding"
 NORMAL_TIME_PERCENT = 100
@@ -39,6 +40,7 @@
     deadline_field = "X-Amaranthbend-Request-Deadline"
     request_id_field = "X-Amaranthbend-Attempt-Id"
     reserved_request_fields = frozenset({EXPECTED_INSTANCE_FIELD.lower()})
+    team_field = TEAM_FIELD
     buffers_responses = True
 
     def list_request_fields(self, member: Member) -> list[tuple[str, str]]:
--- a/amaranthbend/platform/document_fields.py
+++ b/amaranthbend/platform/document_fields.py
@@ -9,7 +9,9 @@
 
 __all__ = [
     "get_address",
+    "get_boolean",
     "get_non_negative_int",
+    "get_non_negative_number",
     "get_path",
     "get_string",
     "parse_duration",
@@ -108,3 +110,31 @@
             f"{key!r} is {abbreviate(value)}, not an integer from 0 to {MAX_EXACT_INTEGER}"
         )
     return value
+
+
+def get_non_negative_number(document: dict[str, Any], key: str, default: float) -> float:
+    """Return a field that must be a finite number of at least 0, or the default without it.
+
+    Raises
+    ------
+    ValueError
+        If the field is of another type or out of range.
+    """
+    value = document.get(key, default)
+    if type(value) not in (int, float) or not 0 <= value <= MAX_EXACT_INTEGER:
+        raise ValueError(f"{key!r} is {abbreviate(value)}, not a number of at least 0")
+    return float(value)
+
+
+def get_boolean(document: dict[str, Any], key: str) -> bool:
+    """Return a field that must be true or false, False if it is missing.
+
+    Raises
+    ------
+    ValueError
+        If the field is of another type.
+    """
+    value = document.get(key, False)
+    if not isinstance(value, bool):
+        raise ValueError(f"{key!r} is {abbreviate(value)}, not true or false")
+    return value
--- a/amaranthbend/platform/documents.py
+++ b/amaranthbend/platform/documents.py
@@ -5,17 +5,21 @@
 from typing import Any, TypeVar
 
 from ..core.actions import Member, UpstreamState
+from ..core.identity import compute_key_digest
 from ..core.policy import (
     DecodedConfiguration,
     DeploymentPolicy,
     RoutePolicy,
     ServicePolicy,
+    TeamPolicy,
     WeightedService,
 )
 from ..core.registry import Listing
 from .document_fields import (
     get_address,
+    get_boolean,
     get_non_negative_int,
+    get_non_negative_number,
     get_path,
     get_string,
     parse_duration,
@@ -25,6 +29,7 @@
 __all__ = [
     "CONFIGURATION_KIND",
     "CONFIGURATION_NAME",
+    "EVACUATIONS_KIND",
     "INSTANCES_KIND",
     "decode_configuration",
     "decode_listing",
@@ -36,6 +41,8 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 INSTANCES_KIND = "servers"
+# Each object of this kind is named after the zone that is evacuated while it exists.
+EVACUATIONS_KIND = "evacuations"
 UPSTREAM_STATES = {"ready": UpstreamState.SERVING, "draining": UpstreamState.DRAINING}
 IDEMPOTENCE_BY_KIND = {"safe": True, "download": True, "unsafe": False, "upload": False}
 # Upper limit for requests without a timeout of their route or of their caller.
@@ -44,6 +51,8 @@
 DEFAULT_SLOTS = 4
 DEFAULT_CONNECTIONS = 200
 DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
+# Rank of the platform's most urgent routes and tenants.
+HIGHEST_RANK = 0
 # A request that may not be sent a second time is the safe assumption for an unknown limit.
 DEFAULT_ATTEMPTS = 1
 
@@ -58,7 +67,8 @@
     Raises
     ------
     ValueError
-        If the document has no usable version or route list, or none of its routes is usable.
+        If the document has no usable version or route list, none of its routes is usable, or its
+        tenants are ambiguous: a request could be taken for that of another tenant.
     """
     if not isinstance(document, dict):
         raise ValueError(f"configuration is {type(document).__name__}, not an object")
@@ -91,7 +101,13 @@
                 routes.append(route)
     if listed and not any(route.service or route.split for route in routes):
         raise ValueError(f"none of {listed} routes is usable: {'; '.join(reader.faults[:3])}")
-    policy = DeploymentPolicy("platform", services, tuple(routes))
+    policy = DeploymentPolicy(
+        "platform",
+        services,
+        tuple(routes),
+        teams=_decode_teams(reader, document),
+        is_prioritized=_has_highest_rank(document),
+    )
     return DecodedConfiguration(version, policy, tuple(reader.faults))
 
 
@@ -137,6 +153,66 @@
             DEFAULT_CONNECTIONS,
         ),
         probe_path=probe_path,
+        cold_rate_per_s=reader.read(
+            part, lambda: get_non_negative_number(cluster, "coldPerS", 0.0), 0.0
+        ),
+    )
+
+
+def _decode_teams(reader: _PartReader, document: dict[str, Any]) -> tuple[TeamPolicy, ...]:
+    """Return the teams; a quota or priority that cannot be read is left out.
+
+    Raises
+    ------
+    ValueError
+        If a tenant has no usable name or keys, or two tenants have a name or key in common.
+    """
+    teams: dict[str, TeamPolicy] = {}
+    owners: dict[bytes, str] = {}
+    for number, tenant in enumerate(_get_list(document, "tenants")):
+        part = f"tenants[{number}]"
+        name = parse_name(get_string(tenant, "name"))
+        if name in teams:
+            raise ValueError(f"{part}: tenant {name} is listed twice")
+        digests = _decode_keys(part, tenant)
+        for digest in digests:
+            if owners.setdefault(digest, name) != name:
+                raise ValueError(f"{part}: tenants {owners[digest]} and {name} share a key")
+        rank = reader.read(part, lambda: _get_rank(tenant), None)  # noqa: B023
+        teams[name] = TeamPolicy(
+            name,
+            digests,
+            None if rank is None else -rank,
+            reader.read(part, lambda: get_non_negative_number(tenant, "perS", 0.0), 0.0),  # noqa: B023
+            reader.read(part, lambda: get_non_negative_number(tenant, "burst", 0.0), 0.0),  # noqa: B023
+        )
+    return tuple(teams.values())
+
+
+def _decode_keys(part: str, tenant: dict[str, Any]) -> tuple[bytes, ...]:
+    """Return the digests of a tenant's keys. Errors never contain a key."""
+    keys = tenant.get("apiKeys", [])
+    if not isinstance(keys, list) or not all(isinstance(key, str) and key for key in keys):
+        raise ValueError(f"{part}: 'apiKeys' is not a list of non-empty strings")
+    return tuple(compute_key_digest(key) for key in keys)
+
+
+def _get_rank(document: dict[str, Any]) -> int | None:
+    """Return the priority of a tenant, None if it has none."""
+    return get_non_negative_int(document, "priority") if "priority" in document else None
+
+
+def _has_highest_rank(document: dict[str, Any]) -> bool:
+    """Return whether a route or tenant has the highest rank of the platform, stated explicitly."""
+    ranked = list(_get_list(document, "tenants"))
+    for listener in _get_list(document, "listeners"):
+        rules = listener.get("rules")
+        ranked += rules if isinstance(rules, list) else []
+    return any(
+        isinstance(entry, dict)
+        and type(entry.get("priority")) is int
+        and entry["priority"] == HIGHEST_RANK
+        for entry in ranked
     )
 
 
@@ -173,6 +249,8 @@
             DEFAULT_ATTEMPTS,
         ),
         max_response_s=DEFAULT_DEADLINE_S,
+        # Without a usable value, callers need a key.
+        is_public=reader.read(part, lambda: get_boolean(rule, "public"), False),
     )
 
 
--- a/amaranthbend/platform/settings.py
+++ b/amaranthbend/platform/settings.py
@@ -20,6 +20,9 @@
 # The process itself takes 30 MB.
 MIN_MEMORY_MB = 64.0
 BYTES_PER_MB = 1_000_000
+DEFAULT_DESCRIPTORS = 1024.0
+# The process itself, the store and the readiness check take 60.
+MIN_DESCRIPTORS = 256
 READINESS_PATH = "/api/readiness"
 
 
@@ -64,6 +67,14 @@
         retry_slack=reader.get_number("terms.bounds.retryBudgetSlack", 0.0),
         probes_per_s=reader.get_number("terms.bounds.probesPerS", 0.0),
         memory_bytes=reader.get_memory_bytes("self.limits.memoryMb", DEFAULT_MEMORY_MB),
+        max_descriptors=reader.get_descriptors("self.limits.fileDescriptors", DEFAULT_DESCRIPTORS),
+        quota_address=reader.get_quota_address(),
+        quota_window_s=reader.get_duration("terms.bounds.quotaWindow", 0.0),
+        quota_overshoot=reader.get_number("terms.bounds.quotaOvershoot", 0.0),
+        quota_slack=reader.get_number("terms.bounds.quotaSlack", 0.0),
+        cold_overshoot=reader.get_number("terms.bounds.coldOvershoot", 1.0),
+        cold_slack=reader.get_number("terms.bounds.coldSlack", 0.0),
+        evacuation_s=reader.get_duration("terms.bounds.evacuation", 0.0),
     )
 
 
@@ -109,14 +120,27 @@
 
     def get_peer_address(self) -> str:
         """Return the address and first port for calls between hosts, empty if not configured."""
+        ports = self._get_internal_ports()
+        return f"{self.get_string('self.ipAddress')}:{ports[0]}" if ports else ""
+
+    def get_quota_address(self) -> str:
+        """Return the address and second port for calls between hosts, empty without quotas."""
+        table, key = self._find("terms.bounds.quotaWindow")
+        ports = self._get_internal_ports()
+        if key not in table or len(ports) < 2 or ports[1] <= ports[0]:
+            return ""
+        return f"{self.get_string('self.ipAddress')}:{ports[0] + 1}"
+
+    def _get_internal_ports(self) -> list[int]:
+        """Return the first and the last port for calls between hosts, empty if not configured."""
         name = "network.internalPortRange"
         table, key = self._find(name)
         if key not in table:
-            return ""
+            return []
         ports = table[key]
-        if not isinstance(ports, list) or not ports or type(ports[0]) is not int:
+        if not isinstance(ports, list) or not ports or any(type(port) is not int for port in ports):
             raise self._make_error(name, f"{ports!r} is not a port range", "give [FIRST, LAST]")
-        return f"{self.get_string('self.ipAddress')}:{ports[0]}"
+        return ports
 
     def count_entries(self, name: str) -> int:
         """Return the number of entries of a table, 1 if the table is missing or empty."""
@@ -160,3 +184,12 @@
                 name, f"{memory_mb:g} MB is too little", f"give {MIN_MEMORY_MB:g} MB or more"
             )
         return int(memory_mb * BYTES_PER_MB)
+
+    def get_descriptors(self, name: str, default: float) -> int:
+        """Return a number of file descriptors, which must be enough for the process itself."""
+        count = int(self.get_number(name, default))
+        if count < MIN_DESCRIPTORS:
+            raise self._make_error(
+                name, f"{count} descriptors are too few", f"give {MIN_DESCRIPTORS} or more"
+            )
+        return count
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -38,6 +38,7 @@
 from ..filters.chain import FilterChain
 from ..filters.dispatch import DispatchFilter
 from ..filters.idempotency import IdempotencyAndDeadlineFilter
+from ..filters.identity import IdentityFilter
 from ..filters.request_log import RequestLog
 from ..filters.routes import RouteFilter
 from ..filters.services import DispatchSettings
@@ -127,6 +128,11 @@
         )
         self.dispatch = DispatchFilter(client, self.counters, dispatch_settings)
         self.route_filter = RouteFilter()
+        self.identity_filter = IdentityFilter(
+            self.counters,
+            lambda now: now - self._store.get_confirmation_age(CONFIGURATION_KIND),
+            settings.apply_s,
+        )
         self.shutdown_filter = ShutdownFilter()
         page = MetricsPage(self.counters)
         self.request_log = RequestLog(self.counters, page)
@@ -135,6 +141,7 @@
                 ValidationFilter(),
                 self.shutdown_filter,
                 self.route_filter,
+                self.identity_filter,
                 IdempotencyAndDeadlineFilter(dialect),
             ),
             (self.shutdown_filter, self.dispatch),
@@ -203,6 +210,7 @@
         completed_policy = complete_policy(policy, self.settings, self.host_directory.share_count)
         self.dispatch.set_policy(completed_policy, now)
         self.route_filter.set_policy(completed_policy)
+        self.identity_filter.set_policy(completed_policy)
         self.request_log.version = version
 
     def update_hosts(self, hosts: list[HostEntry], now: float) -> None:
--- a/amaranthbend/settings/node.py
+++ b/amaranthbend/settings/node.py
@@ -43,6 +43,23 @@
         Maximum rate of probes to an upstream, summed over all hosts.
     memory_bytes : int
         Memory above which the process is killed.
+    max_descriptors : int
+        File descriptors that the process may have open.
+    quota_address : str
+        `address:port` where hosts exchange the counts of teams' requests; empty to disable this.
+    quota_window_s : float
+        Window over which the requests of a team may not exceed its quota.
+    quota_overshoot : float
+        Part of the quota by which all hosts together may exceed it.
+    quota_slack : float
+        Requests of a team in a window that all hosts together may run besides.
+    cold_overshoot : float
+        Factor on the rate of a cold upstream that all hosts together must not exceed.
+    cold_slack : float
+        Requests in a second that a cold upstream tolerates besides.
+    evacuation_s : float
+        Time within which hosts must stop sending to an evacuated data centre; 0 if none is ever
+        evacuated.
     """
 
     host_id: str
@@ -61,3 +78,11 @@
     retry_slack: float
     probes_per_s: float
     memory_bytes: int
+    max_descriptors: int = 1024
+    quota_address: str = ""
+    quota_window_s: float = 0.0
+    quota_overshoot: float = 0.0
+    quota_slack: float = 0.0
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
+    evacuation_s: float = 0.0
