--- a/amaranthbend/core/identity.py
+++ b/amaranthbend/core/identity.py
@@ -41,9 +41,7 @@
     key : str
         Key of a team, as callers send it.
     """
-    return hashlib.blake2b(
-        key.encode("utf-8", "surrogateescape"), digest_size=DIGEST_BYTES
-    ).digest()
+    return hashlib.blake2b(key.encode("utf-8", "surrogatepass"), digest_size=DIGEST_BYTES).digest()
 
 
 class KeyRing:
--- a/amaranthbend/platform/documents.py
+++ b/amaranthbend/platform/documents.py
@@ -169,7 +169,7 @@
     """
     teams: dict[str, TeamPolicy] = {}
     owners: dict[bytes, str] = {}
-    for number, tenant in enumerate(_get_list(document, "tenants")):
+    for number, tenant in enumerate(_get_tenants(document)):
         part = f"tenants[{number}]"
         name = parse_name(get_string(tenant, "name"))
         if name in teams:
@@ -189,6 +189,14 @@
     return tuple(teams.values())
 
 
+def _get_tenants(document: dict[str, Any]) -> list[dict[str, Any]]:
+    """Return the tenants. The error does not show the value, which contains keys."""
+    tenants = document.get("tenants", [])
+    if not isinstance(tenants, list) or not all(isinstance(item, dict) for item in tenants):
+        raise ValueError("'tenants' is not a list of objects")
+    return tenants
+
+
 def _decode_keys(part: str, tenant: dict[str, Any]) -> tuple[bytes, ...]:
     """Return the digests of a tenant's keys. Errors never contain a key."""
     keys = tenant.get("apiKeys", [])
@@ -204,7 +212,7 @@
 
 def _has_highest_rank(document: dict[str, Any]) -> bool:
     """Return whether a route or tenant has the highest rank of the platform, stated explicitly."""
-    ranked = list(_get_list(document, "tenants"))
+    ranked = list(_get_tenants(document))
     for listener in _get_list(document, "listeners"):
         rules = listener.get("rules")
         ranked += rules if isinstance(rules, list) else []
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -107,6 +107,8 @@
         self.cancelled: list[str] = []
         # Bodies of the requests that ran, by id.
         self.bodies: dict[str, list[bytes]] = {}
+        # Header fields of the requests that ran, by id, with lower-case names.
+        self.heads: dict[str, list[dict[str, str]]] = {}
         self.endless_bytes = 0
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -186,6 +188,7 @@
             self._answer(writer, 200, b"copy", {**self._sign("copy"), **echo, **COPIED_ID})
         self.ran.append((request_id, int(fields.get("x-amaranthbend-request-deadline", "0"))))
         self.bodies.setdefault(request_id, []).append(body)
+        self.heads.setdefault(request_id, []).append(fields)
         if not await self._run(reader, fault):
             self.cancelled.append(request_id)
             return False
--- a/standins/node_caller.py
+++ b/standins/node_caller.py
@@ -10,6 +10,7 @@
     "exchange_upload",
     "make_call",
     "make_configuration",
+    "read_answer",
     "read_chunks",
 ]
 
