--- a/amaranthbend/controllers/watch_handlers.py
+++ b/amaranthbend/controllers/watch_handlers.py
@@ -1,12 +1,14 @@
 """Handlers that apply watched changes of configuration and upstreams to a node process."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 from typing import Any
 
 from ..adapters.logs import log_event
 from ..adapters.metrics import Counters
+from ..core.evacuations import EvacuationChange, Evacuations
 from ..core.policy import (
     DecodedConfiguration,
     DeploymentPolicy,
@@ -19,7 +21,7 @@
 from ..filters.dispatch import DispatchFilter
 from ..settings.node import NodeSettings
 
-__all__ = ["ConfigurationHandler", "UpstreamHandler", "complete_policy"]
+__all__ = ["ConfigurationHandler", "EvacuationHandler", "UpstreamHandler", "complete_policy"]
 
 # Part of the deployment's retry ratio that hosts use. The rest is a margin, since requests that
 # start in one window can end in the next.
@@ -41,6 +43,13 @@
 # Upstreams that vanished stay in use this long after an outage of the store. Live ones are listed
 # again within about 2 s.
 OUTAGE_RETENTION_S = 2.2
+MS_PER_S = 1000
+# Longest time for which a process that knows configuration and upstreams waits for the list of
+# evacuations. All lists are asked for at the same time; a later one is that of a call that failed.
+EVACUATIONS_WAIT_S = 0.5
+WAIT_POLL_INTERVAL_S = 0.02
+# Interval between two log lines about the evacuations in force.
+EVACUATION_LOG_INTERVAL_S = 5.0
 
 
 def complete_policy(
@@ -240,3 +249,100 @@
     def _on_timer(self) -> None:
         self._timer = None
         self._publish(time.monotonic())
+
+
+class EvacuationHandler:
+    """Tells the dispatchers which data centres are evacuated.
+
+    Until the first list nothing is sent, as any data centre may be evacuated. That wait is limited:
+    a process that can read all but the evacuations serves after it.
+
+    Parameters
+    ----------
+    dispatch : DispatchFilter
+        Receives the evacuated data centres.
+    get_age : callable
+        Returns the seconds since the store confirmed what is known, for the log.
+    counters : Counters
+        Receives the counters of evacuations.
+    """
+
+    def __init__(
+        self, dispatch: DispatchFilter, get_age: Callable[[], float], counters: Counters
+    ) -> None:
+        self._dispatch = dispatch
+        self._get_age = get_age
+        self._counters = counters
+        self._evacuations = Evacuations()
+        self.has_listed = False
+        self.is_waiting = True
+        dispatch.set_evacuated(None, time.monotonic())
+
+    @property
+    def data_centres(self) -> frozenset[str]:
+        """Data centres that are known to be evacuated."""
+        return self._evacuations.data_centres
+
+    def replace_all(self, changes: StoreChanges, now: float) -> None:
+        """Apply a list of all evacuations."""
+        self.has_listed = True
+        self._publish(self._evacuations.replace(changes, now), now)
+
+    def apply_changes(self, changes: StoreChanges, now: float) -> None:
+        """Apply changes of evacuations."""
+        self._publish(self._evacuations.apply(changes.events, now), now)
+
+    def set_store_reachable(self, is_reachable: bool, now: float) -> None:
+        """Do nothing: the last known evacuations hold while the store is unreachable."""
+
+    async def run(self, knows_upstreams: Callable[[], bool]) -> None:
+        """Limit the wait for the first list, then log the evacuations in force, until cancelled.
+
+        Parameters
+        ----------
+        knows_upstreams : callable
+            Returns whether the process has read all else that it needs to serve.
+        """
+        while self.is_waiting:
+            if knows_upstreams():
+                await asyncio.sleep(EVACUATIONS_WAIT_S)
+                self.stop_waiting(time.monotonic())
+            await asyncio.sleep(WAIT_POLL_INTERVAL_S)
+        while True:
+            await asyncio.sleep(EVACUATION_LOG_INTERVAL_S)
+            self.log_state()
+
+    def stop_waiting(self, now: float) -> None:
+        """Send to all data centres if there is no list yet."""
+        if self.is_waiting:
+            self._counters.incr("evacuation.unknown")
+            log_event("evacuations_unknown")
+            self._publish([], now)
+
+    def log_state(self) -> None:
+        """Write a line about the evacuations in force, if there are any."""
+        if self.data_centres:
+            log_event(
+                "evacuations_in_force",
+                data_centres=",".join(sorted(self.data_centres)),
+                age_ms=_to_ms(self._get_age()),
+            )
+
+    def _publish(self, changes: list[EvacuationChange], now: float) -> None:
+        for change in changes:
+            self._counters.incr("evacuation.lifted" if change.is_lifted else "evacuation.begun")
+            log_event(
+                "evacuation_lifted" if change.is_lifted else "evacuation_begun",
+                data_centre=change.data_centre,
+                revision=change.revision,
+                lasted_ms=_to_ms(change.lasted_s),
+                age_ms=_to_ms(self._get_age()),
+            )
+        if changes or self.is_waiting:
+            self.is_waiting = False
+            self._dispatch.set_evacuated(self.data_centres, now)
+
+
+def _to_ms(duration_s: float) -> int:
+    """Return a duration in whole milliseconds, -1 for one that is not known."""
+    return int(duration_s * MS_PER_S) if duration_s < math.inf else -1
--- a/amaranthbend/core/actions.py
+++ b/amaranthbend/core/actions.py
@@ -84,6 +84,8 @@
         Incarnation that made the report.
     slowdown : float
         Present duration of work on the upstream's machine, as a multiple of the usual one.
+    cold_s : float or None
+        Seconds for which the upstream stays cold, 0 if it is not; None if it does not say.
     """
 
     in_flight: int
@@ -92,6 +94,7 @@
     state: UpstreamState
     incarnation: int
     slowdown: float = 1.0
+    cold_s: float | None = None
 
 
 class RequestInfo(NamedTuple):
--- a/amaranthbend/core/candidates.py
+++ b/amaranthbend/core/candidates.py
@@ -38,6 +38,18 @@
     )
 
 
+def may_probe(load: UpstreamLoad, now: float) -> bool:
+    """Return whether a probe may lead to an attempt at the upstream.
+
+    One that may be cold, but has not said so itself, is probed also by hosts that must not send to
+    a cold one: otherwise they would not learn that it is warm.
+    """
+    if not load.usable or not load.is_below_slow_start_limit():
+        return False
+    gate = load.cold_gate
+    return gate is None or gate.allows_attempt(now) or gate.is_worth_probing()
+
+
 def select_subset(
     ranked: list[tuple[float, UpstreamLoad]], probes: int, rng: random.Random
 ) -> list[tuple[float, UpstreamLoad]]:
@@ -85,7 +97,8 @@
 ) -> list[UpstreamLoad]:
     """Return the upstreams to probe, chosen at random, mostly local ones.
 
-    Paused, ejected and busy upstreams are used only if too few others are left.
+    Paused, ejected and busy upstreams, and those that may still be cold, are used only if too few
+    others are left.
 
     Parameters
     ----------
@@ -106,11 +119,13 @@
     remote: list[tuple[float, UpstreamLoad]] = []
     rest: list[tuple[float, UpstreamLoad]] = []
     for load in loads:
-        if load.member.upstream in excluded or not load.has_room():
+        if load.member.upstream in excluded or not may_probe(load, now):
             continue
         # Lower ranks are probed first; the random part spreads the probes of the processes.
         rank = rng.random()
-        if load.paused_until > now:
+        if not load.allows_attempt(now):
+            rest.append((rank + (0.75 if load.is_remote else 0.25), load))
+        elif load.paused_until > now:
             rest.append((rank + 3.0, load))
         elif load.ejected:
             rest.append((rank + 2.0, load))
--- a/amaranthbend/core/dispatching.py
+++ b/amaranthbend/core/dispatching.py
@@ -10,29 +10,32 @@
     LoadReport,
     Member,
     Probe,
+    Refuse,
     RequestInfo,
     Send,
-    UpstreamState,
-    UpstreamView,
     WorkClass,
 )
 from .attempts import AttemptState, RequestState, describe_failure, is_upstream_failure
-from .ejection import Ejector
-from .limits import ConcurrencyLimit, find_refusal
+from .limits import find_refusal
 from .long_work import LongWorkLimit, OverdueTracker
-from .membership import MemberDeparture, Membership
 from .outcomes import OutcomeReason
 from .policy import ProbePolicy, ServicePolicy
 from .probing import ProbePlanner
 from .queueing import ClassQueues
 from .request_table import RequestTable, cancel_attempts
 from .retries import RetryBudget, decide_retry, proves_not_run
-from .routing import REFUSAL_PAUSE_S, Router, UpstreamLoad
+from .routing import REFUSAL_PAUSE_S, UpstreamLoad
+from .upstream_tracking import UpstreamTracker
 
 __all__ = ["Dispatcher"]
 
+# Shortest `Retry-After` while all upstreams of a service are in evacuated data centres. Evacuations
+# last for seconds, and callers retry only once or twice; with the random factor on it, a caller of
+# the shortest deadline, 2.5 s, still honours it.
+EVACUATED_RETRY_AFTER_S = 0.4
 
-class Dispatcher:
+
+class Dispatcher(UpstreamTracker):
     """Decides when each request of a service is sent, and to which upstream.
 
     It performs no I/O and reads no clock: its methods take events with the
@@ -64,17 +67,12 @@
         *,
         processes: int = 1,
     ) -> None:
-        self._policy = policy
+        super().__init__(policy, data_centre, seed)
         self._processes = max(1, processes)
-        self._membership = Membership()
-        self._router = Router(data_centre, policy.slots_per_upstream, seed)
-        self._ejector = Ejector(seed)
         self._probe_planner = ProbePlanner(probing)
         self._retry_budget = RetryBudget(policy.retries)
-        self._concurrency_limit = ConcurrencyLimit(policy.slots_per_upstream)
         self._long_work_limit = LongWorkLimit(policy.limits.long_share, self._processes)
         self._overdue_tracker = OverdueTracker()
-        self._loads: dict[str, UpstreamLoad] = {}
         self._requests = RequestTable(policy.retry_after_s)
         self._attempts: dict[tuple[int, int], AttemptState] = {}
         self._queues = ClassQueues()
@@ -93,7 +91,7 @@
         actions = self._end_expired(now)
         reason = self._find_refusal(request, now)
         if reason is not None:
-            actions.append(self._requests.refuse(request, reason))
+            actions.append(self._make_refusal(request, reason))
             return actions
         actions += self._enqueue(self._requests.add(request), now)
         return actions + self._dispatch_ready(now)
@@ -130,17 +128,8 @@
 
     def report(self, upstream: str, report: LoadReport, now: float) -> list[Action]:
         """Record a load report that came with a response or in answer to a probe."""
-        before = self._membership.members.get(upstream)
-        if not self._membership.record_state(upstream, report.state, report.incarnation):
+        if not self._record_report(upstream, report, now):
             return []
-        load = self._loads[upstream]
-        if before is not None and before.incarnation != report.incarnation:
-            load.health = self._ejector.add(upstream, in_slow_start=True)
-        # The upstream frees the slot of a request before it adds the report to the response,
-        # so that the report no longer counts that request.
-        own_requests = load.in_flight if load.probe_pending else max(0, load.in_flight - 1)
-        load.probe_pending = False
-        load.record_report(report, own_requests, now)
         self._concurrency_limit.record_queue_length(
             report.queued,
             report.slots,
@@ -148,7 +137,7 @@
             self._ejector.mean_duration_s,
             now,
         )
-        self._update_load(load)
+        self._update_load(self._loads[upstream])
         return self._end_queued_without_upstream() + self._dispatch_ready(now)
 
     def report_probe_failure(self, upstream: str, now: float) -> list[Action]:
@@ -205,25 +194,7 @@
 
     def set_members(self, members: Iterable[Member], now: float) -> list[Action]:
         """Replace the members of the service, and end requests that no upstream can serve."""
-        is_first = not self._membership.members
-        before = dict(self._membership.members)
-        self._membership.set_members(members)
-        for upstream in before.keys() - self._membership.members.keys():
-            self._loads.pop(upstream).usable = False
-            self._ejector.remove(upstream)
-        for upstream, member in self._membership.members.items():
-            known = before.get(upstream)
-            if known is None:
-                self._loads[upstream] = self._router.make_load(member)
-            if known is None or known.incarnation != member.incarnation:
-                # After the start of this process all upstreams are unknown to it, but only the
-                # cold ones need a slow start.
-                in_slow_start = not is_first or member.state is UpstreamState.COLD
-                self._loads[upstream].health = self._ejector.add(upstream, in_slow_start)
-        self._router.set_loads(self._loads.values())
-        for load in self._loads.values():
-            self._update_load(load)
-        self._concurrency_limit.set_maximum(self._router.count_slots())
+        self._replace_members(members, now)
         return self._end_queued_without_upstream() + self._dispatch_ready(now)
 
     def record_departure(self, upstream: str, incarnation: int, now: float) -> list[Action]:
@@ -234,9 +205,20 @@
             self._update_load(self._loads[upstream])
         return self._end_queued_without_upstream() + self._dispatch_ready(now)
 
-    def list_departures(self) -> list[MemberDeparture]:
-        """Return the known departures, for the exchange with other processes."""
-        return self._membership.list_departures()
+    def set_evacuated(self, data_centres: frozenset[str] | None, now: float) -> list[Action]:
+        """Stop sending to the upstreams of evacuated data centres, and use others again.
+
+        Requests in flight there finish.
+
+        Parameters
+        ----------
+        data_centres : frozenset of str or None
+            Evacuated data centres; None while they are unknown, so that nothing is sent.
+        now : float
+            Present time.
+        """
+        self._replace_evacuated(data_centres, now)
+        return self._end_queued_without_upstream() + self._dispatch_ready(now)
 
     def set_policy(self, policy: ServicePolicy, processes: int, now: float) -> list[Action]:
         """Apply new settings; requests already accepted are kept."""
@@ -247,6 +229,7 @@
         self._long_work_limit.set_share(policy.limits.long_share, self._processes)
         self._router.slots = policy.slots_per_upstream
         self._concurrency_limit.set_maximum(self._router.count_slots())
+        self._limit_cold()
         return self._dispatch_ready(now)
 
     def set_probing(self, probing: ProbePolicy, now: float) -> list[Action]:
@@ -259,20 +242,14 @@
         self._probe_planner.set_share(share, now)
         return self._dispatch_ready(now)
 
-    def snapshot(self, now: float) -> list[UpstreamView]:
-        """Return the known state and load of each upstream."""
-        return [load.describe(now) for load in self._loads.values()]
-
-    def _update_load(self, load: UpstreamLoad) -> None:
-        """Update a load record from the membership and the ejector."""
-        upstream = load.member.upstream
-        load.member = self._membership.members[upstream]
-        was_usable = load.usable
-        load.usable = self._membership.is_usable(upstream)
-        load.ejected = self._ejector.is_ejected(upstream)
-        load.max_in_flight = self._ejector.count_allowed(upstream)
-        if was_usable != load.usable:
-            self._concurrency_limit.set_maximum(self._router.count_slots())
+    def _make_refusal(self, request: RequestInfo, reason: OutcomeReason) -> Action:
+        """Return the action that refuses a new request."""
+        refusal = self._requests.refuse(request, reason)
+        is_evacuated = reason is OutcomeReason.NO_UPSTREAM and self._membership.evacuated
+        if not is_evacuated or not isinstance(refusal, Refuse):
+            return refusal
+        delay_s = max(refusal.retry_after_s, EVACUATED_RETRY_AFTER_S)
+        return refusal._replace(retry_after_s=delay_s)
 
     def _find_refusal(self, request: RequestInfo, now: float) -> OutcomeReason | None:
         """Return the reason to refuse a new request immediately, or None to accept it."""
@@ -379,11 +356,6 @@
             self._ejector.eject(load.member.upstream, now)
             load.ejected = True
 
-    def _readmit(self, now: float) -> None:
-        """Readmit the upstreams whose ejection time has passed."""
-        for upstream in self._ejector.readmit_due(now):
-            self._update_load(self._loads[upstream])
-
     def _send(self, record: RequestState, load: UpstreamLoad, now: float) -> Send:
         """Record the start of an attempt, and return the action that sends it."""
         request = record.info
@@ -399,6 +371,8 @@
         self._in_flight[request.work_class] += 1
         load.in_flight += 1
         load.last_sent_at = now
+        if load.cold_gate is not None:
+            load.cold_gate.record_send(now)
         load.sent_since_report += 1
         if is_long:
             load.long_in_flight += 1
--- /dev/null
+++ b/amaranthbend/core/evacuations.py
@@ -0,0 +1,84 @@
+"""Which data centres are evacuated, by the evacuation objects in the store.
+
+Load pattern: a data centre is evacuated while it still serves, for seconds at a time, and all
+hosts of the deployment have to stop sending to its upstreams at about the same time and start
+again later. Lists and changes may arrive late or twice: from a replica that lags, from a peer, or
+after an outage of the store. Only the revision of an object or of a list shows which is newer.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .watching import ObjectEvent, StoreChanges
+
+__all__ = ["EvacuationChange", "Evacuations"]
+
+
+class EvacuationChange(NamedTuple):
+    """The beginning or the end of an evacuation.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre that is evacuated.
+    revision : int
+        Revision at which that was requested or withdrawn.
+    is_lifted : bool
+        Whether the evacuation has ended.
+    lasted_s : float
+        Time in seconds for which an ended evacuation was known here.
+    """
+
+    data_centre: str
+    revision: int
+    is_lifted: bool
+    lasted_s: float = 0.0
+
+
+class Evacuations:
+    """Tracks the evacuation objects; the last known state holds until a newer one arrives."""
+
+    def __init__(self) -> None:
+        # Revision of the latest known change of each object, also of those that were removed.
+        self._revisions: dict[str, int] = {}
+        # Time since which each evacuation is known.
+        self._known_since: dict[str, float] = {}
+
+    @property
+    def data_centres(self) -> frozenset[str]:
+        """Data centres that are evacuated."""
+        return frozenset(self._known_since)
+
+    def replace(self, listed: StoreChanges, now: float) -> list[EvacuationChange]:
+        """Apply a list of all objects, and return what it changes.
+
+        An object that is missing from the list was removed, unless it is newer than the list.
+        """
+        names = {event.object.name for event in listed.events}
+        changes: list[EvacuationChange] = []
+        for name in sorted(self._known_since.keys() - names):
+            changes += self._record(name, listed.revision, True, now)
+        return changes + self.apply(listed.events, now)
+
+    def apply(self, events: Iterable[ObjectEvent], now: float) -> list[EvacuationChange]:
+        """Apply changes of objects, and return those that begin or end an evacuation."""
+        changes: list[EvacuationChange] = []
+        for event in events:
+            stored = event.object
+            changes += self._record(stored.name, stored.revision, event.is_removal, now)
+        return changes
+
+    def _record(
+        self, name: str, revision: int, is_removal: bool, now: float
+    ) -> list[EvacuationChange]:
+        """Record the state of one object at a revision; an earlier one is ignored."""
+        if revision < self._revisions.get(name, -1):
+            return []
+        self._revisions[name] = revision
+        if is_removal == (name not in self._known_since):
+            return []
+        if not is_removal:
+            self._known_since[name] = now
+            return [EvacuationChange(name, revision, False)]
+        lasted_s = now - self._known_since.pop(name)
+        return [EvacuationChange(name, revision, True, lasted_s)]
--- a/amaranthbend/core/membership.py
+++ b/amaranthbend/core/membership.py
@@ -27,12 +27,33 @@
     def __init__(self) -> None:
         self._members: dict[str, Member] = {}
         self._departed: dict[str, int] = {}
+        # Evacuated data centres, None while they are unknown.
+        self._evacuated: frozenset[str] | None = frozenset()
 
     @property
     def members(self) -> dict[str, Member]:
         """Members of the latest host list, including departed ones."""
         return self._members
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Data centres that are known to be evacuated."""
+        return self._evacuated or frozenset()
+
+    def set_evacuated(self, data_centres: frozenset[str] | None) -> list[str]:
+        """Replace the evacuated data centres, and return the upstreams that are free again.
+
+        Parameters
+        ----------
+        data_centres : frozenset of str or None
+            Evacuated data centres; None while they are unknown, so that no upstream is usable.
+        """
+        before, self._evacuated = self.evacuated, data_centres
+        if data_centres is None:
+            return []
+        lifted = before - data_centres
+        return [name for name, member in self._members.items() if member.data_centre in lifted]
+
     def set_members(self, members: Iterable[Member]) -> None:
         """Replace the host list, but keep members whose reports gave a higher incarnation."""
         merged: dict[str, Member] = {}
@@ -72,7 +93,9 @@
     def is_usable(self, upstream: str) -> bool:
         """Return whether the upstream may receive new requests."""
         member = self._members.get(upstream)
-        return member is not None and member.incarnation > self._departed.get(upstream, -1)
+        if member is None or self._evacuated is None or member.data_centre in self._evacuated:
+            return False
+        return member.incarnation > self._departed.get(upstream, -1)
 
     def list_departures(self) -> list[MemberDeparture]:
         """Return the departures known so far, for the exchange with other processes."""
--- a/amaranthbend/core/probe_rounds.py
+++ b/amaranthbend/core/probe_rounds.py
@@ -8,7 +8,6 @@
 import math
 from collections.abc import Collection, Iterable, Sequence
 
-from .actions import UpstreamState
 from .occupancy import NEARLY_FULL_SHARE
 from .policy import RequestProbePolicy
 from .routing import UpstreamLoad
@@ -95,7 +94,7 @@
     run_s = service_s * (1.0 if report is None else report.slowdown)
     if running + 1 > NEARLY_FULL_SHARE * slots:
         run_s *= NEARLY_FULL_TIME_FACTOR
-    if load.member.state is UpstreamState.COLD:
+    if load.is_cold(now):
         run_s *= COLD_TIME_FACTOR
     time_s = run_s * (1.0 + max(0, count_outstanding(load) + 1 - slots) / max(1, slots))
     time_s *= 1.0 + FAILURE_TIME_WEIGHT * load.health.get_failure_share(now)
@@ -208,7 +207,9 @@
     eligible = [
         (load, PENDING_PROBE_TIME_FACTOR if load.probe_pending else 1.0)
         for load in loads
-        if load.member.upstream not in excluded and load.has_room()
+        if load.member.upstream not in excluded
+        and load.is_below_slow_start_limit()
+        and load.allows_unprobed_attempt(now)
     ]
     return choose_fastest(eligible, slots, service_s, now)
 
@@ -262,9 +263,14 @@
     def choose(self, slots: int, service_s: float, now: float) -> UpstreamLoad | None:
         """Return the upstream with the shortest expected time among those with fresh reports."""
         oldest = self.started_at - SHARED_REPORT_MAX_AGE_S
-        reported = [
-            (load, 1.0) for load in self.candidates if load.usable and load.report_at >= oldest
-        ]
+        reported: list[tuple[UpstreamLoad, float]] = []
+        for load in self.candidates:
+            if not load.usable or load.report_at < oldest:
+                continue
+            if load.cold_gate is not None and not load.cold_gate.allows_attempt(now):
+                load.cold_gate.record_held_back()
+                continue
+            reported.append((load, 1.0))
         return choose_fastest(reported, slots, service_s, now)
 
 
--- a/amaranthbend/core/routing.py
+++ b/amaranthbend/core/routing.py
@@ -15,7 +15,8 @@
 
 import xxhash
 
-from .actions import LoadReport, Member, UpstreamView
+from .actions import LoadReport, Member, UpstreamState, UpstreamView
+from .cold_limits import ColdGate, ColdLimits
 from .ejection import UpstreamHealth, estimate_slowness_cost
 
 __all__ = ["Router", "UpstreamLoad"]
@@ -69,6 +70,7 @@
 
     __slots__ = (
         "affinity",
+        "cold_gate",
         "mismatch_score",
         "ejected",
         "health",
@@ -95,6 +97,8 @@
         self.is_remote = is_remote
         self.affinity = affinity
         self.usable = True
+        # None where cold upstreams are not limited.
+        self.cold_gate: ColdGate | None = None
         self.health = UpstreamHealth()
         self.ejected = False
         self.in_flight = 0
@@ -112,10 +116,28 @@
         self.variance_other_requests = 2.0
         self.mismatch_score = 0.0
 
-    def has_room(self) -> bool:
-        """Return whether the upstream is usable and its slow start allows another request."""
-        if not self.usable:
-            return False
+    def is_cold(self, now: float) -> bool:
+        """Return whether work takes longer because the upstream has just started."""
+        if self.cold_gate is None:
+            return self.member.state is UpstreamState.COLD
+        return self.cold_gate.is_cold(now)
+
+    def allows_attempt(self, now: float) -> bool:
+        """Return whether the upstream is usable and, while cold, may get a request now."""
+        return self.usable and (self.cold_gate is None or self.cold_gate.allows_attempt(now))
+
+    def allows_unprobed_attempt(self, now: float) -> bool:
+        """Return whether it may get a request although it was not probed just before."""
+        if self.cold_gate is None:
+            return self.usable
+        return self.usable and self.cold_gate.allows_unprobed_attempt(self.report_at, now)
+
+    def has_room(self, now: float) -> bool:
+        """Return whether the limits for cold upstreams and slow start allow another request."""
+        return self.allows_attempt(now) and self.is_below_slow_start_limit()
+
+    def is_below_slow_start_limit(self) -> bool:
+        """Return whether its slow start allows another request."""
         return self.max_in_flight is None or self.in_flight < self.max_in_flight
 
     def record_report(self, report: LoadReport, own_requests: int, now: float) -> None:
@@ -171,11 +193,44 @@
         self._seed = seed
         self._loads: list[UpstreamLoad] = []
         self.slots = slots
+        self._service = ""
+        self._cold_limits: ColdLimits | None = None
+        self._cold_rate_per_s = 0.0
 
     def make_load(self, member: Member) -> UpstreamLoad:
         """Return the load record of a new upstream."""
         affinity = xxhash.xxh64_intdigest(member.upstream.encode(), self._seed)
-        return UpstreamLoad(member, member.data_centre != self._data_centre, affinity)
+        load = UpstreamLoad(member, member.data_centre != self._data_centre, affinity)
+        self._set_cold_gate(load)
+        return load
+
+    def limit_cold(self, limits: ColdLimits | None, service: str, rate_per_s: float) -> None:
+        """Limit what cold upstreams get.
+
+        Parameters
+        ----------
+        limits : ColdLimits or None
+            Limits of this host; None for no limit.
+        service : str
+            Name of the service.
+        rate_per_s : float
+            Requests per second that a cold upstream tolerates from all hosts; 0 for no limit.
+        """
+        self._service = service
+        self._cold_limits = limits
+        self._cold_rate_per_s = rate_per_s
+        for load in self._loads:
+            self._set_cold_gate(load)
+
+    def _set_cold_gate(self, load: UpstreamLoad) -> None:
+        rate_per_s = self._cold_rate_per_s
+        if self._cold_limits is None or rate_per_s <= 0:
+            load.cold_gate = None
+        elif load.cold_gate is not None:
+            load.cold_gate.rate_per_s = rate_per_s
+        else:
+            name = f"{self._service}/{load.member.upstream}"
+            load.cold_gate = ColdGate(self._cold_limits, name, load.member.data_centre, rate_per_s)
 
     def set_loads(self, loads: Iterable[UpstreamLoad]) -> None:
         """Set the upstreams to choose from; local ones come first, which shortens the search."""
@@ -232,7 +287,7 @@
             # All following upstreams are remote too, and cost at least REMOTE_COST_REQUESTS.
             if load.is_remote and best_cost <= REMOTE_COST_REQUESTS:
                 break
-            if load.ejected or load.in_flight >= connection_limit or not load.has_room():
+            if load.ejected or load.in_flight >= connection_limit or not load.has_room(now):
                 continue
             if long_limit is not None and load.long_in_flight >= long_limit:
                 continue
--- a/amaranthbend/filters/dispatch.py
+++ b/amaranthbend/filters/dispatch.py
@@ -9,6 +9,7 @@
 from ..adapters.metrics import Counters
 from ..adapters.upstream import UpstreamClient
 from ..core.actions import Member
+from ..core.cold_limits import ColdLimits
 from ..core.departures import Departure
 from ..core.dispatching import Dispatcher
 from ..core.outcomes import Outcome, OutcomeReason
@@ -55,16 +56,24 @@
         Counts retries and probes.
     settings : DispatchSettings
         Process settings.
+    cold_limits : ColdLimits or None
+        Limits on what this host sends to cold upstreams; None for no limits.
     """
 
     def __init__(
-        self, client: UpstreamClient, counters: Counters, settings: DispatchSettings
+        self,
+        client: UpstreamClient,
+        counters: Counters,
+        settings: DispatchSettings,
+        cold_limits: ColdLimits | None = None,
     ) -> None:
         self.services: dict[str, ServiceDispatch] = {}
         self._client = client
         self._counters = counters
         self._settings = settings
+        self._cold_limits = cold_limits
         self._members: dict[str, tuple[Member, ...]] = {}
+        self._evacuated: frozenset[str] | None = frozenset()
         self._probe_share = 0.0
         self._random = random.Random()
         self._request_probe_budget = RequestProbeBudget()
@@ -100,6 +109,9 @@
             service.on_probe_sent = self.on_probe_sent
             service.probe_path = service_policy.probe_path
             self.services[name] = service
+            if self._cold_limits is not None:
+                dispatcher.set_cold_limits(self._cold_limits)
+            service.apply(dispatcher.set_evacuated(self._evacuated, now))
             service.set_members(self._members.get(name, ()), now)
             service.apply(dispatcher.set_probe_share(self._probe_share, now))
             log_event("service_added", service=name)
@@ -126,6 +138,12 @@
         for name, service in self.services.items():
             service.set_members(members.get(name, ()), now)
 
+    def set_evacuated(self, data_centres: frozenset[str] | None, now: float) -> None:
+        """Set the evacuated data centres of all services, None while they are unknown."""
+        self._evacuated = data_centres
+        for service in self.services.values():
+            service.apply(service.dispatcher.set_evacuated(data_centres, now))
+
     def record_departures(self, departures: Iterable[Departure], now: float) -> None:
         """Record upstream departures that other processes have detected."""
         for departure in departures:
@@ -181,6 +199,21 @@
         for service in self.services.values():
             service.abort_all()
 
+    def log_cold_upstreams(self, now: float) -> None:
+        """Count what went to cold upstreams or was held back, and write a line about it."""
+        limits = self._cold_limits
+        if limits is None:
+            return
+        attempts, held_back = limits.pop_statistics()
+        limits.prune(now)
+        cold = sum(service.dispatcher.count_cold(now) for service in self.services.values())
+        if not (attempts or held_back or cold):
+            return
+        self._counters.incr("cold.attempts", attempts)
+        self._counters.incr("cold.held_back", held_back)
+        self._counters.incr("cold.upstream_seconds", cold)
+        log_event("cold_upstreams", count=cold, attempts=attempts, held_back=held_back)
+
     def snapshot(self, now: float) -> dict[str, Any]:
         """Return the state of each upstream, by service."""
         views: dict[str, Any] = {}
--- a/amaranthbend/platform/dialect.py
+++ b/amaranthbend/platform/dialect.py
@@ -7,6 +7,7 @@
 from ..adapters.headers import ResponseHead
 from ..core.actions import LoadReport, Member, UpstreamState
 from ..core.outcomes import OutcomeReason
+from .document_fields import parse_duration
 
 __all__ = ["PlatformDialect"]
 
@@ -14,6 +15,7 @@
 SIGNATURE_FIELD = b"x-amaranthbend-response-signature"
 NOT_EXECUTED_FIELD = b"x-amaranthbend-not-executed"
 LOAD_FIELD = b"x-amaranthbend-instance-load"
+COLD_FIELD = b"x-amaranthbend-cold-remaining"
 INSTANCE_FIELD = b"x-amaranthbend-instance-id"
 TEAM_FIELD = "X-Amaranthbend-Tenant"
 EXPECTED_INSTANCE_FIELD = "X-Amaranthbend-Expected-Instance"
@@ -32,6 +34,8 @@
 MAX_CACHED_REPORTS = 4096
 MAX_REPORT_BYTES = 64
 MAX_REPORTED_VALUE = 1_000_000
+# Instances are cold for seconds. After this time an instance is asked again, whatever it has said.
+MAX_COLD_S = 60.0
 
 
 class PlatformDialect:
@@ -89,7 +93,10 @@
             return None
         if fields.get(INSTANCE_FIELD, b"").decode("latin1") != member.upstream:
             return None
-        return _parse_load(fields.get(LOAD_FIELD, b""), member.incarnation, member.state)
+        report = _parse_load(fields.get(LOAD_FIELD, b""), member.incarnation, member.state)
+        if report is None or COLD_FIELD not in fields:
+            return report
+        return report._replace(cold_s=_parse_cold_s(fields[COLD_FIELD]))
 
     def is_probe_response(self, head: ResponseHead) -> bool:
         """Return False for a response to a request, and for a refusal that may be one."""
@@ -106,6 +113,14 @@
     return {name.lower(): value for name, value in head.fields}
 
 
+def _parse_cold_s(text: bytes) -> float | None:
+    """Return for how long an instance stays cold, in seconds; None if malformed."""
+    try:
+        return min(MAX_COLD_S, parse_duration(text.decode("latin1")))
+    except ValueError:
+        return None
+
+
 @functools.lru_cache(maxsize=MAX_CACHED_REPORTS)
 def _parse_load(text: bytes, incarnation: int, state: UpstreamState) -> LoadReport | None:
     """Parse `running,waiting,slots[,percent of the normal time]`; return None if malformed.
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -27,11 +27,13 @@
 from ..controllers.store_watch import StoreWatch, monitor_watches
 from ..controllers.watch_handlers import (
     ConfigurationHandler,
+    EvacuationHandler,
     UpstreamHandler,
     complete_policy,
 )
 from ..core.buffers import BufferBudget
 from ..core.change_relay import HostEntry, PeerSelector
+from ..core.cold_limits import ColdLimits
 from ..core.errors import SettingsError
 from ..core.policy import DeploymentPolicy
 from ..core.shutdown import ShutdownStep, make_shutdown_plan
@@ -48,6 +50,7 @@
 from ..platform.documents import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
+    EVACUATIONS_KIND,
     INSTANCES_KIND,
     decode_configuration,
     decode_listing,
@@ -94,6 +97,7 @@
         "store_address",
         "apply_s",
         "drain_s",
+        "evacuation_s",
     }
 )
 
@@ -126,7 +130,9 @@
         dispatch_settings = DispatchSettings(
             settings.data_centre, 1, CONNECT_TIMEOUT_S, STALL_TIMEOUT_S, dialect
         )
-        self.dispatch = DispatchFilter(client, self.counters, dispatch_settings)
+        self.cold_limits = ColdLimits(settings.host_id, settings.data_centre, time.monotonic())
+        self.cold_limits.set_bound(settings.cold_overshoot, settings.cold_slack)
+        self.dispatch = DispatchFilter(client, self.counters, dispatch_settings, self.cold_limits)
         self.route_filter = RouteFilter()
         self.identity_filter = IdentityFilter(
             self.counters,
@@ -174,6 +180,13 @@
             # An upstream that leaves must be known in time too.
             apply_s=min(settings.apply_s, settings.drain_s),
         )
+        self.evacuations: EvacuationHandler | None = None
+        if settings.evacuation_s > 0:
+            self.evacuations = EvacuationHandler(
+                self.dispatch,
+                lambda: self._store.get_confirmation_age(EVACUATIONS_KIND),
+                self.counters,
+            )
         self.change_relay_server = make_change_relay_server(
             self._store.wait_for_changes, self._store.wait_for_list
         )
@@ -216,6 +229,7 @@
     def update_hosts(self, hosts: list[HostEntry], now: float) -> None:
         """Replace the list of the hosts of the data centre."""
         self._store.set_hosts(hosts)
+        self.cold_limits.set_hosts(host.name for host in hosts)
         self.divide_budgets(now)
 
     def divide_budgets(self, now: float) -> None:
@@ -233,8 +247,14 @@
             return "no configuration"
         if not self.upstreams.has_listed:
             return "no list of upstreams"
+        if self.evacuations is not None and self.evacuations.is_waiting:
+            return "no list of evacuations"
         return ""
 
+    def _knows_upstreams(self) -> bool:
+        """Return whether configuration and upstreams have been read."""
+        return self.configuration.version is not None and self.upstreams.has_listed
+
     def listen(self) -> None:
         """Listen for the platform and other hosts; `accept_when_ready` serves the callers."""
         host, port = split_address(self.settings.readiness_address)
@@ -277,7 +297,13 @@
             StoreWatch(self._store, CONFIGURATION_KIND, self.configuration, self.counters),
             StoreWatch(self._store, INSTANCES_KIND, self.upstreams, self.counters),
         ]
+        if self.evacuations is not None:
+            watches.append(
+                StoreWatch(self._store, EVACUATIONS_KIND, self.evacuations, self.counters)
+            )
         tasks = [asyncio.ensure_future(watch.run()) for watch in watches]
+        if self.evacuations is not None:
+            tasks.append(asyncio.ensure_future(self.evacuations.run(self._knows_upstreams)))
         tasks.append(asyncio.ensure_future(monitor_watches(watches)))
         tasks.append(asyncio.ensure_future(self.host_directory.run()))
         return tasks
@@ -297,6 +323,7 @@
         )
         self.settings = settings
         self.chain.buffers.set_limit(compute_buffer_bytes(settings))
+        self.cold_limits.set_bound(settings.cold_overshoot, settings.cold_slack)
         self.divide_budgets(now)
 
     async def run_maintenance(self, output: NonBlockingOutput) -> None:
@@ -309,6 +336,7 @@
             dropped = output.dropped
             output.flush()
             self.dispatch.abort_stalled_streams(now)
+            self.dispatch.log_cold_upstreams(now)
             self.server.close_stalled(STALL_TIMEOUT_S, now)
 
     async def shut_down(self) -> None:
