--- a/amaranthbend/controllers/watch_handlers.py
+++ b/amaranthbend/controllers/watch_handlers.py
@@ -295,16 +295,16 @@
     def set_store_reachable(self, is_reachable: bool, now: float) -> None:
         """Do nothing: the last known evacuations hold while the store is unreachable."""
 
-    async def run(self, knows_upstreams: Callable[[], bool]) -> None:
+    async def run(self, lacks_only_this: Callable[[], bool]) -> None:
         """Limit the wait for the first list, then log the evacuations in force, until cancelled.
 
         Parameters
         ----------
-        knows_upstreams : callable
+        lacks_only_this : callable
             Returns whether the process has read all else that it needs to serve.
         """
         while self.is_waiting:
-            if knows_upstreams():
+            if lacks_only_this():
                 await asyncio.sleep(EVACUATIONS_WAIT_S)
                 self.stop_waiting(time.monotonic())
             await asyncio.sleep(WAIT_POLL_INTERVAL_S)
--- a/amaranthbend/filters/dispatch.py
+++ b/amaranthbend/filters/dispatch.py
@@ -73,7 +73,8 @@
         self._settings = settings
         self._cold_limits = cold_limits
         self._members: dict[str, tuple[Member, ...]] = {}
-        self._evacuated: frozenset[str] | None = frozenset()
+        # Evacuated data centres, None while they are unknown.
+        self.evacuated: frozenset[str] | None = frozenset()
         self._probe_share = 0.0
         self._random = random.Random()
         self._request_probe_budget = RequestProbeBudget()
@@ -111,7 +112,7 @@
             self.services[name] = service
             if self._cold_limits is not None:
                 dispatcher.set_cold_limits(self._cold_limits)
-            service.apply(dispatcher.set_evacuated(self._evacuated, now))
+            service.apply(dispatcher.set_evacuated(self.evacuated, now))
             service.set_members(self._members.get(name, ()), now)
             service.apply(dispatcher.set_probe_share(self._probe_share, now))
             log_event("service_added", service=name)
@@ -140,7 +141,7 @@
 
     def set_evacuated(self, data_centres: frozenset[str] | None, now: float) -> None:
         """Set the evacuated data centres of all services, None while they are unknown."""
-        self._evacuated = data_centres
+        self.evacuated = data_centres
         for service in self.services.values():
             service.apply(service.dispatcher.set_evacuated(data_centres, now))
 
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -84,6 +84,7 @@
 # to a slow store. After that the process accepts them and answers 503 with Retry-After.
 MAX_ACCEPT_DELAY_S = 0.5
 READINESS_POLL_INTERVAL_S = 0.005
+NO_EVACUATIONS = "no list of evacuations"
 # Settings that are read only at the start; changing them requires a restart.
 RESTART_ONLY_SETTINGS = frozenset(
     {
@@ -248,12 +249,11 @@
         if not self.upstreams.has_listed:
             return "no list of upstreams"
         if self.evacuations is not None and self.evacuations.is_waiting:
-            return "no list of evacuations"
+            return NO_EVACUATIONS
         return ""
 
-    def _knows_upstreams(self) -> bool:
-        """Return whether configuration and upstreams have been read."""
-        return self.configuration.version is not None and self.upstreams.has_listed
+    def _lacks_evacuations_only(self) -> bool:
+        return self.get_unready_reason() == NO_EVACUATIONS
 
     def listen(self) -> None:
         """Listen for the platform and other hosts; `accept_when_ready` serves the callers."""
@@ -303,7 +303,7 @@
             )
         tasks = [asyncio.ensure_future(watch.run()) for watch in watches]
         if self.evacuations is not None:
-            tasks.append(asyncio.ensure_future(self.evacuations.run(self._knows_upstreams)))
+            tasks.append(asyncio.ensure_future(self.evacuations.run(self._lacks_evacuations_only)))
         tasks.append(asyncio.ensure_future(monitor_watches(watches)))
         tasks.append(asyncio.ensure_future(self.host_directory.run()))
         return tasks
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -90,6 +90,12 @@
         self.broken_responses = 0
         self.whole_responses = 0
         self.is_healthy = True
+        # Seconds for which its health responses say that it stays cold, None to say nothing; the
+        # entry says `entry_cold`.
+        self.cold_s: float | None = None
+        self.entry_cold = "0ms"
+        # Number of health checks answered.
+        self.health_checks = 0
         # Whether health checks get a good head and a body without end.
         self.has_endless_health = False
         # Fault that all requests meet; empty for the one that their path names.
@@ -135,7 +141,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": state,
-            "coldRemaining": "0ms",
+            "coldRemaining": self.entry_cold,
             "sequence": 1,
             "born": self.born,
         }
@@ -168,7 +174,11 @@
         if path == "/health" and self.has_endless_health:
             await self._send_endless(writer, "endless_chunks", self._describe_self())
         if path == "/health":
-            self._answer(writer, 200 if self.is_healthy else 503, b"", self._describe_self())
+            self.health_checks += 1
+            health_fields = self._describe_self()
+            if self.cold_s is not None:
+                health_fields["X-Amaranthbend-Cold-Remaining"] = f"{self.cold_s * 1000:.0f}ms"
+            self._answer(writer, 200 if self.is_healthy else 503, b"", health_fields)
             return True
         request_id = fields.get("x-amaranthbend-attempt-id", "")
         expected = fields.get("x-amaranthbend-expected-instance", self.name)
--- a/tests/node_cases.py
+++ b/tests/node_cases.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
 from typing import Any
 
 from tornado.httpserver import HTTPServer
@@ -16,7 +16,7 @@
 from standins.processes import pick_endpoint, pick_network
 from standins.store import StoreState, make_store_app
 
-__all__ = ["ADDRESS", "NodeCase", "run_node", "wait_until"]
+__all__ = ["ADDRESS", "NodeCase", "make_settings", "run_node", "serve", "wait_until"]
 
 # A loopback network of this test process only, so that parallel tests do not compete for ports.
 ADDRESS = f"{pick_network()}.1"
@@ -89,17 +89,43 @@
     )
 
 
+@contextlib.asynccontextmanager
+async def serve(process: NodeProcess) -> AsyncIterator[None]:
+    """Run a node process as its program does, but without its end."""
+    process.listen()
+    listener = open_listener(process.settings.caller_address)
+    tasks = [
+        *process.start_store_tasks(),
+        asyncio.ensure_future(process.accept_when_ready(listener)),
+    ]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        process.server.stop()
+        process.readiness_server.stop()
+        process.change_relay_server.stop()
+
+
 @contextlib.asynccontextmanager
 async def start_node(
-    instances: int, configured: bool, entries: dict[str, Any], grace_s: float
+    instances: int,
+    configured: bool,
+    entries: dict[str, Any],
+    settings: dict[str, Any],
+    data_centres: Sequence[str],
 ) -> AsyncIterator[NodeCase]:
     """Run a node, a store with further entries, and instances."""
     store = StoreState()
     store_server = HTTPServer(make_store_app(store))
     store_port = pick_endpoint(ADDRESS).port
     store_server.listen(store_port, ADDRESS)
-    group = [Instance(f"i-{n}", DESK, "huye") for n in range(instances)]
-    process = NodeProcess(make_settings(store_port)._replace(grace_s=grace_s))
+    group = [
+        Instance(f"i-{n}", DESK, data_centres[n % len(data_centres)]) for n in range(instances)
+    ]
+    process = NodeProcess(make_settings(store_port)._replace(**settings))
     case = NodeCase(process, store, group)
     for instance in group:
         await instance.start(ADDRESS, pick_endpoint(ADDRESS).port)
@@ -108,23 +134,12 @@
         store.put("servers", name, value)
     if configured:
         store.put("config", "main", make_configuration())
-    process.listen()
-    listener = open_listener(process.settings.caller_address)
-    tasks = [
-        *process.start_store_tasks(),
-        asyncio.ensure_future(process.accept_when_ready(listener)),
-    ]
     try:
-        if configured:
-            await wait_until(lambda: not process.get_unready_reason())
-        yield case
+        async with serve(process):
+            if configured:
+                await wait_until(lambda: not process.get_unready_reason())
+            yield case
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        process.server.stop()
-        process.readiness_server.stop()
-        process.change_relay_server.stop()
         store_server.stop()
         for instance in group:
             await instance.stop()
@@ -137,6 +152,8 @@
     configured: bool = True,
     entries: dict[str, Any] | None = None,
     grace_s: float = 6.0,
+    settings: dict[str, Any] | None = None,
+    data_centres: Sequence[str] = ("huye",),
 ) -> None:
     """Run a check against a node.
 
@@ -152,10 +169,15 @@
         Further entries of instances that the store has from the start, by name.
     grace_s : float
         Seconds between the signal to stop and the kill.
+    settings : dict or None
+        Further settings that differ from `make_settings`.
+    data_centres : sequence of str
+        Data centres of the instances, in turn.
     """
+    changes = {"grace_s": grace_s, **(settings or {})}
 
     async def run() -> None:
-        async with start_node(instances, configured, entries or {}, grace_s) as case:
+        async with start_node(instances, configured, entries or {}, changes, data_centres) as case:
             await check(case)
 
     asyncio.run(run())
