--- a/amaranthbend/core/cold_limits.py
+++ b/amaranthbend/core/cold_limits.py
@@ -82,7 +82,7 @@
     part_rate = _limit_rate(rate_per_s, best_hosts, best_requests)
     # No more than `best_requests` whole requests fit into a window.
     burst = best_requests + 1 - MARGIN - part_rate * WINDOW_S
-    return ColdPart(best_hosts, part_rate, min(MAX_BURST, burst))
+    return ColdPart(best_hosts, part_rate, min(MAX_BURST, max(1.0, burst)))
 
 
 def _limit_rate(rate_per_s: float, hosts: int, requests: int) -> float:
@@ -147,7 +147,7 @@
         Hosts are kept: they are never removed from the directory, and a list of a replica that
         lags may lack some.
         """
-        self._hosts.update(hosts, (self._host,))
+        self._hosts.update(hosts)
         self._parts.clear()
 
     def may_send(self, upstream: str, data_centre: str, rate_per_s: float, now: float) -> bool:
@@ -217,7 +217,8 @@
         return self._parts[key]
 
     def _find_part(self, upstream: str, rate_per_s: float) -> ColdPart | None:
-        if not self._hosts:
+        if self._host not in self._hosts:
+            # The hosts do not count this one yet.
             return None
         part = compute_part(rate_per_s, self._overshoot, self._slack, len(self._hosts))
         own_rank = _hash(upstream, self._host)
