--- a/amaranthbend/core/candidates.py
+++ b/amaranthbend/core/candidates.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Sequence
 
+from .cold_limits import ColdGate
 from .occupancy import NEARLY_FULL_SHARE
 from .policy import RequestProbePolicy
 from .probe_rounds import count_outstanding
@@ -25,6 +26,8 @@
 SUBSET_UPSTREAMS_PER_PROBE = 4
 # Share of rounds that start with an upstream outside the subset.
 OUTSIDE_ROUND_SHARE = 0.1
+# Added to the random ranks from 0 to 1 of upstreams that may still be cold.
+MAYBE_COLD_RANK = 1.0
 
 
 def is_busy(load: UpstreamLoad, now: float) -> bool:
@@ -38,18 +41,6 @@
     )
 
 
-def may_probe(load: UpstreamLoad, now: float) -> bool:
-    """Return whether a probe may lead to an attempt at the upstream.
-
-    One that may be cold, but has not said so itself, is probed also by hosts that must not send to
-    a cold one: otherwise they would not learn that it is warm.
-    """
-    if not load.usable or not load.is_below_slow_start_limit():
-        return False
-    gate = load.cold_gate
-    return gate is None or gate.allows_attempt(now) or gate.is_worth_probing()
-
-
 def select_subset(
     ranked: list[tuple[float, UpstreamLoad]], probes: int, rng: random.Random
 ) -> list[tuple[float, UpstreamLoad]]:
@@ -97,8 +88,9 @@
 ) -> list[UpstreamLoad]:
     """Return the upstreams to probe, chosen at random, mostly local ones.
 
-    Paused, ejected and busy upstreams, and those that may still be cold, are used only if too few
-    others are left.
+    Paused, ejected and busy upstreams are used only if too few others are left. Upstreams that may
+    still be cold, but have not said so themselves, come last in their data centre at hosts that
+    must not send to a cold one: otherwise these would not learn that the upstreams are warm.
 
     Parameters
     ----------
@@ -118,14 +110,18 @@
     local: list[tuple[float, UpstreamLoad]] = []
     remote: list[tuple[float, UpstreamLoad]] = []
     rest: list[tuple[float, UpstreamLoad]] = []
+    held_back: ColdGate | None = None
     for load in loads:
-        if load.member.upstream in excluded or not may_probe(load, now):
+        if load.member.upstream in excluded or not load.may_be_probed():
             continue
         # Lower ranks are probed first; the random part spreads the probes of the processes.
         rank = rng.random()
         if not load.allows_attempt(now):
-            rest.append((rank + (0.75 if load.is_remote else 0.25), load))
-        elif load.paused_until > now:
+            if not load.may_be_warm():
+                held_back = load.cold_gate
+                continue
+            rank += MAYBE_COLD_RANK
+        if load.paused_until > now:
             rest.append((rank + 3.0, load))
         elif load.ejected:
             rest.append((rank + 2.0, load))
@@ -141,4 +137,6 @@
     chosen += remote[: probe_count - len(chosen)]
     chosen += local[policy.local_probes :][: probe_count - len(chosen)]
     chosen += rest[: probe_count - len(chosen)]
+    if not chosen and held_back is not None:
+        held_back.record_held_back()
     return [load for _, load in chosen]
--- a/amaranthbend/core/cold_limits.py
+++ b/amaranthbend/core/cold_limits.py
@@ -253,7 +253,7 @@
     __slots__ = (
         "_cold_until",
         "_data_centre",
-        "_is_confirmed",
+        "is_confirmed",
         "_is_entry_cold",
         "_limits",
         "_upstream",
@@ -268,7 +268,8 @@
         self._data_centre = data_centre
         self.rate_per_s = rate_per_s
         self._cold_until = -math.inf
-        self._is_confirmed = False
+        # Whether the newest statement is a health response.
+        self.is_confirmed = False
         self._is_entry_cold = False
 
     def record_entry(self, is_cold: bool, is_new: bool, now: float) -> None:
@@ -290,16 +291,16 @@
     def assume_cold(self, now: float) -> None:
         """Count the upstream as cold until a health response says otherwise."""
         self._cold_until = max(self._cold_until, now + ASSUMED_COLD_S)
-        self._is_confirmed = False
+        self.is_confirmed = False
 
     def record_statement(self, cold_s: float, now: float) -> None:
         """Record for how many seconds the upstream stays cold, by a health response."""
         self._cold_until = now + cold_s
-        self._is_confirmed = True
+        self.is_confirmed = True
 
     def is_cold(self, now: float) -> bool:
         """Return whether the upstream is cold, as far as is known."""
-        return now < self._cold_until or (self._is_entry_cold and not self._is_confirmed)
+        return now < self._cold_until or (self._is_entry_cold and not self.is_confirmed)
 
     def allows_attempt(self, now: float) -> bool:
         """Return whether the upstream may get a request from this host now."""
@@ -311,10 +312,6 @@
             return True
         return self._may_send(now)
 
-    def is_worth_probing(self) -> bool:
-        """Return whether a probe may show that an upstream counted as cold is not."""
-        return not self._is_confirmed
-
     def record_send(self, now: float) -> None:
         """Record an attempt."""
         self._limits.record_send(self._upstream, self.rate_per_s, self.is_cold(now), now)
--- a/amaranthbend/core/routing.py
+++ b/amaranthbend/core/routing.py
@@ -132,6 +132,14 @@
             return self.usable
         return self.usable and self.cold_gate.allows_unprobed_attempt(self.report_at, now)
 
+    def may_be_probed(self) -> bool:
+        """Return whether the upstream is usable and its slow start allows another request."""
+        return self.usable and self.is_below_slow_start_limit()
+
+    def may_be_warm(self) -> bool:
+        """Return whether a probe may show that an upstream counted as cold is not."""
+        return self.cold_gate is None or not self.cold_gate.is_confirmed
+
     def has_room(self, now: float) -> bool:
         """Return whether the limits for cold upstreams and slow start allow another request."""
         return self.allows_attempt(now) and self.is_below_slow_start_limit()
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -13,6 +13,7 @@
 import asyncio
 import socket
 import struct
+import time
 from typing import Any
 
 from .node_caller import read_chunks
@@ -110,6 +111,8 @@
         self.born = 1
         # Ids of the requests that ran, in order, with their deadlines in milliseconds.
         self.ran: list[tuple[str, int]] = []
+        # Times at which they began to run.
+        self.ran_at: list[float] = []
         self.cancelled: list[str] = []
         # Bodies of the requests that ran, by id.
         self.bodies: dict[str, list[bytes]] = {}
@@ -197,6 +200,7 @@
             self.late_copies -= 1
             self._answer(writer, 200, b"copy", {**self._sign("copy"), **echo, **COPIED_ID})
         self.ran.append((request_id, int(fields.get("x-amaranthbend-request-deadline", "0"))))
+        self.ran_at.append(time.monotonic())
         self.bodies.setdefault(request_id, []).append(body)
         self.heads.setdefault(request_id, []).append(fields)
         if not await self._run(reader, fault):
--- a/tests/test_cold_limits.py
+++ b/tests/test_cold_limits.py
@@ -176,11 +176,11 @@
     """Guards against an entry or a restart of long ago that excludes a warm upstream."""
     gate = make_gate()
     gate.record_entry(True, False, 0.0)
-    assert gate.is_worth_probing()
+    assert not gate.is_confirmed
     gate.record_statement(2.0, 0.1)
-    assert not gate.is_worth_probing()
+    assert gate.is_confirmed
     gate.assume_cold(1.0)
-    assert gate.is_worth_probing()
+    assert not gate.is_confirmed
 
 
 def make_cold_dispatcher(
@@ -281,6 +281,23 @@
     assert not [action for action in rest if isinstance(action, Send)]
 
 
+def test_upstreams_that_may_be_cold_are_asked_after_the_others() -> None:
+    """Guards against a freed data centre that stays unused, or takes the probes from others."""
+    dispatcher = make_cold_dispatcher(6, make_limits("host-9", name_hosts(2)))
+    warm = {f"u{n}": make_cold_report(0.0) for n in range(6)}
+    dispatcher.set_evacuated(frozenset({"huye"}), 0.0)
+    dispatcher.set_evacuated(frozenset(), 0.1)
+    members = [Member(f"u{n}", f"127.0.0.1:{9000 + n}", "huye", 1) for n in range(9)]
+    for known in members[:6]:
+        dispatcher.report(known.upstream, warm[known.upstream], 0.1)
+    dispatcher.set_members(members, 0.1)
+    assert set(list_probes(dispatcher.submit(make_request(1), 0.2))) <= warm.keys()
+    fresh = make_cold_dispatcher(4, make_limits("host-9", name_hosts(2)))
+    fresh.set_evacuated(frozenset({"huye"}), 0.0)
+    fresh.set_evacuated(frozenset(), 0.1)
+    assert isinstance(submit(fresh, 2, 0.2, warm), Send)
+
+
 def test_choice_without_probes_distrusts_old_reports() -> None:
     """Guards against requests to an upstream that was warm when it was asked a while ago."""
     dispatcher = make_cold_dispatcher(1, make_limits("host-9", name_hosts(2)))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -381,6 +381,37 @@
     assert (report is not None) is is_report
 
 
+@pytest.mark.parametrize(
+    ("text", "cold_s"),
+    [
+        (b"1200ms", 1.2),
+        (b"0ms", 0.0),
+        (b"3s", 3.0),
+        (b"9000s", 60.0),
+        (b"1200", None),
+        (b"-1ms", None),
+        (b"", None),
+        (b"\xff", None),
+    ],
+)
+def test_health_response_states_coldness(text: bytes, cold_s: float | None) -> None:
+    """Guards against an instance that counts as warm, or as cold forever, by a misread field."""
+    field = (b"X-Amaranthbend-Cold-Remaining", text)
+    report = PlatformDialect().parse_probe_response(make_head(200, INSTANCE, LOAD, field), MEMBER)
+    assert report is not None
+    assert report.cold_s == cold_s
+
+
+def test_response_without_a_statement_says_nothing_of_coldness() -> None:
+    """Guards against a cold instance that counts as warm after the response to a request."""
+    report = PlatformDialect().parse_probe_response(make_head(200, INSTANCE, LOAD), MEMBER)
+    assert report is not None
+    assert report.cold_s is None
+    reading = PlatformDialect().parse_response(make_head(200, ID, SIGNATURE, LOAD), "abc", MEMBER)
+    assert reading.report is not None
+    assert reading.report.cold_s is None
+
+
 def test_retry_after_has_fractions() -> None:
     """Guards against delays that are rounded up to whole seconds."""
     assert PlatformDialect().format_retry_after(0.15) == "0.150"
