--- a/amaranthbend/core/candidates.py
+++ b/amaranthbend/core/candidates.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+import math
 import random
 from collections.abc import Sequence
 
@@ -137,6 +138,34 @@
     chosen += remote[: probe_count - len(chosen)]
     chosen += local[policy.local_probes :][: probe_count - len(chosen)]
     chosen += rest[: probe_count - len(chosen)]
-    if not chosen and held_back is not None:
+    candidates = [load for _, load in chosen]
+    if not candidates and held_back is not None:
         held_back.record_held_back()
-    return [load for _, load in chosen]
+        candidates = choose_last_resort(loads, excluded, probe_count, rng, now)
+    return candidates
+
+
+def choose_last_resort(
+    loads: Sequence[UpstreamLoad],
+    excluded: frozenset[str],
+    max_probes: int,
+    rng: random.Random,
+    now: float,
+) -> list[UpstreamLoad]:
+    """Return upstreams to probe if all of the service are cold, mostly local ones.
+
+    Load pattern: all upstreams of a service have started together. The few hosts that may send to
+    each of them get a small part of the requests, and all others would be refused.
+    """
+    if any(load.usable and not load.is_cold(now) for load in loads):
+        return []
+    cold = [
+        load
+        for load in loads
+        if load.may_be_probed()
+        and load.member.upstream not in excluded
+        and load.cold_gate is not None
+        and load.cold_gate.allows_last_resort(0, math.inf, now)
+    ]
+    cold.sort(key=lambda load: (load.is_remote, rng.random()))
+    return cold[:max_probes]
--- a/amaranthbend/core/cold_limits.py
+++ b/amaranthbend/core/cold_limits.py
@@ -9,6 +9,11 @@
 of them has a fixed part of the rate, kept by a token bucket. The parts are so small that two
 groups of hosts with different views of the membership, and thus different sets, still stay within
 the bound.
+
+If all upstreams of a service are cold, the few hosts of each set get a small part of the requests.
+The others then send as a last resort, rarely, to upstreams whose reports of a moment ago show
+fewer requests than the rate leads to. What they send together is limited in the mean, not in each
+second, and uses what the bound leaves beside the sets.
 """
 
 import math
@@ -17,7 +22,14 @@
 
 import xxhash
 
-__all__ = ["ASSUMED_COLD_S", "ColdGate", "ColdLimits", "ColdPart", "compute_part"]
+__all__ = [
+    "ASSUMED_COLD_S",
+    "COLD_TIME_FACTOR",
+    "ColdGate",
+    "ColdLimits",
+    "ColdPart",
+    "compute_part",
+]
 
 # Views of the membership that may be in use at the same time without exceeding the bound.
 DIFFERING_VIEWS = 2
@@ -34,6 +46,8 @@
 # An upstream with an older report may have become cold again, so that a request without a probe
 # counts as sent to a cold one.
 MAX_WARM_REPORT_AGE_S = 1.0
+# Work on a cold upstream takes about twice as long.
+COLD_TIME_FACTOR = 2.0
 
 
 class ColdPart(NamedTuple):
@@ -175,6 +189,16 @@
         bucket.refill(part, now)
         return bucket.tokens >= 1.0
 
+    def get_last_resort_interval_s(self, rate_per_s: float, now: float) -> float | None:
+        """Return the time between two requests that this host sends to one upstream without a part.
+
+        With it, all hosts of the data centre together send no more than the upstream's rate. None
+        before the hosts are known, and just after the start.
+        """
+        if not self._hosts or now < self._quiet_until:
+            return None
+        return max(WINDOW_S, len(self._hosts) / rate_per_s)
+
     def record_send(self, upstream: str, rate_per_s: float, is_cold: bool, now: float) -> None:
         """Record an attempt, also one at a warm upstream, which may become cold at any moment."""
         self._attempts += is_cold
@@ -255,6 +279,7 @@
         "_data_centre",
         "is_confirmed",
         "_is_entry_cold",
+        "_last_resort_sent_at",
         "_limits",
         "_upstream",
         "rate_per_s",
@@ -271,6 +296,7 @@
         # Whether the newest statement is a health response.
         self.is_confirmed = False
         self._is_entry_cold = False
+        self._last_resort_sent_at = -math.inf
 
     def record_entry(self, is_cold: bool, is_new: bool, now: float) -> None:
         """Record the entry in the store.
@@ -312,8 +338,32 @@
             return True
         return self._may_send(now)
 
+    def allows_last_resort(self, outstanding: int, service_s: float, now: float) -> bool:
+        """Return whether the upstream may get a request because no upstream is warm.
+
+        By Little's law, an upstream with this many requests gets no more per second than it
+        tolerates. That cannot be seen where requests are so short that it is idle most of the time.
+
+        Parameters
+        ----------
+        outstanding : int
+            Requests at the upstream, by a report of the present probe round.
+        service_s : float
+            Mean time in seconds of a request at a warm upstream.
+        now : float
+            Present time.
+        """
+        if self.rate_per_s * COLD_TIME_FACTOR * service_s < 1.0:
+            return False
+        interval_s = self._limits.get_last_resort_interval_s(self.rate_per_s, now)
+        if interval_s is None or now < self._last_resort_sent_at + interval_s:
+            return False
+        return outstanding + 1 <= max(1.0, self.rate_per_s * service_s)
+
     def record_send(self, now: float) -> None:
         """Record an attempt."""
+        if self.is_cold(now) and not self._may_send(now):
+            self._last_resort_sent_at = now
         self._limits.record_send(self._upstream, self.rate_per_s, self.is_cold(now), now)
 
     def record_held_back(self) -> None:
--- a/amaranthbend/core/probe_rounds.py
+++ b/amaranthbend/core/probe_rounds.py
@@ -8,6 +8,7 @@
 import math
 from collections.abc import Collection, Iterable, Sequence
 
+from .cold_limits import COLD_TIME_FACTOR
 from .occupancy import NEARLY_FULL_SHARE
 from .policy import RequestProbePolicy
 from .routing import UpstreamLoad
@@ -33,8 +34,8 @@
 # Factor on the expected time in another data centre, for the traffic between data centres as
 # well as the delay.
 REMOTE_TIME_FACTOR = 1.1
-# Work on a cold instance, one that has just started, takes about twice as long.
-COLD_TIME_FACTOR = 2.0
+# Reports of cold upstreams in one round, and of no warm one, by which all count as cold.
+MIN_COLD_REPORTS = 2
 # Assumed slowdown of a nearly full upstream beyond the slowdown that it reports.
 NEARLY_FULL_TIME_FACTOR = 1.5
 # Size of the token bucket for probes, enough for some seconds of a peak, and the share of it that
@@ -263,15 +264,37 @@
     def choose(self, slots: int, service_s: float, now: float) -> UpstreamLoad | None:
         """Return the upstream with the shortest expected time among those with fresh reports."""
         oldest = self.started_at - SHARED_REPORT_MAX_AGE_S
-        reported: list[tuple[UpstreamLoad, float]] = []
-        for load in self.candidates:
-            if not load.usable or load.report_at < oldest:
-                continue
-            if load.cold_gate is not None and not load.cold_gate.allows_attempt(now):
-                load.cold_gate.record_held_back()
-                continue
-            reported.append((load, 1.0))
-        return choose_fastest(reported, slots, service_s, now)
+        reported = [load for load in self.candidates if load.usable and load.report_at >= oldest]
+        allowed = [load for load in reported if load.allows_attempt(now)]
+        if len(allowed) < len(reported):
+            for load in reported:
+                if load.cold_gate is not None and not load.allows_attempt(now):
+                    load.cold_gate.record_held_back()
+            if not allowed:
+                allowed = self._list_last_resorts(reported, service_s, now)
+        return choose_fastest([(load, 1.0) for load in allowed], slots, service_s, now)
+
+    def _list_last_resorts(
+        self, reported: list[UpstreamLoad], service_s: float, now: float
+    ) -> list[UpstreamLoad]:
+        """Return the upstreams that may be used if all that were probed are cold.
+
+        Load pattern: all upstreams of a service have started together. The few hosts that may
+        send to each of them get a small part of the requests, and all others would be refused.
+        """
+        if self.is_hedge or len(reported) < min(MIN_COLD_REPORTS, len(self.candidates)):
+            return []
+        if not all(load.is_cold(now) for load in reported):
+            return []
+        # Hosts elsewhere are not counted in the interval, so they come last.
+        is_remote = all(load.is_remote for load in reported)
+        return [
+            load
+            for load in reported
+            if load.cold_gate is not None
+            and load.is_remote == is_remote
+            and load.cold_gate.allows_last_resort(count_outstanding(load), service_s, now)
+        ]
 
 
 class PendingProbeRounds:
