--- a/tests/test_cold_limits.py
+++ b/tests/test_cold_limits.py
@@ -319,6 +319,26 @@
     assert not [action for action in rest if isinstance(action, Send)]
 
 
+@pytest.mark.parametrize("event", ["lifted", "restarted", "added"])
+def test_upstream_without_a_statement_counts_as_cold(event: str) -> None:
+    """Guards against requests without a probe to an upstream that may have just become cold."""
+    dispatcher = make_cold_dispatcher(1, make_limits("host-9", name_hosts(2)))
+    dispatcher.report("u0", make_cold_report(0.0), 0.9)
+    assert dispatcher.count_cold(1.0) == 0
+    if event == "lifted":
+        dispatcher.set_evacuated(frozenset({"huye"}), 0.5)
+        dispatcher.set_evacuated(frozenset(), 1.0)
+    elif event == "restarted":
+        dispatcher.set_members([Member("u0", "127.0.0.1:9000", "huye", 2)], 1.0)
+    else:
+        dispatcher.set_members([Member("u1", "127.0.0.1:9001", "huye", 1)], 1.0)
+    assert dispatcher.count_cold(1.0) == 1
+    dispatcher.submit(make_request(1), 1.1)
+    late = dispatcher.tick(1.1 + RequestProbePolicy().timeout_s)
+    assert [type(action) for action in late] == [Refuse]
+    assert dispatcher.count_cold(1.0 + ASSUMED_COLD_S) == 0
+
+
 def test_upstreams_that_may_be_cold_are_asked_after_the_others() -> None:
     """Guards against a freed data centre that stays unused, or takes the probes from others."""
     dispatcher = make_cold_dispatcher(6, make_limits("host-9", name_hosts(2)))
