--- a/amaranthbend/core/probe_rounds.py
+++ b/amaranthbend/core/probe_rounds.py
@@ -277,15 +277,13 @@
     def _list_last_resorts(
         self, reported: list[UpstreamLoad], service_s: float, now: float
     ) -> list[UpstreamLoad]:
-        """Return the upstreams that may be used if all that were probed are cold.
+        """Return the upstreams that may be used because all that have reported are cold.
 
         Load pattern: all upstreams of a service have started together. The few hosts that may
         send to each of them get a small part of the requests, and all others would be refused.
         """
         if self.is_hedge or len(reported) < min(MIN_COLD_REPORTS, len(self.candidates)):
             return []
-        if not all(load.is_cold(now) for load in reported):
-            return []
         # Hosts elsewhere are not counted in the interval, so they come last.
         is_remote = all(load.is_remote for load in reported)
         return [
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -34,7 +34,7 @@
 from amaranthbend.core.policy import ProbePolicy, RequestProbePolicy, RetryPolicy, ServicePolicy
 from amaranthbend.core.probing_dispatcher import ProbingDispatcher
 
-__all__ = ["FleetResult", "FleetSettings", "run_fleet_model"]
+__all__ = ["FleetModel", "FleetResult", "FleetSettings", "run_fleet_model"]
 
 NETWORK_DELAY_S = 0.001
 # Upstreams close connections that were idle for this long.
@@ -129,7 +129,15 @@
         self.arrivals = 0
 
 
-class _FleetModel:
+class FleetModel:
+    """One run of the model.
+
+    Parameters
+    ----------
+    settings : FleetSettings
+        Size and load of the deployment.
+    """
+
     def __init__(self, settings: FleetSettings) -> None:
         self._settings = settings
         self._random = random.Random(settings.seed)
@@ -149,6 +157,10 @@
         self._submitted_at: dict[int, float] = {}
         self._hosts = [self._make_dispatcher(number) for number in range(settings.hosts)]
 
+    def _get_cold_rate(self) -> float:
+        """Return the requests per second that a cold upstream tolerates, 0 without cold ones."""
+        return 0.0
+
     def _make_dispatcher(self, number: int) -> ProbingDispatcher:
         settings = self._settings
         burst = max(1.0, RETRY_SLACK / settings.hosts)
@@ -157,6 +169,7 @@
             settings.slots,
             retries=RetryPolicy(RETRY_RATIO, 0.0, 1, burst, burst / 2.0),
             request_probes=RequestProbePolicy(),
+            cold_rate_per_s=self._get_cold_rate(),
         )
         data_centre = f"dc{number % settings.data_centres}"
         dispatcher = ProbingDispatcher(
@@ -330,7 +343,7 @@
     settings : FleetSettings
         Size and load of the deployment.
     """
-    return _FleetModel(settings).run()
+    return FleetModel(settings).run()
 
 
 def print_run(**settings: float) -> None:
