--- a/amaranthbend/core/candidates.py
+++ b/amaranthbend/core/candidates.py
@@ -152,7 +152,7 @@
     rng: random.Random,
     now: float,
 ) -> list[UpstreamLoad]:
-    """Return upstreams to probe if all of the service are cold, mostly local ones.
+    """Return upstreams of the own data centre to probe if all of the service are cold.
 
     Load pattern: all upstreams of a service have started together. The few hosts that may send to
     each of them get a small part of the requests, and all others would be refused.
@@ -167,5 +167,5 @@
         and load.cold_gate is not None
         and load.cold_gate.allows_last_resort(0, math.inf, now)
     ]
-    cold.sort(key=lambda load: (load.is_remote, rng.random()))
+    rng.shuffle(cold)
     return cold[:max_probes]
--- a/amaranthbend/core/cold_limits.py
+++ b/amaranthbend/core/cold_limits.py
@@ -189,13 +189,15 @@
         bucket.refill(part, now)
         return bucket.tokens >= 1.0
 
-    def get_last_resort_interval_s(self, rate_per_s: float, now: float) -> float | None:
+    def get_last_resort_interval_s(
+        self, data_centre: str, rate_per_s: float, now: float
+    ) -> float | None:
         """Return the time between two requests that this host sends to one upstream without a part.
 
         With it, all hosts of the data centre together send no more than the upstream's rate. None
-        before the hosts are known, and just after the start.
+        in another data centre, before the hosts are known, and just after the start.
         """
-        if not self._hosts or now < self._quiet_until:
+        if data_centre != self._data_centre or not self._hosts or now < self._quiet_until:
             return None
         return max(WINDOW_S, len(self._hosts) / rate_per_s)
 
@@ -223,16 +225,12 @@
 
     def prune(self, now: float) -> None:
         """Drop the buckets that are full again; they are made anew when needed."""
+        rates = [part.rate_per_s for part in self._parts.values() if part is not None]
+        longest_refill_s = MAX_BURST / min(rates, default=MARGIN)
         for upstream, bucket in list(self._buckets.items()):
-            if now - bucket.updated_at > MAX_BURST * self._longest_interval_s:
+            if now - bucket.updated_at > longest_refill_s:
                 del self._buckets[upstream]
 
-    @property
-    def _longest_interval_s(self) -> float:
-        """Longest time in which a bucket gets one token."""
-        rates = [part.rate_per_s for part in self._parts.values() if part is not None]
-        return 1.0 / min(rates, default=MARGIN)
-
     def _get_part(self, upstream: str, rate_per_s: float) -> ColdPart | None:
         """Return the part of this host, None if it is not in the set of the upstream."""
         key = (upstream, rate_per_s)
@@ -355,7 +353,9 @@
         """
         if self.rate_per_s * COLD_TIME_FACTOR * service_s < 1.0:
             return False
-        interval_s = self._limits.get_last_resort_interval_s(self.rate_per_s, now)
+        interval_s = self._limits.get_last_resort_interval_s(
+            self._data_centre, self.rate_per_s, now
+        )
         if interval_s is None or now < self._last_resort_sent_at + interval_s:
             return False
         return outstanding + 1 <= max(1.0, self.rate_per_s * service_s)
--- a/amaranthbend/core/probe_rounds.py
+++ b/amaranthbend/core/probe_rounds.py
@@ -266,12 +266,10 @@
         oldest = self.started_at - SHARED_REPORT_MAX_AGE_S
         reported = [load for load in self.candidates if load.usable and load.report_at >= oldest]
         allowed = [load for load in reported if load.allows_attempt(now)]
-        if len(allowed) < len(reported):
-            for load in reported:
-                if load.cold_gate is not None and not load.allows_attempt(now):
-                    load.cold_gate.record_held_back()
-            if not allowed:
-                allowed = self._list_last_resorts(reported, service_s, now)
+        held_back = [load.cold_gate for load in reported if load not in allowed]
+        if held_back and held_back[0] is not None:
+            held_back[0].record_held_back()
+            allowed = allowed or self._list_last_resorts(reported, service_s, now)
         return choose_fastest([(load, 1.0) for load in allowed], slots, service_s, now)
 
     def _list_last_resorts(
@@ -284,13 +282,10 @@
         """
         if self.is_hedge or len(reported) < min(MIN_COLD_REPORTS, len(self.candidates)):
             return []
-        # Hosts elsewhere are not counted in the interval, so they come last.
-        is_remote = all(load.is_remote for load in reported)
         return [
             load
             for load in reported
             if load.cold_gate is not None
-            and load.is_remote == is_remote
             and load.cold_gate.allows_last_resort(count_outstanding(load), service_s, now)
         ]
 
--- a/tests/test_cold_limits.py
+++ b/tests/test_cold_limits.py
@@ -262,6 +262,9 @@
     many.record_send(1.0)
     assert not many.allows_last_resort(0, 0.5, 10.0)
     assert many.allows_last_resort(0, 0.5, 11.1)
+    elsewhere = ColdGate(make_limits("host-9", name_hosts(2)), "desk/u0", "kaya", RATE)
+    elsewhere.record_statement(60.0, 0.0)
+    assert not elsewhere.allows_last_resort(0, 0.5, 0.0)
     unknown = ColdGate(make_limits("host-0", []), "desk/u0", "huye", RATE)
     assert not unknown.allows_last_resort(0, 0.5, 0.0)
 
@@ -350,10 +353,14 @@
         dispatcher.report(known.upstream, warm[known.upstream], 0.1)
     dispatcher.set_members(members, 0.1)
     assert set(list_probes(dispatcher.submit(make_request(1), 0.2))) <= warm.keys()
-    fresh = make_cold_dispatcher(4, make_limits("host-9", name_hosts(2)))
-    fresh.set_evacuated(frozenset({"huye"}), 0.0)
-    fresh.set_evacuated(frozenset(), 0.1)
-    assert isinstance(submit(fresh, 2, 0.2, warm), Send)
+    full = {"u0": make_cold_report(0.0)._replace(incarnation=2), "u1": make_cold_report(0.0, 16)}
+    beside_full = make_cold_dispatcher(2, make_limits("host-9", name_hosts(2)))
+    beside_full.report("u1", full["u1"], 0.1)
+    restarted = [members[0]._replace(incarnation=2), members[1]]
+    beside_full.set_members(restarted, 0.1)
+    decision = submit(beside_full, 3, 0.2, full)
+    assert isinstance(decision, Send)
+    assert decision.upstream == "u0"
 
 
 def test_choice_without_probes_distrusts_old_reports() -> None:
--- a/tests/test_node_cold.py
+++ b/tests/test_node_cold.py
@@ -5,10 +5,12 @@
 from typing import Any
 
 from amaranthbend.core.cold_limits import DIFFERING_VIEWS, WINDOW_S
+from amaranthbend.programs.node_process import NodeProcess
 from standins.instance import Instance
 from standins.node_caller import make_configuration
+from standins.processes import pick_endpoint
 
-from .node_cases import NodeCase, run_node, wait_until
+from .node_cases import ADDRESS, NodeCase, run_node, serve, wait_until
 
 RATE = 3.3
 SETTINGS: dict[str, Any] = {"cold_overshoot": 1.5, "cold_slack": 8.0}
@@ -87,6 +89,34 @@
     run_node(check, instances=2, settings=SETTINGS)
 
 
+def test_two_hosts_together_stay_within_the_bound() -> None:
+    """Guards against hosts that each use the whole rate, also just after one of them restarts."""
+
+    async def check(case: NodeCase) -> None:
+        for instance in case.instances:
+            instance.cold_s = LONG_COLD_S
+        await limit_cold(case)
+        settings = case.process.settings._replace(
+            host_id="host-2",
+            caller_address=f"{ADDRESS}:{pick_endpoint(ADDRESS).port}",
+            readiness_address=f"{ADDRESS}:{pick_endpoint(ADDRESS).port}",
+            peer_address=f"{ADDRESS}:{pick_endpoint(ADDRESS).port}",
+        )
+        since = time.monotonic()
+        for start in range(2):
+            other = NodeCase(NodeProcess(settings), case.store, case.instances)
+            async with serve(other.process):
+                await wait_until(lambda: not other.process.get_unready_reason())  # noqa: B023
+                await asyncio.gather(
+                    call_for(case, 1.5, f"a{start}"), call_for(other, 1.5, f"b{start}")
+                )
+        for instance in case.instances:
+            assert len(instance.ran) > 0
+            assert count_most_in_a_second(instance, since) <= DIFFERING_VIEWS * GROUP_BOUND
+
+    run_node(check, instances=1, settings=SETTINGS)
+
+
 def test_cold_entry_of_long_ago_does_not_limit_a_warm_instance() -> None:
     """Guards against hosts that restart and treat all instances as cold, by their old entries."""
 
