--- a/amaranthbend/core/candidates.py
+++ b/amaranthbend/core/candidates.py
@@ -5,9 +5,11 @@
 """
 
 import heapq
+import math
 import random
 from collections.abc import Sequence
 
+from .cold_limits import ColdGate
 from .occupancy import NEARLY_FULL_SHARE
 from .policy import RequestProbePolicy
 from .probe_rounds import count_outstanding
@@ -25,6 +27,8 @@
 SUBSET_UPSTREAMS_PER_PROBE = 4
 # Share of rounds that start with an upstream outside the subset.
 OUTSIDE_ROUND_SHARE = 0.1
+# Added to the random ranks from 0 to 1 of upstreams that may still be cold.
+MAYBE_COLD_RANK = 1.0
 
 
 def is_busy(load: UpstreamLoad, now: float) -> bool:
@@ -85,7 +89,9 @@
 ) -> list[UpstreamLoad]:
     """Return the upstreams to probe, chosen at random, mostly local ones.
 
-    Paused, ejected and busy upstreams are used only if too few others are left.
+    Paused, ejected and busy upstreams are used only if too few others are left. Upstreams that may
+    still be cold, but have not said so themselves, come last in their data centre at hosts that
+    must not send to a cold one: otherwise these would not learn that the upstreams are warm.
 
     Parameters
     ----------
@@ -105,11 +111,17 @@
     local: list[tuple[float, UpstreamLoad]] = []
     remote: list[tuple[float, UpstreamLoad]] = []
     rest: list[tuple[float, UpstreamLoad]] = []
+    held_back: ColdGate | None = None
     for load in loads:
-        if load.member.upstream in excluded or not load.has_room():
+        if load.member.upstream in excluded or not load.may_be_probed():
             continue
         # Lower ranks are probed first; the random part spreads the probes of the processes.
         rank = rng.random()
+        if not load.allows_attempt(now):
+            if not load.may_be_warm():
+                held_back = load.cold_gate
+                continue
+            rank += MAYBE_COLD_RANK
         if load.paused_until > now:
             rest.append((rank + 3.0, load))
         elif load.ejected:
@@ -126,4 +138,34 @@
     chosen += remote[: probe_count - len(chosen)]
     chosen += local[policy.local_probes :][: probe_count - len(chosen)]
     chosen += rest[: probe_count - len(chosen)]
-    return [load for _, load in chosen]
+    candidates = [load for _, load in chosen]
+    if not candidates and held_back is not None:
+        held_back.record_held_back()
+        candidates = choose_last_resort(loads, excluded, probe_count, rng, now)
+    return candidates
+
+
+def choose_last_resort(
+    loads: Sequence[UpstreamLoad],
+    excluded: frozenset[str],
+    max_probes: int,
+    rng: random.Random,
+    now: float,
+) -> list[UpstreamLoad]:
+    """Return upstreams of the own data centre to probe if all of the service are cold.
+
+    Load pattern: all upstreams of a service have started together. The few hosts that may send to
+    each of them get a small part of the requests, and all others would be refused.
+    """
+    if any(load.usable and not load.is_cold(now) for load in loads):
+        return []
+    cold = [
+        load
+        for load in loads
+        if load.may_be_probed()
+        and load.member.upstream not in excluded
+        and load.cold_gate is not None
+        and load.cold_gate.allows_last_resort(0, math.inf, now)
+    ]
+    rng.shuffle(cold)
+    return cold[:max_probes]
--- a/amaranthbend/core/probe_rounds.py
+++ b/amaranthbend/core/probe_rounds.py
@@ -8,7 +8,7 @@
 import math
 from collections.abc import Collection, Iterable, Sequence
 
-from .actions import UpstreamState
+from .cold_limits import COLD_TIME_FACTOR
 from .occupancy import NEARLY_FULL_SHARE
 from .policy import RequestProbePolicy
 from .routing import UpstreamLoad
@@ -34,8 +34,8 @@
 # Factor on the expected time in another data centre, for the traffic between data centres as
 # well as the delay.
 REMOTE_TIME_FACTOR = 1.1
-# Work on a cold instance, one that has just started, takes about twice as long.
-COLD_TIME_FACTOR = 2.0
+# Reports of cold upstreams in one round, and of no warm one, by which all count as cold.
+MIN_COLD_REPORTS = 2
 # Assumed slowdown of a nearly full upstream beyond the slowdown that it reports.
 NEARLY_FULL_TIME_FACTOR = 1.5
 # Size of the token bucket for probes, enough for some seconds of a peak, and the share of it that
@@ -95,7 +95,7 @@
     run_s = service_s * (1.0 if report is None else report.slowdown)
     if running + 1 > NEARLY_FULL_SHARE * slots:
         run_s *= NEARLY_FULL_TIME_FACTOR
-    if load.member.state is UpstreamState.COLD:
+    if load.is_cold(now):
         run_s *= COLD_TIME_FACTOR
     time_s = run_s * (1.0 + max(0, count_outstanding(load) + 1 - slots) / max(1, slots))
     time_s *= 1.0 + FAILURE_TIME_WEIGHT * load.health.get_failure_share(now)
@@ -208,7 +208,9 @@
     eligible = [
         (load, PENDING_PROBE_TIME_FACTOR if load.probe_pending else 1.0)
         for load in loads
-        if load.member.upstream not in excluded and load.has_room()
+        if load.member.upstream not in excluded
+        and load.is_below_slow_start_limit()
+        and load.allows_unprobed_attempt(now)
     ]
     return choose_fastest(eligible, slots, service_s, now)
 
@@ -262,10 +264,30 @@
     def choose(self, slots: int, service_s: float, now: float) -> UpstreamLoad | None:
         """Return the upstream with the shortest expected time among those with fresh reports."""
         oldest = self.started_at - SHARED_REPORT_MAX_AGE_S
-        reported = [
-            (load, 1.0) for load in self.candidates if load.usable and load.report_at >= oldest
+        reported = [load for load in self.candidates if load.usable and load.report_at >= oldest]
+        allowed = [load for load in reported if load.allows_attempt(now)]
+        held_back = [load.cold_gate for load in reported if load not in allowed]
+        if held_back and held_back[0] is not None:
+            held_back[0].record_held_back()
+            allowed = allowed or self._list_last_resorts(reported, service_s, now)
+        return choose_fastest([(load, 1.0) for load in allowed], slots, service_s, now)
+
+    def _list_last_resorts(
+        self, reported: list[UpstreamLoad], service_s: float, now: float
+    ) -> list[UpstreamLoad]:
+        """Return the upstreams that may be used because all that have reported are cold.
+
+        Load pattern: all upstreams of a service have started together. The few hosts that may
+        send to each of them get a small part of the requests, and all others would be refused.
+        """
+        if self.is_hedge or len(reported) < min(MIN_COLD_REPORTS, len(self.candidates)):
+            return []
+        return [
+            load
+            for load in reported
+            if load.cold_gate is not None
+            and load.cold_gate.allows_last_resort(count_outstanding(load), service_s, now)
         ]
-        return choose_fastest(reported, slots, service_s, now)
 
 
 class PendingProbeRounds:
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -13,6 +13,7 @@
 import asyncio
 import socket
 import struct
+import time
 from typing import Any
 
 from .node_caller import read_chunks
@@ -90,6 +91,12 @@
         self.broken_responses = 0
         self.whole_responses = 0
         self.is_healthy = True
+        # Seconds for which its health responses say that it stays cold, None to say nothing; the
+        # entry says `entry_cold`.
+        self.cold_s: float | None = None
+        self.entry_cold = "0ms"
+        # Number of health checks answered.
+        self.health_checks = 0
         # Whether health checks get a good head and a body without end.
         self.has_endless_health = False
         # Fault that all requests meet; empty for the one that their path names.
@@ -104,6 +111,8 @@
         self.born = 1
         # Ids of the requests that ran, in order, with their deadlines in milliseconds.
         self.ran: list[tuple[str, int]] = []
+        # Times at which they began to run.
+        self.ran_at: list[float] = []
         self.cancelled: list[str] = []
         # Bodies of the requests that ran, by id.
         self.bodies: dict[str, list[bytes]] = {}
@@ -135,7 +144,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": state,
-            "coldRemaining": "0ms",
+            "coldRemaining": self.entry_cold,
             "sequence": 1,
             "born": self.born,
         }
@@ -168,7 +177,11 @@
         if path == "/health" and self.has_endless_health:
             await self._send_endless(writer, "endless_chunks", self._describe_self())
         if path == "/health":
-            self._answer(writer, 200 if self.is_healthy else 503, b"", self._describe_self())
+            self.health_checks += 1
+            health_fields = self._describe_self()
+            if self.cold_s is not None:
+                health_fields["X-Amaranthbend-Cold-Remaining"] = f"{self.cold_s * 1000:.0f}ms"
+            self._answer(writer, 200 if self.is_healthy else 503, b"", health_fields)
             return True
         request_id = fields.get("x-amaranthbend-attempt-id", "")
         expected = fields.get("x-amaranthbend-expected-instance", self.name)
@@ -187,6 +200,7 @@
             self.late_copies -= 1
             self._answer(writer, 200, b"copy", {**self._sign("copy"), **echo, **COPIED_ID})
         self.ran.append((request_id, int(fields.get("x-amaranthbend-request-deadline", "0"))))
+        self.ran_at.append(time.monotonic())
         self.bodies.setdefault(request_id, []).append(body)
         self.heads.setdefault(request_id, []).append(fields)
         if not await self._run(reader, fault):
