--- a/amaranthbend/adapters/caller.py
+++ b/amaranthbend/adapters/caller.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol, cast
 
-from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
@@ -25,6 +24,7 @@
 
 if TYPE_CHECKING:
     from .caller_server import CallerStream
+    from .pipelining import ExchangeConnection
 
 __all__ = ["CallerRequest", "RequestHandler"]
 
@@ -67,8 +67,8 @@
     ----------
     handler : RequestHandler
         Handles the request.
-    connection : HTTP1Connection
-        Connection of tornado, which serves only this request.
+    connection : ExchangeConnection
+        Connection as this request sees it.
     """
 
     method = ""
@@ -95,7 +95,7 @@
     claim: object = None
     dispatch: object = None
 
-    def __init__(self, handler: RequestHandler, connection: HTTP1Connection) -> None:
+    def __init__(self, handler: RequestHandler, connection: "ExchangeConnection") -> None:
         self.connection = connection
         self.arrived_at = 0.0
         self.last_progress = time.monotonic()
@@ -136,6 +136,24 @@
         """Whether the caller supports chunked transfer coding."""
         return self._version == "HTTP/1.1"
 
+    @property
+    def closes_connection(self) -> bool:
+        """Whether the connection is closed after the response, as far as is known yet."""
+        return self._closes_connection
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the request was refused because of its head."""
+        return self._local_response is not None
+
+    def record_progress(self) -> None:
+        """Start the time without progress anew; the request was waiting for others until now."""
+        self.last_progress = time.monotonic()
+
+    def _is_last_before_stop(self) -> bool:
+        """Return whether a planned stop closes the connection after the response."""
+        return self._handler.is_draining and not self.connection.has_followers
+
     # Request.
 
     def headers_received(
@@ -284,7 +302,7 @@
             self.abort_response(local_response.reason)
             return
         self._closes_connection = (
-            self._closes_connection or local_response.closes or self._handler.is_draining
+            self._closes_connection or local_response.closes or self._is_last_before_stop()
         )
         has_body = self.method != "HEAD"
         self._output.clear()
@@ -302,7 +320,7 @@
         """Buffer the head of an upstream's response, before anything is sent to the caller."""
         self._output.clear()
         self._sends_chunked = False
-        self._closes_connection = self._closes_connection or self._handler.is_draining
+        self._closes_connection = self._closes_connection or self._is_last_before_stop()
         lines = [b"HTTP/1.1 %d %s" % (head.status, head.reason)]
         lines += [name + b": " + value for name, value in head.fields]
         lines.append(b"X-Request-Outcome: answered")
--- a/amaranthbend/adapters/caller_server.py
+++ b/amaranthbend/adapters/caller_server.py
@@ -2,24 +2,24 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import struct
 from typing import Any
 
-from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPConnection, HTTPMessageDelegate, HTTPServerConnectionDelegate
+from tornado.httputil import HTTPServerConnectionDelegate
 from tornado.iostream import IOStream, UnsatisfiableReadError
 
 from ..core.buffers import BufferBudget
 from ..core.outcomes import OutcomeReason
 from ..filters.local_responses import LocalResponse, make_refusal
 from .caller import CallerRequest, RequestHandler
+from .metrics import Counters
+from .pipelining import CallerConnection
 
 __all__ = ["CallerServer", "CallerStream"]
 
-# Response that tornado writes to input that it cannot parse.
-TORNADO_BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\n\r\n"
 # Duration of a lingering close. A caller that still sends afterwards gets a connection reset, which
 # can make it lose the refusal.
 LINGER_TIMEOUT_S = 1.0
@@ -51,18 +51,15 @@
 
 
 class CallerStream(IOStream):
-    """Stream of a caller's connection; responds to refused input with the reason."""
+    """Stream of a caller's connection; responds to oversized input with the reason."""
 
-    request: CallerRequest | None = None
+    connection: CallerConnection | None = None
     lingers = False
     # Counts the data that the caller has not read yet.
     buffers: BufferBudget | None = None
 
     def write(self, data: bytes | memoryview) -> "asyncio.Future[None]":
-        """Write data; tornado's response to malformed input is replaced by one with the reason."""
-        if data == TORNADO_BAD_REQUEST and self.request is not None:
-            self.lingers = True
-            data = self.request.reject_malformed(OutcomeReason.MALFORMED_REQUEST)
+        """Write data, whose unsent part counts in the buffer budget."""
         written = super().write(data)
         if self.buffers is not None and not written.done():
             buffers, size = self.buffers, len(data)
@@ -78,12 +75,23 @@
         """
         if self.closed():
             return
-        if isinstance(exc_info, UnsatisfiableReadError) and self.request is not None:
-            self._refuse_oversized(self.request)
+        reading = self.connection.reading if self.connection is not None else None
+        if isinstance(exc_info, UnsatisfiableReadError) and reading is not None:
+            if not reading.has_turn:
+                self._fail_read(exc_info)
+                return
+            self._refuse_oversized(reading.request)
         if self.lingers:
             self._start_lingering_close()
         super().close(exc_info)
 
+    def _fail_read(self, error: UnsatisfiableReadError) -> None:
+        """End the present read with an error; the stream stays open for responses."""
+        future, self._read_future = self._read_future, None
+        self._read_regex = self._read_delimiter = self._read_max_bytes = None
+        if future is not None:
+            future.set_exception(error)
+
     def _start_lingering_close(self) -> None:
         if len(_lingering_closes) >= MAX_LINGERING_CLOSES:
             return
@@ -105,6 +113,7 @@
 
         Callers do not take a connection reset as the end of a body.
         """
+        self.lingers = False
         if not self.closed():
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
@@ -120,13 +129,27 @@
         except OSError:
             return False
 
-    def set_nodelay(self, value: bool) -> None:
-        """Do nothing; the server sets the option once per connection."""
+    def has_caller_left(self) -> bool:
+        """Return whether the caller has closed the connection behind input that is not read yet.
 
+        The event loop does not report that while unread input remains.
+        """
+        if self.closed():
+            return False
+        poll = select.poll()
+        poll.register(self.socket, select.POLLRDHUP)
+        return bool(poll.poll(0))
 
-def _is_in_progress(request: CallerRequest | None) -> bool:
+
+def _is_in_progress(request: CallerRequest) -> bool:
     """Return whether the head of a request has been received, and the request has not ended."""
-    return request is not None and bool(request.method) and not request.has_ended
+    return bool(request.method) and not request.has_ended
+
+
+def list_requests(stream: CallerStream) -> list[CallerRequest]:
+    """Return the requests of a connection whose responses are not written, in order."""
+    connection = stream.connection
+    return [] if connection is None else [entry.request for entry in connection.exchanges]
 
 
 class CallerServer(HTTPServer, HTTPServerConnectionDelegate):
@@ -138,9 +161,19 @@
         Handles the requests.
     max_header_bytes : int
         Maximum size of the request line and the header fields together.
+    max_requests : int
+        Most requests of a connection that are in progress at the same time.
+    counters : Counters or None
+        Counts requests that run ahead of earlier ones of their connection.
     """
 
-    def initialize(self, handler: RequestHandler, max_header_bytes: int) -> None:  # type: ignore[override]
+    def initialize(  # type: ignore[override]
+        self,
+        handler: RequestHandler,
+        max_header_bytes: int,
+        max_requests: int = 1,
+        counters: Counters | None = None,
+    ) -> None:
         """Initialize the server; called by tornado instead of `__init__`."""
         super().initialize(
             self,
@@ -153,6 +186,8 @@
         # `close_stalled` closes idle connections; tornado would set a timer for each request.
         self.conn_params.header_timeout = None
         self._handler = handler
+        self._max_requests = max_requests
+        self._counters = counters
         self._streams: set[CallerStream] = set()
 
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
@@ -163,25 +198,24 @@
         )
         caller_stream.buffers = self._handler.buffers
         self._streams.add(caller_stream)
-        super().handle_stream(caller_stream, address)
-
-    def start_request(
-        self,
-        server_conn: object,  # noqa: ARG002
-        request_conn: HTTPConnection,
-    ) -> HTTPMessageDelegate:
-        """Return the delegate of the next request on a connection."""
-        assert isinstance(request_conn, HTTP1Connection)
-        stream = request_conn.stream
-        assert isinstance(stream, CallerStream)
-        request = CallerRequest(self._handler, request_conn)
-        stream.request = request
-        return request
+        connection = CallerConnection(
+            caller_stream,
+            self.conn_params,
+            address[0] if address else "",
+            self._handler,
+            self._counters,
+            self._max_requests,
+        )
+        caller_stream.connection = connection
+        self._connections.add(connection)
+        connection.start_serving(self)
 
     def on_close(self, server_conn: Any) -> None:
-        """Remove a closed connection; called by tornado."""
+        """Remove a closed connection; called by `CallerConnection`."""
         super().on_close(server_conn)
-        self._streams.discard(server_conn.stream)
+        stream = server_conn.caller_stream
+        stream.connection = None
+        self._streams.discard(stream)
 
     def count_connections(self) -> int:
         """Return the number of open connections."""
@@ -193,20 +227,23 @@
         They include those whose bodies are still read, and those whose response is not written
         completely: the caller of a large one may be slow to read it.
         """
-        return sum(_is_in_progress(stream.request) or stream.writing() for stream in self._streams)
+        return sum(
+            sum(bool(request.method) for request in list_requests(stream)) or stream.writing()
+            for stream in self._streams
+        )
 
     def refuse_incomplete(self, response: LocalResponse) -> None:
         """Refuse the requests whose bodies are still read, which have not been passed on."""
         for stream in list(self._streams):
-            request = stream.request
-            if request is not None and _is_in_progress(request) and not request.is_running:
-                request.send_local_response(response)
+            for request in list_requests(stream):
+                if _is_in_progress(request) and not request.is_running:
+                    request.send_local_response(response)
 
     def close_idle(self) -> None:
         """Close connections on which no part of a request has been received."""
         for stream in list(self._streams):
-            request = stream.request
-            if request is None or (not request.method and not stream.has_unread_input()):
+            is_idle = not any(request.method for request in list_requests(stream))
+            if is_idle and not stream.has_unread_input():
                 stream.close()
 
     def reset_unwritten(self) -> None:
@@ -231,9 +268,17 @@
             Monotonic time in seconds.
         """
         for stream in list(self._streams):
-            request = stream.request
-            if request is None:
+            connection = stream.connection
+            if connection is not None and not connection.is_reading and stream.has_caller_left():
+                stream.close()
+                continue
+            requests = list_requests(stream)
+            if not requests:
                 continue
+            for request in requests[1:]:
+                # Waits for the requests before it.
+                request.last_progress = now
+            request = requests[0]
             idle_s = now - request.last_progress
             if not request.method:
                 if idle_s > (stall_timeout_s if self._handler.is_draining else IDLE_TIMEOUT_S):
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -20,6 +20,7 @@
 from ..adapters.metrics import Counters
 from ..adapters.metrics_page import MetricsPage
 from ..adapters.output import NonBlockingOutput
+from ..adapters.pipelining import MAX_PIPELINED_REQUESTS
 from ..adapters.upstream import UpstreamClient
 from ..controllers.first_lists import FIRST_START_LIST_WAITS, RESTART_LIST_WAITS
 from ..controllers.host_directory import HostDirectory
@@ -151,7 +152,9 @@
             dialect,
             self.request_log,
         )
-        self.server = CallerServer(self.chain, MAX_HEADER_BYTES)
+        self.server = CallerServer(
+            self.chain, MAX_HEADER_BYTES, MAX_PIPELINED_REQUESTS, self.counters
+        )
         self.readiness_server = HTTPServer(
             Application(
                 [(settings.readiness_path, _ReadinessHandler, {"process": self})],
