--- a/amaranthbend/adapters/caller.py
+++ b/amaranthbend/adapters/caller.py
@@ -94,6 +94,8 @@
     has_team_fields = False
     claim: object = None
     dispatch: object = None
+    # Whether it was passed on before the responses to earlier requests of its connection.
+    ran_ahead = False
 
     def __init__(self, handler: RequestHandler, connection: "ExchangeConnection") -> None:
         self.connection = connection
--- a/amaranthbend/adapters/pipelining.py
+++ b/amaranthbend/adapters/pipelining.py
@@ -37,8 +37,8 @@
 # Most requests of a connection in progress at the same time. Callers send a handful ahead; with
 # more, one connection could occupy the slots of several upstreams.
 MAX_PIPELINED_REQUESTS = 8
-# Reserved in the buffer budget for each request that runs ahead: the size up to which a response
-# is buffered whatever the budget (`filters/attempts.py`).
+# Reserved in the buffer budget for each request that runs ahead, besides its head: the size up to
+# which a response is buffered whatever the budget (`filters/attempts.py`).
 HELD_RESPONSE_BYTES = 8 * 1024
 # No further request of a connection is read while its held responses have this size. A quarter of
 # the largest response that is buffered, so that usual responses do not reach it.
@@ -70,6 +70,11 @@
     return headers.get("Content-Length", "0") == "0"
 
 
+def count_bytes(headers: HTTPHeaders) -> int:
+    """Return the size of header fields."""
+    return sum(len(name) + len(value) for name, value in headers.get_all())
+
+
 class ExchangeConnection(HTTP1Connection):
     """Reads one request by tornado's parser; the response goes to the `Exchange`.
 
@@ -123,7 +128,6 @@
         self._stream = owner.caller_stream
         self.has_turn = False
         self.lingers = False
-        self.ran_ahead = False
         self.is_dropped = False
         self._is_reset = False
         self._is_finished = False
@@ -132,6 +136,8 @@
         self._held: list[bytes] = []
         self._held_writes: list[asyncio.Future[None]] = []
         self.held_bytes = 0
+        # Memory of the head of a request that runs ahead, and all that is reserved for it.
+        self._head_bytes = 0
         self._reserved_bytes = 0
         connection = ExchangeConnection(self, owner.params, owner.context)
         self.request = CallerRequest(owner.handler, connection)
@@ -158,14 +164,16 @@
             return False
         if owner.count_held_bytes() >= MAX_HELD_BYTES:
             return False
-        if not owner.buffers.reserve(HELD_RESPONSE_BYTES):
+        head_bytes = count_bytes(headers)
+        if not owner.buffers.reserve(head_bytes + HELD_RESPONSE_BYTES):
             return False
-        self._reserved_bytes = HELD_RESPONSE_BYTES
+        self._head_bytes = head_bytes
+        self._reserved_bytes = head_bytes + HELD_RESPONSE_BYTES
         request = self.request
+        request.ran_ahead = True
         request.headers_received(start_line, headers)
         # A refusal that closes the connection has been sent already.
         if request.has_ended or may_be_followed(request):
-            self.ran_ahead = True
             owner.count_ahead()
             return True
         # A request without a body that has not ended has no effects yet. It is checked again in its
@@ -236,7 +244,7 @@
         self._held.append(data)
         self._held_writes.append(written)
         self.held_bytes += len(data)
-        excess = self.held_bytes - self._reserved_bytes
+        excess = self.held_bytes + self._head_bytes - self._reserved_bytes
         if excess > 0:
             self._owner.buffers.add(excess)
             self._reserved_bytes += excess
@@ -340,9 +348,9 @@
         self._release()
 
     def _release(self) -> None:
-        """Release the memory that was reserved for the held response."""
+        """Release the memory that was reserved for running ahead."""
         self._owner.buffers.release(self._reserved_bytes)
-        self._reserved_bytes = self.held_bytes = 0
+        self._reserved_bytes = self.held_bytes = self._head_bytes = 0
 
 
 def resolve_writes(writes: "list[asyncio.Future[None]]") -> None:
@@ -427,10 +435,14 @@
         except UnsatisfiableReadError:
             if not exchange.closed():
                 exchange.refuse_oversized()
-        except (StreamClosedError, asyncio.CancelledError):
+        except StreamClosedError:
+            # The stream is closed, or open for a response after which it will be closed.
+            pass
+        except asyncio.CancelledError:
             self.stream.close()
         except Exception:
             logging.exception("event=connection_failed")
+            self.caller_stream.reset()
             self.stream.close()
         return False
 
--- a/amaranthbend/filters/request_log.py
+++ b/amaranthbend/filters/request_log.py
@@ -52,5 +52,6 @@
             reason=reason,
             ms=int((now - request.arrived_at) * MS_PER_S) if request.arrived_at else 0,
             left_ms=int((request.deadline - now) * MS_PER_S) if request.deadline else "",
+            ahead=int(request.ran_ahead),
             attempts=",".join(request.attempt_results),
         )
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -177,6 +177,29 @@
     run_node(check)
 
 
+@pytest.mark.parametrize("input_", [GARBAGE, OVERSIZED, make_calls("/unsafe/x")])
+def test_input_behind_a_closing_response_does_not_end_it(input_: bytes) -> None:
+    """Guards against a streamed response that is cut off by what the caller sends behind it.
+
+    Its end is marked by the end of the connection, so it would look complete.
+    """
+
+    async def check(case: NodeCase) -> None:
+        await use_single_attempts(case)
+        for instance in case.instances:
+            instance.body, instance.send_s, instance.sends_chunks = STREAMED_BODY, 0.5, False
+        reader, writer = await case.connect()
+        writer.write(make_calls("/safe/x"))
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b"Connection: close" in head
+        writer.write(input_)
+        assert await reader.read() == STREAMED_BODY
+        assert list_ran(case) == ["r0"]
+        writer.close()
+
+    run_node(check)
+
+
 def test_abort_in_the_turn_of_a_request_resets_the_connection() -> None:
     """Guards against a partial response that looks complete, or continues with the next one."""
 
