--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -11,6 +11,7 @@
 from amaranthbend.programs.node_process import MAX_HEADER_BYTES
 from standins.node_caller import Answer, make_call, make_configuration, read_answer
 
+from .entry_cases import ScriptedUpstream, make_request, read_message, run_entry
 from .node_cases import NodeCase, run_node, wait_until
 from .test_identity import NORTH_KEY, make_keyed_call, make_teams, put_in_force
 
@@ -487,3 +488,29 @@
         connection.close()
 
     run_node(check)
+
+
+def test_entry_process_serves_one_request_at_a_time() -> None:
+    """Guards against requests that run ahead in the entry process, which does not use this."""
+    running = peak = 0
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal running, peak
+        while True:
+            await read_message(reader)
+            running += 1
+            peak = max(peak, running)
+            await asyncio.sleep(0.05)
+            running -= 1
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    async def check() -> None:
+        async with ScriptedUpstream(script) as upstream, run_entry([upstream.address]) as entry:
+            reader, writer = await entry.connect()
+            writer.write(make_request("GET", "/") * 4)
+            for _ in range(4):
+                await read_message(reader)
+            writer.close()
+
+    asyncio.run(check())
+    assert peak == 1
