--- a/amaranthbend/adapters/caller.py
+++ b/amaranthbend/adapters/caller.py
@@ -24,7 +24,7 @@
 
 if TYPE_CHECKING:
     from .caller_server import CallerStream
-    from .pipelining import ExchangeConnection
+    from .exchange import ExchangeConnection
 
 __all__ = ["CallerRequest", "RequestHandler"]
 
