--- a/tests/test_cold_limits.py
+++ b/tests/test_cold_limits.py
@@ -285,6 +285,19 @@
     assert isinstance(last, Refuse)
 
 
+def test_last_resort_is_not_for_hedges() -> None:
+    """Guards against hedges, which run twice as often while all is slow, at cold upstreams."""
+    dispatcher = make_cold_dispatcher(2, make_limits("host-9", name_hosts(2)))
+    reports = {f"u{n}": make_cold_report(0.0) for n in range(2)}
+    assert isinstance(submit(dispatcher, 1, 0.0, reports), Send)
+    dispatcher.finish(1, 1, ANSWERED, 0.4)
+    reports = {f"u{n}": make_cold_report(60.0) for n in range(2)}
+    assert isinstance(submit(dispatcher, 2, 1.0, reports), Send)
+    due = 1.0 + RequestProbePolicy().hedge_delay_share * GOAL_S
+    hedge = dispatcher.tick(due)
+    assert answer_probes(dispatcher, hedge, due, reports) == []
+
+
 def test_warm_upstream_that_becomes_cold_is_found_by_its_probe() -> None:
     """Guards against full load on an upstream that is cold again without a change of its entry."""
     dispatcher = make_cold_dispatcher(2, make_limits("host-9", name_hosts(2)))
