--- a/amaranthbend/core/upstream_tracking.py
+++ b/amaranthbend/core/upstream_tracking.py
@@ -35,6 +35,11 @@
         self._cold_limits: ColdLimits | None = None
         self._loads: dict[str, UpstreamLoad] = {}
 
+    @property
+    def policy(self) -> ServicePolicy:
+        """Settings of the service that are in force."""
+        return self._policy
+
     def set_cold_limits(self, limits: ColdLimits) -> None:
         """Set the limits on what this host sends to cold upstreams."""
         self._cold_limits = limits
--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -14,7 +14,7 @@
 from amaranthbend.core.cold_limits import COLD_TIME_FACTOR, ColdLimits
 from amaranthbend.core.probing_dispatcher import ProbingDispatcher
 
-from .fleet import FleetModel, FleetSettings
+from .fleet import AttemptKey, FleetModel, FleetSettings, ModelUpstream
 
 __all__ = ["ColdCase", "ColdResult", "run_cold_case"]
 
@@ -83,9 +83,6 @@
         self._arrived_at: dict[str, list[float]] = defaultdict(list)
         super().__init__(case.settings._replace(length_s=WARM_S + COLD_S, seed=seed))
 
-    def _get_cold_rate(self) -> float:
-        return self._case.rate if self._is_limited else 0.0
-
     def _make_dispatcher(self, number: int) -> ProbingDispatcher:
         dispatcher = super()._make_dispatcher(number)
         count, centres = self._case.settings.hosts, self._case.settings.data_centres
@@ -93,6 +90,8 @@
         limits.set_bound(OVERSHOOT, SLACK)
         limits.set_hosts(f"host-{n}" for n in range(number % centres, count, centres))
         dispatcher.set_cold_limits(limits)
+        rate = self._case.rate if self._is_limited else 0.0
+        dispatcher.set_policy(dispatcher.policy._replace(cold_rate_per_s=rate), 1, 0.0)
         return dispatcher
 
     def _get_cold_s(self, name: str) -> float:
@@ -103,10 +102,9 @@
             return 0.0
         return max(0.0, WARM_S + COLD_S - self._now)
 
-    def _get_slowdown(self, upstream: object, time: float) -> float:
-        slowdown = super()._get_slowdown(upstream, time)  # type: ignore[arg-type]
-        name = upstream.name  # type: ignore[attr-defined]
-        return slowdown * COLD_TIME_FACTOR if self._get_cold_s(name) else slowdown
+    def _get_slowdown(self, upstream: ModelUpstream, time: float) -> float:
+        slowdown = super()._get_slowdown(upstream, time)
+        return slowdown * COLD_TIME_FACTOR if self._get_cold_s(upstream.name) else slowdown
 
     def _answer_probe(self, host: int, name: str) -> None:
         upstream = self._upstreams[name]
@@ -116,12 +114,13 @@
             self._settings.slots,
             UpstreamState.SERVING,
             1,
-            self._get_slowdown(upstream, self._now),
+            # The report is that of the machine, which is not slower for a cold upstream.
+            super()._get_slowdown(upstream, self._now),
             self._get_cold_s(name),
         )
         self._apply(host, self._hosts[host].report(name, report, self._now))
 
-    def _arrive(self, key: tuple[int, int, int]) -> None:
+    def _arrive(self, key: AttemptKey) -> None:
         upstream = self._upstream_of.get(key)
         if upstream is not None and self._get_cold_s(upstream.name):
             self._arrived_at[upstream.name].append(self._now)
