--- a/amaranthbend/adapters/exchange.py
+++ b/amaranthbend/adapters/exchange.py
@@ -97,22 +97,24 @@
         Connection of the request.
     """
 
+    # Most requests change none of these, so that they cost a request nothing.
+    has_turn = False
+    lingers = False
+    is_dropped = False
+    held_bytes = 0
+    _is_reset = False
+    _is_finished = False
+    _is_closing = False
+    _last_write: "asyncio.Future[None] | None" = None
+    _held: tuple[bytes, ...] = ()
+    _held_writes: "tuple[asyncio.Future[None], ...]" = ()
+    # Memory of the head of a request that runs ahead, and all that is reserved for it.
+    _head_bytes = 0
+    _reserved_bytes = 0
+
     def __init__(self, owner: "CallerConnection") -> None:
         self._owner = owner
         self._stream = owner.caller_stream
-        self.has_turn = False
-        self.lingers = False
-        self.is_dropped = False
-        self._is_reset = False
-        self._is_finished = False
-        self._is_closing = False
-        self._last_write: asyncio.Future[None] | None = None
-        self._held: list[bytes] = []
-        self._held_writes: list[asyncio.Future[None]] = []
-        self.held_bytes = 0
-        # Memory of the head of a request that runs ahead, and all that is reserved for it.
-        self._head_bytes = 0
-        self._reserved_bytes = 0
         connection = ExchangeConnection(self, owner.params, owner.context)
         self.request = CallerRequest(owner.handler, connection)
 
@@ -213,8 +215,8 @@
 
     def _hold(self, data: bytes) -> "asyncio.Future[None]":
         written: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._held.append(data)
-        self._held_writes.append(written)
+        self._held += (data,)
+        self._held_writes += (written,)
         self.held_bytes += len(data)
         excess = self.held_bytes + self._head_bytes - self._reserved_bytes
         if excess > 0:
@@ -278,7 +280,7 @@
         self.has_turn = True
         if self._held:
             held, writes = b"".join(self._held), self._held_writes
-            self._held, self._held_writes = [], []
+            self._held = self._held_writes = ()
             written = self._last_write = self._stream.write(held)
             if written.done():
                 resolve_writes(writes)
@@ -291,7 +293,10 @@
             self._end_when_written()
 
     def _end_when_written(self) -> None:
-        self._call_when_written(lambda: self._owner.advance(self))
+        self._call_when_written(self._end)
+
+    def _end(self) -> None:
+        self._owner.advance(self)
 
     def _call_when_written(self, callback: Callable[[], None]) -> None:
         written = self._last_write
@@ -310,22 +315,23 @@
         return was_passed_on
 
     def _discard(self) -> None:
-        self._held.clear()
         for write in self._held_writes:
             if not write.done():
                 write.set_exception(StreamClosedError())
                 # Marks the exception as retrieved: nobody may wait for the write.
                 write.exception()
-        self._held_writes.clear()
+        self._held = self._held_writes = ()
         self._release()
 
     def _release(self) -> None:
         """Release the memory that was reserved for running ahead."""
+        if not self._reserved_bytes:
+            return
         self._owner.buffers.release(self._reserved_bytes)
         self._reserved_bytes = self.held_bytes = self._head_bytes = 0
 
 
-def resolve_writes(writes: "list[asyncio.Future[None]]") -> None:
+def resolve_writes(writes: "tuple[asyncio.Future[None], ...]") -> None:
     """Report that held data has been written."""
     for write in writes:
         if not write.done():
