Read the remaining cold time as milliseconds, and its absence as warm

The decoder expected a unit, so no statement was ever read, and every upstream counted as cold for 3 s after a start or an evacuation. The tests of the decoder had the same mistake; they now hold the format that was seen.

--- a/amaranthbend/platform/dialect.py
+++ b/amaranthbend/platform/dialect.py
@@ -7,7 +7,6 @@
 from ..adapters.headers import ResponseHead
 from ..core.actions import LoadReport, Member, UpstreamState
 from ..core.outcomes import OutcomeReason
-from .document_fields import parse_duration
 
 __all__ = ["PlatformDialect"]
 
@@ -36,6 +35,7 @@
 MAX_REPORTED_VALUE = 1_000_000
 # Instances are cold for seconds. After this time an instance is asked again, whatever it has said.
 MAX_COLD_S = 60.0
+MS_PER_S = 1000
 
 
 class PlatformDialect:
@@ -94,9 +94,10 @@
         if fields.get(INSTANCE_FIELD, b"").decode("latin1") != member.upstream:
             return None
         report = _parse_load(fields.get(LOAD_FIELD, b""), member.incarnation, member.state)
-        if report is None or COLD_FIELD not in fields:
-            return report
-        return report._replace(cold_s=_parse_cold_s(fields[COLD_FIELD]))
+        if report is None:
+            return None
+        # An instance that is not cold sends no such field.
+        return report._replace(cold_s=_parse_cold_s(fields.get(COLD_FIELD, b"0")))
 
     def is_probe_response(self, head: ResponseHead) -> bool:
         """Return False for a response to a request, and for a refusal that may be one."""
@@ -114,11 +115,13 @@
 
 
 def _parse_cold_s(text: bytes) -> float | None:
-    """Return for how long an instance stays cold, in seconds; None if malformed."""
-    try:
-        return min(MAX_COLD_S, parse_duration(text.decode("latin1")))
-    except ValueError:
+    """Return for how long an instance stays cold, in seconds; None if malformed.
+
+    The field holds whole milliseconds without a unit.
+    """
+    if not text.isdigit() or len(text) > MAX_REPORT_BYTES:
         return None
+    return min(MAX_COLD_S, int(text) / MS_PER_S)
 
 
 @functools.lru_cache(maxsize=MAX_CACHED_REPORTS)
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -91,7 +91,7 @@
         self.broken_responses = 0
         self.whole_responses = 0
         self.is_healthy = True
-        # Seconds for which its health responses say that it stays cold, None to say nothing; the
+        # Seconds for which its health responses say that it stays cold, None for a warm one; the
         # entry says `entry_cold`.
         self.cold_s: float | None = None
         self.entry_cold = "0ms"
@@ -180,7 +180,7 @@
             self.health_checks += 1
             health_fields = self._describe_self()
             if self.cold_s is not None:
-                health_fields["X-Amaranthbend-Cold-Remaining"] = f"{self.cold_s * 1000:.0f}ms"
+                health_fields["X-Amaranthbend-Cold-Remaining"] = f"{self.cold_s * 1000:.0f}"
             self._answer(writer, 200 if self.is_healthy else 503, b"", health_fields)
             return True
         request_id = fields.get("x-amaranthbend-attempt-id", "")
