--- a/amaranthbend/adapters/caller.py
+++ b/amaranthbend/adapters/caller.py
@@ -148,6 +148,11 @@
         """Whether the request was refused because of its head."""
         return self._local_response is not None
 
+    @property
+    def is_response_partial(self) -> bool:
+        """Whether a part of the response has been sent, and the rest not."""
+        return self.has_response_started and not self.has_ended
+
     def record_progress(self) -> None:
         """Start the time without progress anew; the request was waiting for others until now."""
         self.last_progress = time.monotonic()
--- a/amaranthbend/adapters/caller_server.py
+++ b/amaranthbend/adapters/caller_server.py
@@ -100,6 +100,11 @@
         task.add_done_callback(_lingering_closes.discard)
 
     def _refuse_oversized(self, request: CallerRequest) -> None:
+        if request.is_response_partial:
+            # An orderly end could make it look complete.
+            self.reset()
+            request.reject_malformed(OutcomeReason.MALFORMED_REQUEST)
+            return
         self.lingers = True
         reason = OutcomeReason.HEADERS_TOO_LARGE
         if request.method:
--- a/amaranthbend/adapters/exchange.py
+++ b/amaranthbend/adapters/exchange.py
@@ -205,6 +205,9 @@
             raise StreamClosedError
         if data == TORNADO_BAD_REQUEST:
             self.lingers = True
+            if self.request.is_response_partial:
+                # An orderly end could make it look complete.
+                self.reset()
             data = self.request.reject_malformed(OutcomeReason.MALFORMED_REQUEST)
         if self.request.closes_connection:
             self._owner.drop_behind(self)
--- a/tests/test_pipelining_ends.py
+++ b/tests/test_pipelining_ends.py
@@ -7,10 +7,12 @@
 
 from standins.node_caller import make_call, read_answer
 
+from .entry_cases import ScriptedUpstream, make_request, run_entry
 from .node_cases import NodeCase, run_node, wait_until
 from .pipelining_cases import (
     DEADLINE_MS,
     GARBAGE,
+    LARGE_BODY,
     OVERSIZED,
     STREAMED_BODY,
     connect_slowly,
@@ -261,3 +263,31 @@
         writer.close()
 
     run_node(check)
+
+
+@pytest.mark.parametrize("input_", [b"no length\r\n", b"1" * 100])
+def test_malformed_body_behind_a_response_that_has_begun_resets_the_connection(
+    input_: bytes,
+) -> None:
+    """Guards against a partial response that looks complete, as the connection ends in order.
+
+    The upstream answers before it has the whole body, in a response that ends with the connection.
+    """
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + LARGE_BODY)
+        await reader.read()
+
+    async def check() -> None:
+        async with ScriptedUpstream(script) as upstream, run_entry([upstream.address]) as entry:
+            reader, writer = await entry.connect()
+            request = make_request("POST", "/", "Transfer-Encoding: chunked")
+            writer.write(request + b"%x\r\n%b\r\n" % (len(LARGE_BODY), LARGE_BODY))
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+            writer.write(input_)
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+            writer.close()
+
+    asyncio.run(check())
