--- a/standins/node_program.py
+++ b/standins/node_program.py
@@ -44,10 +44,15 @@
         IP number of its ports.
     name : str
         Name of the host.
+    settings : str
+        Further tables of the settings file.
     """
 
-    def __init__(self, folder: Path, address: str, name: str = "host-1") -> None:
+    def __init__(
+        self, folder: Path, address: str, name: str = "host-1", settings: str = ""
+    ) -> None:
         self.name = name
+        self._settings = settings
         self.file = folder / f"{name}.toml"
         self.log_file = folder / f"{name}.log"
         self.names = {
@@ -58,7 +63,8 @@
 
     def write_settings(self, grace: str = "6s") -> None:
         """Write the settings file."""
-        self.file.write_text(SETTINGS.format(name=self.name, grace=grace, **self.names))
+        settings = SETTINGS.format(name=self.name, grace=grace, **self.names)
+        self.file.write_text(settings + self._settings)
 
     async def start(self) -> None:
         """Start the program; its logs are added to those of earlier starts."""
--- a/tests/program_cases.py
+++ b/tests/program_cases.py
@@ -21,9 +21,11 @@
 
 
 @contextlib.asynccontextmanager
-async def start_program(folder: Path) -> AsyncIterator[tuple[NodeProgram, Instance]]:
+async def start_program(
+    folder: Path, settings: str, configuration: dict[str, Any]
+) -> AsyncIterator[tuple[NodeProgram, Instance]]:
     """Run the program with a store and an instance."""
-    program = NodeProgram(folder, ADDRESS)
+    program = NodeProgram(folder, ADDRESS, settings=settings)
     program.write_settings()
     store = StoreState()
     server = HTTPServer(make_store_app(store))
@@ -31,7 +33,7 @@
     instance = Instance("i-0", "desk", "huye")
     await instance.start(ADDRESS, pick_endpoint(ADDRESS).port)
     store.put("servers", "i-0", instance.describe())
-    store.put("config", "main", make_configuration())
+    store.put("config", "main", configuration)
     await program.start()
     try:
         await program.wait_ready()
@@ -43,12 +45,31 @@
 
 
 def run_program(
-    folder: Path, check: Callable[[NodeProgram, Instance], Coroutine[Any, Any, None]]
+    folder: Path,
+    check: Callable[[NodeProgram, Instance], Coroutine[Any, Any, None]],
+    *,
+    settings: str = "",
+    configuration: dict[str, Any] | None = None,
 ) -> None:
-    """Run a check against the program."""
+    """Run a check against the program.
+
+    Parameters
+    ----------
+    folder : Path
+        Where its settings and logs lie.
+    check : callable
+        Checks the running program.
+    settings : str
+        Further tables of the settings file.
+    configuration : dict or None
+        Configuration in the store in place of the usual one.
+    """
 
     async def run() -> None:
-        async with start_program(folder) as (program, instance):
+        async with start_program(folder, settings, configuration or make_configuration()) as (
+            program,
+            instance,
+        ):
             await check(program, instance)
 
     asyncio.run(run())
