Add one account of memory and a limit on connections for callers

BufferBudget now has its limit from the memory in the settings less what the process needs, leaves a part to others than large bodies, and can ask for room before it refuses. core/connections.py decides how many connections callers may hold, and which ones make way: silent ones, long idle ones, stalled bodies and readers. adapters/caller_guard.py carries that out. Heads are counted with their fields' objects, pieces of bodies are joined, and ended requests free their heads and bodies at once; reference cycles kept them until a garbage collection. The listener takes connections off its queue without descriptors.

--- a/amaranthbend/adapters/caller.py
+++ b/amaranthbend/adapters/caller.py
@@ -4,13 +4,12 @@
 import math
 import time
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol, cast
+from typing import TYPE_CHECKING, cast
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
-from ..core.buffers import BufferBudget
 from ..core.outcomes import Outcome, OutcomeReason
 from ..core.policy import RoutePolicy, TeamPolicy
 from ..filters.local_responses import (
@@ -20,8 +19,15 @@
     render_local_response,
 )
 from .body import STREAM_BUFFER_BYTES, RequestBody
-from .dialect import Dialect
-from .headers import STATUS_WITHOUT_BODY, ResponseHead, list_connection_options
+from .caller_guard import GuardedStream
+from .headers import (
+    HEAD_ALLOWANCE_BYTES,
+    STATUS_WITHOUT_BODY,
+    ResponseHead,
+    estimate_head_bytes,
+    list_connection_options,
+)
+from .request_handler import RequestHandler
 
 if TYPE_CHECKING:
     from .caller_server import CallerStream
@@ -32,34 +38,13 @@
 # The body of a refused request is read and discarded up to this size. For a body of
 # larger or unknown size, the refusal is sent at once and the connection is closed.
 MAX_DISCARDED_BODY_BYTES = 64 * 1024
-# Request bodies up to this size are accepted whatever the buffer budget, so that uploads do not
-# displace short requests.
+# Request bodies up to this size are part of the fixed memory of a connection, and displace larger
+# ones that are not complete, so that uploads do not displace short requests.
 SMALL_BODY_BYTES = 8 * 1024
 # About the time in which the uploads of a burst end and free their memory.
 BUFFERS_FULL_RETRY_S = 0.2
 
 
-class RequestHandler(Protocol):
-    """Handles the requests of callers; implemented by the filter chain."""
-
-    held_body_bytes: int
-    buffers: BufferBudget
-    is_draining: bool
-    dialect: Dialect
-
-    def check(self, request: "CallerRequest") -> LocalResponse | None:
-        """Check the head of a request; return a response if it is refused."""
-
-    def run(self, request: "CallerRequest") -> None:
-        """Process a request whose body is complete or will be streamed."""
-
-    def abandon(self, request: "CallerRequest") -> None:
-        """Cancel a request whose caller has disconnected or sent invalid input."""
-
-    def record_end(self, request: "CallerRequest", outcome: Outcome, reason: str) -> None:
-        """Record the outcome of a request that has ended."""
-
-
 class CallerRequest(HTTPMessageDelegate):
     """Request of a caller and its response; the filters set further attributes.
 
@@ -114,20 +99,42 @@
         self._output: list[bytes] = []
         self._is_write_pending = False
         self._body_timer: asyncio.TimerHandle | None = None
-        self._reserved_bytes = 0
-
-    def reserve_buffer(self, size: int) -> bool:
-        """Reserve memory for bytes of the bodies until the request ends; return whether it fits."""
-        if self.has_ended or not self._handler.buffers.reserve(size):
+        self.reserved_bytes = 0
+        # Whether a reservation is made for this request, so that it is not displaced for it.
+        self.is_reserving = False
+        self._has_large_head = False
+
+    def reserve_buffer(self, size: int, *, is_large_body: bool = False) -> bool:
+        """Reserve memory until the request ends; return whether it fits.
+
+        Parameters
+        ----------
+        size : int
+            Number of bytes.
+        is_large_body : bool
+            Whether they are for a large request body, which leaves some memory to others.
+        """
+        if self.has_ended:
             return False
-        self._reserved_bytes += size
-        return True
+        self.is_reserving = True
+        fits = self._handler.buffers.reserve(size, is_large_body=is_large_body)
+        self.is_reserving = False
+        if fits:
+            self.reserved_bytes += size
+        return fits
 
     def _set_ended(self) -> None:
-        """Mark the request as ended, and release the memory of its bodies."""
+        """Mark the request as ended, and release the memory of its head and its bodies."""
         self.has_ended = True
-        self._handler.buffers.release(self._reserved_bytes)
-        self._reserved_bytes = 0
+        self._handler.buffers.release(self.reserved_bytes)
+        self.reserved_bytes = 0
+        # Ended requests are in reference cycles, and would keep their heads and bodies until the
+        # next garbage collection.
+        if self.body is not None:
+            self.body.discard()
+        if self._has_large_head:
+            for name in list(self.headers):
+                del self.headers[name]
         if self._body_timer is not None:
             self._body_timer.cancel()
 
@@ -147,6 +154,9 @@
         line = cast(RequestStartLine, start_line)
         self.method, self.target, self._version = line.method, line.path, line.version
         self.headers = headers
+        stream = self.connection.stream
+        if isinstance(stream, GuardedStream):
+            stream.head_started_at = 0.0
         field = self._handler.dialect.request_id_field
         if field:
             self.caller_request_id = headers.get(field, "")
@@ -158,6 +168,10 @@
             # case would never receive "100 Continue".
             headers["Expect"] = "100-continue"
         self._local_response = self._handler.check(self)
+        if self._local_response is None and not self._reserve_head():
+            self._local_response = make_refusal(
+                OutcomeReason.BUFFERS_FULL, BUFFERS_FULL_RETRY_S, closes=True
+            )
         body = self.body
         length = body.length if body is not None else 0
         if self._local_response is not None:
@@ -172,11 +186,17 @@
                 self.deadline - self.arrived_at, self._time_out_body
             )
 
+    def _reserve_head(self) -> bool:
+        """Reserve memory for a head that takes more than usual; return whether it fits."""
+        size = estimate_head_bytes(self.target, self.headers) - HEAD_ALLOWANCE_BYTES
+        self._has_large_head = size > 0
+        return size <= 0 or self.reserve_buffer(size)
+
     def _may_buffer(self, length: int) -> bool:
         """Return whether a body of a known length may be buffered whole, and reserve its memory."""
         if length > self._handler.held_body_bytes:
             return False
-        return length <= SMALL_BODY_BYTES or self.reserve_buffer(length)
+        return length <= SMALL_BODY_BYTES or self.reserve_buffer(length, is_large_body=True)
 
     def _time_out_body(self) -> None:
         """Refuse a request whose body is still incomplete at its deadline."""
@@ -195,7 +215,9 @@
         writable = body.append(chunk)
         if body.streamed or body.length is not None:
             return writable
-        is_buffered = body.size <= SMALL_BODY_BYTES or self.reserve_buffer(len(chunk))
+        is_buffered = body.size <= SMALL_BODY_BYTES or self.reserve_buffer(
+            len(chunk), is_large_body=True
+        )
         if not is_buffered or body.size > self._handler.held_body_bytes:
             self._start_streaming()
         return writable
@@ -233,8 +255,8 @@
         body = self.body
         assert body is not None
         needed = STREAM_BUFFER_BYTES if body.length is None else body.length
-        missing = min(needed, STREAM_BUFFER_BYTES) - self._reserved_bytes
-        if missing > 0 and not self.reserve_buffer(missing):
+        missing = min(needed, STREAM_BUFFER_BYTES) - self.reserved_bytes
+        if missing > 0 and not self.reserve_buffer(missing, is_large_body=True):
             refusal = make_refusal(OutcomeReason.BUFFERS_FULL, BUFFERS_FULL_RETRY_S, closes=True)
             self.send_local_response(refusal)
             return
@@ -252,6 +274,15 @@
         if self.is_running:
             self._handler.abandon(self)
 
+    def abandon_upload(self) -> None:
+        """End a request that is streamed to an upstream and whose caller has stopped sending."""
+        if self.is_sent:
+            response = make_failure(OutcomeReason.STALLED_STREAM, closes=True)
+        else:
+            response = make_refusal(OutcomeReason.BUFFERS_FULL, BUFFERS_FULL_RETRY_S, closes=True)
+        self.send_local_response(response)
+        self._handler.abandon(self)
+
     def reject_malformed(self, reason: OutcomeReason) -> bytes:
         """End the request because of malformed input; return the response to send before closing.
 
--- a/amaranthbend/adapters/headers.py
+++ b/amaranthbend/adapters/headers.py
@@ -3,7 +3,16 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-__all__ = ["ResponseHead", "decode_response_head", "encode_header_lines", "list_connection_options"]
+from tornado.httputil import HTTPHeaders
+
+__all__ = [
+    "HEAD_ALLOWANCE_BYTES",
+    "ResponseHead",
+    "decode_response_head",
+    "encode_header_lines",
+    "estimate_head_bytes",
+    "list_connection_options",
+]
 
 HOP_BY_HOP_FIELDS = frozenset(
     {
@@ -30,6 +39,13 @@
 STATUS_WITHOUT_BODY = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
 
+# Memory of a header field beside its text: the strings, the list and two dictionary entries in
+# tornado's `HTTPHeaders`, and its line for the upstream. A head of 16 KB with fields of 7 bytes
+# took 450 KB without the latter.
+FIELD_BYTES = 400
+# Heads up to this size, with their fields' overhead, are part of the fixed memory of a connection.
+HEAD_ALLOWANCE_BYTES = 16 * 1024
+
 
 class ResponseHead(NamedTuple):
     """Status line and end-to-end header fields of an upstream's response.
@@ -150,3 +166,9 @@
     if version != b"HTTP/1.1" or len(values) > 1 or values[0].lower() != "chunked":
         raise ValueError(f"unsupported Transfer-Encoding {values!r}")
     return True
+
+
+def estimate_head_bytes(target: str, headers: HTTPHeaders) -> int:
+    """Return about how much memory the parsed head of a request takes, in bytes."""
+    fields = sum(len(name) + len(value) + FIELD_BYTES for name, value in headers.get_all())
+    return len(target) + fields
--- a/amaranthbend/filters/chain.py
+++ b/amaranthbend/filters/chain.py
@@ -8,6 +8,7 @@
 from absl import logging
 
 from ..adapters.caller import CallerRequest
+from ..adapters.caller_guard import CallerGuard
 from ..adapters.dialect import OWN_DIALECT, Dialect
 from ..adapters.metrics import Counters
 from ..core.buffers import BufferBudget
@@ -17,6 +18,7 @@
 __all__ = ["FilterChain", "HeaderFilter", "RequestFilter", "RequestLogWriter"]
 
 US_PER_S = 1_000_000
+DEFAULT_MAX_CONNECTIONS = 2048
 
 
 class RequestLogWriter(Protocol):
@@ -70,6 +72,8 @@
         Header fields between callers, this process and upstreams.
     request_log : RequestLogWriter or None
         Logs the end of each request.
+    max_connections : int
+        Connections that callers may hold at the same time.
     """
 
     def __init__(
@@ -81,11 +85,13 @@
         buffers: BufferBudget,
         dialect: Dialect = OWN_DIALECT,
         request_log: RequestLogWriter | None = None,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
         self.dialect = dialect
         self._request_log = request_log
         self.held_body_bytes = held_body_bytes
         self.buffers = buffers
+        self.guard = CallerGuard(buffers, counters, max_connections)
         self.is_draining = False
         self._header_filters = tuple(header_filters)
         self._request_filters = tuple(request_filters)
--- a/amaranthbend/programs/entry.py
+++ b/amaranthbend/programs/entry.py
@@ -18,6 +18,7 @@
 from ..adapters.platform import PlatformClient
 from ..adapters.upstream import UpstreamClient
 from ..core.buffers import BufferBudget
+from ..core.connections import compute_max_connections
 from ..core.departures import Departure
 from ..core.envelope import SettingsEnvelope
 from ..core.envelope_decisions import EnvelopeVerdict
@@ -31,6 +32,7 @@
 from ..rpc.messages import MembersByService
 from ..settings.acceptance import Approvers, accept_envelope
 from ..settings.process import EntrySettings
+from .listener import open_listener
 from .process_settings import load_settings_or_exit
 from .startup import configure_garbage_collector, prepare_event_loop
 
@@ -44,7 +46,6 @@
 # An upstream may still be processing a request after the last byte of its response has arrived.
 # It would treat a closed connection as a cancellation of that request.
 UPSTREAM_CLOSE_DELAY_S = 0.5
-LISTEN_BACKLOG = 1024
 MAX_CONCURRENT_PLATFORM_CALLS = 32
 # Limit of the platform client. It has to be higher than this process's share of
 # `claim_writes_per_s`, which is the effective limit.
@@ -97,6 +98,7 @@
             self.counters,
             settings.held_body_bytes,
             BufferBudget(settings.buffered_bytes),
+            max_connections=compute_max_connections(settings.max_descriptors, None),
         )
         self.server = CallerServer(self.chain, settings.max_header_bytes)
         self.admin = make_admin_server(
@@ -205,9 +207,10 @@
     def listen(self) -> None:
         """Start accepting connections from callers and to the administration API."""
         settings = self.settings
-        self.server.listen(
-            settings.port, settings.address, backlog=LISTEN_BACKLOG, reuse_port=settings.reuse_port
-        )
+        address = f"{settings.address}:{settings.port}"
+        listener = open_listener(address, reuse_port=settings.reuse_port)
+        listener.on_exhaustion = self.chain.guard.handle_failed_accept
+        self.server.add_sockets([listener])
         self.admin.listen(settings.admin_port, settings.admin_address)
         log_event("entry_started", address=settings.address, port=settings.port)
 
@@ -219,6 +222,7 @@
             now = time.monotonic()
             self.dispatch.abort_stalled_streams(now)
             self.server.close_stalled(self.settings.stall_timeout_s, now)
+            self.chain.guard.sweep(now)
             self.counters.flush()
 
     async def shut_down(self) -> None:
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -30,8 +30,9 @@
     UpstreamHandler,
     complete_policy,
 )
-from ..core.buffers import BufferBudget
+from ..core.buffers import BufferBudget, compute_buffer_bytes
 from ..core.change_relay import HostEntry, PeerSelector
+from ..core.connections import compute_max_connections
 from ..core.errors import SettingsError
 from ..core.policy import DeploymentPolicy
 from ..core.shutdown import ShutdownStep, make_shutdown_plan
@@ -55,7 +56,7 @@
 from ..platform.settings import load_node_settings
 from ..platform.store import StoreClient
 from ..settings.node import NodeSettings
-from .listener import LISTEN_BACKLOG
+from .listener import LISTEN_BACKLOG, CallerListener
 from .startup import configure_garbage_collector, prepare_event_loop
 
 __all__ = ["NodeProcess", "run_process"]
@@ -63,9 +64,6 @@
 # Request bodies up to this size are buffered whole, so that a retry can send them again.
 MAX_BUFFERED_BODY_BYTES = 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
-# Share of the memory for buffered bodies. A body may be in memory up to three times for a moment,
-# when its parts are joined and handed to libcurl.
-BUFFER_MEMORY_SHARE = 0.25
 # Timeout for connecting to an upstream: several round trips between data centres.
 CONNECT_TIMEOUT_S = 0.25
 # A connection on which the caller neither sends nor receives for this long is closed.
@@ -147,9 +145,10 @@
             (self.shutdown_filter, self.dispatch),
             self.counters,
             MAX_BUFFERED_BODY_BYTES,
-            BufferBudget(compute_buffer_bytes(settings)),
+            BufferBudget(compute_buffer_bytes(settings.memory_bytes)),
             dialect,
             self.request_log,
+            compute_max_connections(settings.max_descriptors, settings.memory_bytes),
         )
         self.server = CallerServer(self.chain, MAX_HEADER_BYTES)
         self.readiness_server = HTTPServer(
@@ -264,6 +263,8 @@
         started_at = time.monotonic()
         while self.get_unready_reason() and time.monotonic() < started_at + MAX_ACCEPT_DELAY_S:
             await asyncio.sleep(READINESS_POLL_INTERVAL_S)
+        if isinstance(listener, CallerListener):
+            listener.on_exhaustion = self.chain.guard.handle_failed_accept
         self.server.add_sockets([listener])
         log_event(
             "node_accepting",
@@ -296,7 +297,10 @@
             needs_restart=",".join(name for name in changed if name in RESTART_ONLY_SETTINGS),
         )
         self.settings = settings
-        self.chain.buffers.set_limit(compute_buffer_bytes(settings))
+        self.chain.buffers.set_limit(compute_buffer_bytes(settings.memory_bytes))
+        self.chain.guard.max_connections = compute_max_connections(
+            settings.max_descriptors, settings.memory_bytes
+        )
         self.divide_budgets(now)
 
     async def run_maintenance(self, output: NonBlockingOutput) -> None:
@@ -310,6 +314,7 @@
             output.flush()
             self.dispatch.abort_stalled_streams(now)
             self.server.close_stalled(STALL_TIMEOUT_S, now)
+            self.chain.guard.sweep(now)
 
     async def shut_down(self) -> None:
         """Finish the requests in flight within the grace period before the process is killed."""
@@ -343,11 +348,6 @@
         self.server.reset_unwritten()
 
 
-def compute_buffer_bytes(settings: NodeSettings) -> int:
-    """Return the memory for the buffered bodies of all requests, in bytes."""
-    return int(settings.memory_bytes * BUFFER_MEMORY_SHARE)
-
-
 def read_modification_time(file: str) -> float:
     """Return the modification time of a file as Unix time, 0 if it cannot be read."""
     try:
--- a/amaranthbend/settings/process.py
+++ b/amaranthbend/settings/process.py
@@ -47,6 +47,8 @@
         Maximum size of a request body that is buffered in full, so that it can be resent.
     buffered_bytes : int
         Maximum memory for the buffered bodies of all requests and responses together.
+    max_descriptors : int
+        File descriptors that the process may open. A third of them is for connections of callers.
     max_header_bytes : int
         Maximum size of the request line and headers together.
     """
@@ -72,6 +74,7 @@
     held_body_bytes: int = 64 * 1024
     buffered_bytes: int = 64 * 1024 * 1024
     max_header_bytes: int = 32 * 1024
+    max_descriptors: int = 8192
 
 
 def load_process_settings(file: str, settings_type: type[T]) -> T:
