--- a/amaranthbend/adapters/caller_server.py
+++ b/amaranthbend/adapters/caller_server.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import socket
-import struct
 from typing import Any
 
 from tornado.http1connection import HTTP1Connection
@@ -15,6 +14,7 @@
 from ..core.outcomes import OutcomeReason
 from ..filters.local_responses import LocalResponse, make_refusal
 from .caller import CallerRequest, RequestHandler
+from .caller_guard import READ_SIZE_BYTES, GuardedStream
 
 __all__ = ["CallerServer", "CallerStream"]
 
@@ -24,8 +24,6 @@
 # can make it lose the refusal.
 LINGER_TIMEOUT_S = 1.0
 MAX_LINGER_BYTES = 4 * 1024 * 1024
-READ_SIZE_BYTES = 64 * 1024
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 IDLE_TIMEOUT_S = 75.0
 # Limits the sockets and tasks that callers with invalid input can occupy.
 MAX_LINGERING_CLOSES = 128
@@ -50,10 +48,9 @@
         connection.close()
 
 
-class CallerStream(IOStream):
+class CallerStream(GuardedStream):
     """Stream of a caller's connection; responds to refused input with the reason."""
 
-    request: CallerRequest | None = None
     lingers = False
     # Counts the data that the caller has not read yet.
     buffers: BufferBudget | None = None
@@ -85,7 +82,10 @@
         super().close(exc_info)
 
     def _start_lingering_close(self) -> None:
-        if len(_lingering_closes) >= MAX_LINGERING_CLOSES:
+        limit = MAX_LINGERING_CLOSES
+        if self.guard is not None:
+            limit = min(limit, self.guard.max_lingering_closes)
+        if len(_lingering_closes) >= limit:
             return
         task = asyncio.ensure_future(read_and_discard(self.socket.dup()))
         _lingering_closes.add(task)
@@ -100,14 +100,6 @@
         with contextlib.suppress(OSError):
             self.socket.send(request.reject_malformed(reason))
 
-    def reset(self) -> None:
-        """Make the following close reset the connection.
-
-        Callers do not take a connection reset as the end of a body.
-        """
-        if not self.closed():
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-
     def has_unread_input(self) -> bool:
         """Return whether a part of the next request has arrived."""
         if self._read_buffer_size > 0:
@@ -162,6 +154,9 @@
             stream.socket, max_buffer_size=self.max_buffer_size, read_chunk_size=READ_SIZE_BYTES
         )
         caller_stream.buffers = self._handler.buffers
+        if not self._handler.guard.admit(caller_stream, address):
+            caller_stream.close()
+            return
         self._streams.add(caller_stream)
         super().handle_stream(caller_stream, address)
 
@@ -182,6 +177,7 @@
         """Remove a closed connection; called by tornado."""
         super().on_close(server_conn)
         self._streams.discard(server_conn.stream)
+        self._handler.guard.forget(server_conn.stream)
 
     def count_connections(self) -> int:
         """Return the number of open connections."""
