Bound receive buffers and idle connections, and read the times that callers have

headerTimeout and idleTimeout of the configuration are decoded. Connections to upstreams get receive buffers of 32 KiB and take at most as many idle descriptors as callers may have connections.

--- a/amaranthbend/adapters/caller.py
+++ b/amaranthbend/adapters/caller.py
@@ -43,6 +43,9 @@
 SMALL_BODY_BYTES = 8 * 1024
 # About the time in which the uploads of a burst end and free their memory.
 BUFFERS_FULL_RETRY_S = 0.2
+# Memory of a response that is streamed faster than its caller reads, beside what is counted when
+# it is written: a part that libcurl has read, and the receive buffer of the upstream's connection.
+STREAMED_RESPONSE_BYTES = 128 * 1024
 
 
 class CallerRequest(HTTPMessageDelegate):
@@ -103,6 +106,8 @@
         # Whether a reservation is made for this request, so that it is not displaced for it.
         self.is_reserving = False
         self._has_large_head = False
+        # Whether the memory of a response that waits for its caller has been counted.
+        self._counts_stream = False
 
     def reserve_buffer(self, size: int, *, is_large_body: bool = False) -> bool:
         """Reserve memory until the request ends; return whether it fits.
@@ -385,6 +390,10 @@
             self.last_progress = time.monotonic()
             return True
         self._is_write_pending = True
+        if not self._counts_stream:
+            self._counts_stream = True
+            self._handler.buffers.add(STREAMED_RESPONSE_BYTES)
+            self.reserved_bytes += STREAMED_RESPONSE_BYTES
         written.add_done_callback(self._on_written)
         return False
 
--- a/amaranthbend/adapters/caller_guard.py
+++ b/amaranthbend/adapters/caller_guard.py
@@ -11,6 +11,7 @@
 
 from ..core.buffers import BufferBudget
 from ..core.connections import (
+    CallerLimits,
     ConnectionStage,
     ConnectionView,
     choose_for_connection,
@@ -31,9 +32,6 @@
 READ_SIZE_BYTES = 16 * 1024
 # Unread input of this size is part of the fixed memory of a connection.
 READ_ALLOWANCE_BYTES = READ_SIZE_BYTES
-# A head has to be complete within this time: the `headerTimeout` of the platform is 3 s, and the
-# interval between two checks is 1 s.
-HEAD_TIMEOUT_S = 5.0
 # About the time in which the uploads of a burst end and free their memory.
 RETRY_AFTER_S = 0.2
 # Displacements are logged together, at most once in this time.
@@ -153,6 +151,7 @@
     def __init__(self, buffers: BufferBudget, counters: Counters, max_connections: int) -> None:
         self.buffers = buffers
         self.max_connections = max_connections
+        self.limits = CallerLimits()
         self._counters = counters
         self._streams: dict[int, GuardedStream] = {}
         self._arrived = 0
@@ -172,7 +171,7 @@
         now = time.monotonic()
         if len(self._streams) >= self.max_connections:
             views = [other.make_view() for other in self._streams.values()]
-            chosen = choose_for_connection(views, self.max_connections, now)
+            chosen = choose_for_connection(views, self.max_connections, now, self.limits)
             for view in chosen:
                 self._close(self._streams[view.number], view.stage, "connections")
             if not chosen:
@@ -198,13 +197,15 @@
         """Close a connection that does nothing after the process ran out of descriptors."""
         self._record("failed", errno.errorcode.get(error.errno or 0, "accept"))
         views = [stream.make_view() for stream in self._streams.values()]
-        for view in choose_for_connection(views, self.max_connections, time.monotonic()):
+        now = time.monotonic()
+        for view in choose_for_connection(views, self.max_connections, now, self.limits):
             self._close(self._streams[view.number], view.stage, "descriptors")
 
     def sweep(self, now: float) -> None:
         """Close connections whose head is not complete in time, and enforce the memory limit."""
         for stream in list(self._streams.values()):
-            if stream.head_started_at and now - stream.head_started_at > HEAD_TIMEOUT_S:
+            started_at = stream.head_started_at
+            if started_at and now - started_at > self.limits.longest_head_s:
                 self._close(stream, ConnectionStage.HEAD, "head_timeout")
         self._enforce()
         self._log(now)
--- a/amaranthbend/adapters/upstream.py
+++ b/amaranthbend/adapters/upstream.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import socket
 from typing import Any
 
 import pycurl
@@ -24,6 +25,9 @@
 MAX_IDLE_HANDLES_PER_KIND = 256
 # An idle handle keeps the body of its last request only up to this size.
 MAX_IDLE_HANDLE_BODY_BYTES = 1024
+# Receive buffer of a connection to an upstream. Bytes that wait in it while a caller does not read
+# its response take memory of the host; without a limit the kernel lets it grow to megabytes.
+RECEIVE_BUFFER_BYTES = 32 * 1024
 MS_PER_S = 1000
 # Number of accepted bytes by which a header callback makes libcurl end the transfer.
 REJECT_HEADER = 0
@@ -95,7 +99,11 @@
         if len(call.request.body) > MAX_IDLE_HANDLE_BODY_BYTES:
             self.curl.setopt(pycurl.POSTFIELDS, b"")
 
-    def _on_connect(self, _fd: int, _purpose: int) -> int:
+    def _on_connect(self, fd: int, _purpose: int) -> int:
+        connection = socket.socket(fileno=fd)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        # The descriptor belongs to libcurl.
+        connection.detach()
         if self.call is not None:
             self.call.record_connect()
         return int(pycurl.SOCKOPT_OK)
@@ -125,11 +133,15 @@
     prevents_resend : bool
         Whether to prevent libcurl from sending a request a second time by itself; False only in a
         test.
+    max_idle_connections : int
+        Idle connections that are kept for reuse, at most `MAX_IDLE_CONNECTIONS`.
     """
 
     prevents_resend: bool
 
-    def initialize(self, *, prevents_resend: bool = True) -> None:  # type: ignore[override]
+    def initialize(  # type: ignore[override]
+        self, *, prevents_resend: bool = True, max_idle_connections: int = MAX_IDLE_CONNECTIONS
+    ) -> None:
         """Initialize the client; called by tornado instead of `__init__`."""
         # `super().initialize` already makes libcurl set a timer, which uses these attributes.
         self._loop = asyncio.get_running_loop()
@@ -140,7 +152,7 @@
         self._ready: list[UpstreamCall] = []
         self._active: dict[pycurl.Curl, _Handle] = {}
         self._idle: dict[_HandleKind, list[_Handle]] = {}
-        self._multi.setopt(pycurl.M_MAXCONNECTS, MAX_IDLE_CONNECTIONS)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, min(MAX_IDLE_CONNECTIONS, max_idle_connections))
 
     def close(self) -> None:
         """Cancel all calls without delivering a result, and close the client."""
--- a/amaranthbend/core/connections.py
+++ b/amaranthbend/core/connections.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "CONNECTION_BYTES",
+    "CallerLimits",
     "RECEIVE_BUFFER_BYTES",
     "ConnectionStage",
     "ConnectionView",
@@ -40,8 +41,12 @@
 # A body or reader without progress for this time has stalled. The platform's `headerTimeout`
 # allows callers as long for a whole head.
 STALLED_S = 3.0
-# Callers reuse connections that have been idle for up to four fifths of the idle timeout of 15 s.
-REUSABLE_IDLE_S = 12.0
+# Callers reuse connections that have been idle for up to this share of the idle timeout.
+REUSABLE_IDLE_SHARE = 0.8
+# Time allowed for a head beyond the configured one: two intervals between checks.
+HEADER_TIMEOUT_MARGIN_S = 2.0
+# Least value of a configured timeout, in case it is 0 or a mistyped unit.
+MIN_TIMEOUT_S = 1.0
 # Incomplete bodies may hold this share of the connections; above it they make way for others.
 MAX_BODY_SHARE = 0.5
 # Number of connections that send nothing which are closed at a time, as a share of all: choosing
@@ -49,6 +54,31 @@
 SILENT_BATCH_SHARE = 1 / 16
 
 
+class CallerLimits(NamedTuple):
+    """Times that the configuration allows to callers.
+
+    Parameters
+    ----------
+    header_timeout_s : float
+        Time for a whole head from its first byte on.
+    idle_timeout_s : float
+        Time for which a connection may be idle between two requests.
+    """
+
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 15.0
+
+    @property
+    def longest_head_s(self) -> float:
+        """Time after which a head that is not complete is given up."""
+        return max(MIN_TIMEOUT_S, self.header_timeout_s) + HEADER_TIMEOUT_MARGIN_S
+
+    @property
+    def reusable_idle_s(self) -> float:
+        """Longest time after which callers still reuse an idle connection."""
+        return max(MIN_TIMEOUT_S, self.idle_timeout_s) * REUSABLE_IDLE_SHARE
+
+
 class ConnectionStage(Enum):
     """What a connection waits for."""
 
@@ -106,6 +136,9 @@
         return self.moved_bytes / max(0.1, now - self.started_at)
 
 
+DEFAULT_LIMITS = CallerLimits()
+
+
 def compute_max_connections(descriptors: int, memory_bytes: int | None) -> int:
     """Return how many connections of callers a process may hold.
 
@@ -124,7 +157,10 @@
 
 
 def choose_for_connection(
-    views: Sequence[ConnectionView], max_connections: int, now: float
+    views: Sequence[ConnectionView],
+    max_connections: int,
+    now: float,
+    limits: CallerLimits = DEFAULT_LIMITS,
 ) -> list[ConnectionView]:
     """Return the connections to close so that a new one can be served; empty to refuse that one.
 
@@ -144,7 +180,7 @@
     bodies = [view for view in views if view.stage is ConnectionStage.BODY]
     readers = [view for view in views if view.stage is ConnectionStage.RESPONSE]
     groups = (
-        [view for view in idle if view.is_stalled(now, REUSABLE_IDLE_S)],
+        [view for view in idle if view.is_stalled(now, limits.reusable_idle_s)],
         [view for view in bodies if view.is_stalled(now)],
         starting,
         idle,
--- a/amaranthbend/core/policy.py
+++ b/amaranthbend/core/policy.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from .actions import WorkClass
+from .connections import CallerLimits
 
 __all__ = [
     "DecodedConfiguration",
@@ -286,6 +287,8 @@
     is_prioritized : bool
         Whether some routes or teams have the highest priority of the platform, so that requests
         are ordered and wait when there is too little room.
+    caller_limits : CallerLimits
+        Times that callers have for a head and between two requests.
     """
 
     deployment: str
@@ -297,6 +300,7 @@
     claim_retention_s: float = 86_400.0
     teams: tuple[TeamPolicy, ...] = ()
     is_prioritized: bool = False
+    caller_limits: CallerLimits = CallerLimits()
 
 
 class DecodedConfiguration(NamedTuple):
--- a/amaranthbend/platform/documents.py
+++ b/amaranthbend/platform/documents.py
@@ -5,6 +5,7 @@
 from typing import Any, TypeVar
 
 from ..core.actions import Member, UpstreamState
+from ..core.connections import CallerLimits
 from ..core.identity import compute_key_digest
 from ..core.policy import (
     DecodedConfiguration,
@@ -80,6 +81,7 @@
         lambda: get_non_negative_int(limits, "maxBodyBytes", DEFAULT_MAX_BODY_BYTES),
         DEFAULT_MAX_BODY_BYTES,
     )
+    caller_limits = _decode_caller_limits(reader, limits)
     services = {}
     for number, cluster in enumerate(_get_list(document, "clusters")):
         service = _decode_service(reader, f"clusters[{number}]", cluster)
@@ -107,6 +109,7 @@
         tuple(routes),
         teams=_decode_teams(reader, document),
         is_prioritized=_has_highest_rank(document),
+        caller_limits=caller_limits,
     )
     return DecodedConfiguration(version, policy, tuple(reader.faults))
 
@@ -136,6 +139,23 @@
             return default
 
 
+def _decode_caller_limits(reader: _PartReader, limits: dict[str, Any]) -> CallerLimits:
+    """Return the times that callers have for a head and between two requests."""
+    default = CallerLimits()
+    return CallerLimits(
+        reader.read(
+            "limits",
+            lambda: _get_duration(limits, "headerTimeout", default.header_timeout_s),
+            default.header_timeout_s,
+        ),
+        reader.read(
+            "limits",
+            lambda: _get_duration(limits, "idleTimeout", default.idle_timeout_s),
+            default.idle_timeout_s,
+        ),
+    )
+
+
 def _decode_service(
     reader: _PartReader, part: str, cluster: dict[str, Any]
 ) -> ServicePolicy | None:
--- a/amaranthbend/programs/entry.py
+++ b/amaranthbend/programs/entry.py
@@ -82,7 +82,8 @@
     def __init__(self, settings: EntrySettings, claims: ClaimManager | None = None) -> None:
         self.settings = settings
         self.counters = Counters(settings.statsd_target)
-        self.client = UpstreamClient(force_instance=True)
+        max_connections = compute_max_connections(settings.max_descriptors, None)
+        self.client = UpstreamClient(force_instance=True, max_idle_connections=max_connections)
         dispatch_settings = DispatchSettings(
             settings.data_centre,
             settings.entry_processes,
@@ -98,7 +99,7 @@
             self.counters,
             settings.held_body_bytes,
             BufferBudget(settings.buffered_bytes),
-            max_connections=compute_max_connections(settings.max_descriptors, None),
+            max_connections=max_connections,
         )
         self.server = CallerServer(self.chain, settings.max_header_bytes)
         self.admin = make_admin_server(
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -120,7 +120,8 @@
         self.settings = settings
         self.counters = Counters()
         dialect = PlatformDialect()
-        client = UpstreamClient(force_instance=True)
+        max_connections = compute_max_connections(settings.max_descriptors, settings.memory_bytes)
+        client = UpstreamClient(force_instance=True, max_idle_connections=max_connections)
         dispatch_settings = DispatchSettings(
             settings.data_centre, 1, CONNECT_TIMEOUT_S, STALL_TIMEOUT_S, dialect
         )
@@ -148,7 +149,7 @@
             BufferBudget(compute_buffer_bytes(settings.memory_bytes)),
             dialect,
             self.request_log,
-            compute_max_connections(settings.max_descriptors, settings.memory_bytes),
+            max_connections,
         )
         self.server = CallerServer(self.chain, MAX_HEADER_BYTES)
         self.readiness_server = HTTPServer(
@@ -210,6 +211,7 @@
         self.dispatch.set_policy(completed_policy, now)
         self.route_filter.set_policy(completed_policy)
         self.identity_filter.set_policy(completed_policy)
+        self.chain.guard.limits = policy.caller_limits
         self.request_log.version = version
 
     def update_hosts(self, hosts: list[HostEntry], now: float) -> None:
