--- a/amaranthbend/adapters/body.py
+++ b/amaranthbend/adapters/body.py
@@ -53,6 +53,11 @@
         self._on_readable: Callable[[], None] | None = None
         self._writable: asyncio.Future[None] | None = None
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the caller is not read from, because the upstream takes the body too slowly."""
+        return self._writable is not None
+
     def append(self, chunk: bytes) -> "asyncio.Future[None] | None":
         """Add bytes; if a future is returned, wait for it before adding more."""
         if len(chunk) < JOINED_PIECE_BYTES:
--- a/amaranthbend/adapters/caller_guard.py
+++ b/amaranthbend/adapters/caller_guard.py
@@ -21,6 +21,7 @@
 from ..filters.local_responses import make_refusal
 from .logs import log_event
 from .metrics import Counters
+from .metrics_page import MetricsPage
 
 if TYPE_CHECKING:
     from .caller import CallerRequest
@@ -130,7 +131,7 @@
         return ConnectionStage.RESPONSE if stream.unsent_bytes else ConnectionStage.IDLE
     if request.has_response_started:
         return ConnectionStage.RESPONSE if stream.unsent_bytes else ConnectionStage.RUNNING
-    if body is None or body.is_complete:
+    if body is None or body.is_complete or body.is_paused:
         return ConnectionStage.RUNNING
     return ConnectionStage.STREAMED_BODY if request.is_running else ConnectionStage.BODY
 
@@ -166,6 +167,20 @@
         """Closed connections whose remaining input may be read at the same time."""
         return self.max_connections // 4
 
+    def add_gauges(self, page: MetricsPage) -> None:
+        """Show the connections and the memory account on the metrics page."""
+        buffers = self.buffers
+        page.add_gauge("caller_connections", "Connections of callers", lambda: len(self._streams))
+        page.add_gauge(
+            "caller_connections_limit", "Most connections of callers", lambda: self.max_connections
+        )
+        page.add_gauge(
+            "buffered_bytes", "Bytes in the memory account", lambda: buffers.reserved_bytes
+        )
+        page.add_gauge(
+            "buffered_bytes_limit", "Limit of the memory account", lambda: buffers.limit_bytes
+        )
+
     def admit(self, stream: GuardedStream, address: tuple[Any, ...]) -> bool:
         """Register a new connection; return False if it has to be closed at once."""
         now = time.monotonic()
@@ -195,7 +210,7 @@
 
     def handle_failed_accept(self, error: OSError) -> None:
         """Close a connection that does nothing after the process ran out of descriptors."""
-        self._record("failed", errno.errorcode.get(error.errno or 0, "accept"))
+        self._record("failed", errno.errorcode.get(error.errno or 0, "accept").lower())
         views = [stream.make_view() for stream in self._streams.values()]
         now = time.monotonic()
         for view in choose_for_connection(views, self.max_connections, now, self.limits):
--- a/amaranthbend/adapters/metrics_page.py
+++ b/amaranthbend/adapters/metrics_page.py
@@ -1,7 +1,7 @@
 """Counters and latency histograms in the Prometheus text exposition format."""
 
 from bisect import bisect_left
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from itertools import accumulate
 from typing import TYPE_CHECKING
 
@@ -54,6 +54,12 @@
         self._counters = counters
         # By service and outcome.
         self._latencies: dict[tuple[str, str], _LatencyHistogram] = {}
+        # Name, description, and function that returns the value.
+        self._gauges: list[tuple[str, str, Callable[[], float]]] = []
+
+    def add_gauge(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Add a value that is read whenever the page is rendered."""
+        self._gauges.append((name, description, read))
 
     def observe(self, service: str, outcome: str, duration_s: float) -> None:
         """Record the duration in seconds of a request that has ended."""
@@ -65,12 +71,18 @@
 
     def collect(self) -> "Iterable[Metric]":
         """Yield the current values; called by prometheus_client."""
-        from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
 
         events = CounterMetricFamily("amaranthbend_events", "Events by name", labels=["event"])
         for name, value in sorted(self._counters.get_snapshot()["counters"].items()):
             events.add_metric([name], value)
         yield events
+        for name, description, read in self._gauges:
+            yield GaugeMetricFamily(f"amaranthbend_{name}", description, value=read())
         latencies = HistogramMetricFamily(
             "amaranthbend_request_seconds",
             "Time from the arrival of a request to its end",
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -151,6 +151,7 @@
             self.request_log,
             max_connections,
         )
+        self.chain.guard.add_gauges(page)
         self.server = CallerServer(self.chain, MAX_HEADER_BYTES)
         self.readiness_server = HTTPServer(
             Application(
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -305,6 +305,32 @@
     run_node(check)
 
 
+def test_pressure_is_visible(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against limits that operators cannot see, and a log line for each closed caller."""
+
+    async def check(case: NodeCase) -> None:
+        guard = case.process.chain.guard
+        guard.max_connections = 8
+        silent = [await case.connect() for _ in range(30)]
+        await wait_until(lambda: case.process.counters.get("callers.connections.silent") > 5)
+        now = asyncio.get_running_loop().time()
+        with caplog.at_level("INFO"):
+            guard.sweep(now)
+            await case.connect()
+            guard.sweep(now + 0.1)
+        lines = [line for line in caplog.messages if "event=callers_limited" in line]
+        assert len(lines) == 1
+        assert "max_connections=8" in lines[0]
+        assert "connections.silent:" in lines[0]
+        page = case.process.request_log._page.render().decode()
+        assert "amaranthbend_caller_connections_limit 8.0" in page
+        assert "amaranthbend_buffered_bytes 0.0" in page
+        for _, writer in silent:
+            writer.close()
+
+    run_node(check)
+
+
 def test_slow_uploads_are_served_in_calm(tmp_path: Path) -> None:
     """Guards against limits that refuse callers on a thin link inside the limits."""
 
