--- a/amaranthbend/adapters/caller_guard.py
+++ b/amaranthbend/adapters/caller_guard.py
@@ -35,6 +35,9 @@
 READ_ALLOWANCE_BYTES = READ_SIZE_BYTES
 # About the time in which the uploads of a burst end and free their memory.
 RETRY_AFTER_S = 0.2
+# After a pass over all connections found none to close, no further one is made for this time: at
+# 1,500 connections a pass takes some milliseconds.
+RESCAN_INTERVAL_S = 0.05
 # Displacements are logged together, at most once in this time.
 LOG_INTERVAL_S = 5.0
 
@@ -157,6 +160,9 @@
         self._streams: dict[int, GuardedStream] = {}
         self._arrived = 0
         self._is_enforcing = False
+        # Times until which new connections and large bodies are refused without another pass.
+        self._refuses_connections_until = 0.0
+        self._refuses_bodies_until = 0.0
         self._unlogged: dict[str, int] = {}
         self._logged_at = 0.0
         buffers.on_shortage = self._make_room
@@ -184,14 +190,9 @@
     def admit(self, stream: GuardedStream, address: tuple[Any, ...]) -> bool:
         """Register a new connection; return False if it has to be closed at once."""
         now = time.monotonic()
-        if len(self._streams) >= self.max_connections:
-            views = [other.make_view() for other in self._streams.values()]
-            chosen = choose_for_connection(views, self.max_connections, now, self.limits)
-            for view in chosen:
-                self._close(self._streams[view.number], view.stage, "connections")
-            if not chosen:
-                self._record("refused", "connections")
-                return False
+        if len(self._streams) >= self.max_connections and not self._make_place(now):
+            self._record("refused", "connections")
+            return False
         self._arrived += 1
         stream.number = self._arrived
         stream.address = str(address[0]) if address else ""
@@ -200,6 +201,18 @@
         self._streams[stream.number] = stream
         return True
 
+    def _make_place(self, now: float) -> bool:
+        """Close connections for a new one; return whether there are any to close."""
+        if now < self._refuses_connections_until:
+            return False
+        views = [stream.make_view() for stream in self._streams.values()]
+        chosen = choose_for_connection(views, self.max_connections, now, self.limits)
+        for view in chosen:
+            self._close(self._streams[view.number], view.stage, "connections")
+        if not chosen:
+            self._refuses_connections_until = now + RESCAN_INTERVAL_S
+        return bool(chosen)
+
     def forget(self, stream: GuardedStream) -> None:
         """Remove a closed connection, and release what it holds."""
         self._streams.pop(stream.number, None)
@@ -227,10 +240,15 @@
 
     def _make_room(self, missing: int, is_large_body: bool) -> None:
         """Release memory for a reservation that does not fit."""
-        views = [stream.make_view() for stream in self._streams.values() if _may_close(stream)]
         now = time.monotonic()
-        for view in choose_for_memory(views, missing, now, is_large_body=is_large_body):
+        if is_large_body and now < self._refuses_bodies_until:
+            return
+        views = [stream.make_view() for stream in self._streams.values() if _may_close(stream)]
+        chosen = choose_for_memory(views, missing, now, is_large_body=is_large_body)
+        for view in chosen:
             self._close(self._streams[view.number], view.stage, "memory")
+        if is_large_body and not chosen:
+            self._refuses_bodies_until = now + RESCAN_INTERVAL_S
 
     def _schedule_enforcement(self) -> None:
         if self._is_enforcing:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,7 +9,9 @@
 
 import fire
 
-from .plan import make_plan
+from standins.hostile_callers import GROUPS
+
+from .plan import make_hostile_groups, make_plan
 from .runs import run_seed
 
 FIRST_RANDOM_SEED = 1000
@@ -37,7 +39,9 @@
         seed = random.randrange(FIRST_RANDOM_SEED, LAST_RANDOM_SEED) if fresh else number
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         violations, calls = asyncio.run(run_seed(seed, seconds, folder))
-        kinds = " ".join(fault.kind for fault in make_plan(seed, seconds))
+        names = [fault.kind.value for fault in make_plan(seed, seconds)]
+        names += [g.name for g in make_hostile_groups(seed, seconds, sorted(GROUPS))]
+        kinds = " ".join(names)
         verdict = "broken" if violations else "kept"
         print(f"seed {seed}: {verdict}, {calls} calls, {kinds}", flush=True)
         for violation in violations[:10]:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -1,10 +1,11 @@
 """Which faults strike when, from a seed."""
 
 import random
+from collections.abc import Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
-__all__ = ["Fault", "FaultKind", "make_plan"]
+__all__ = ["Fault", "FaultKind", "HostileGroup", "make_hostile_groups", "make_plan"]
 
 # Faults of one run; with their lengths some of them overlap.
 FEWEST = 3
@@ -13,6 +14,9 @@
 LONGEST_S = 2.5
 # Chance that the next fault begins while the last one lasts.
 OVERLAP_CHANCE = 0.5
+# One seed in this many has groups of callers outside the limits, and so many of them.
+HOSTILE_SEEDS = 4
+HOSTILE_GROUPS = 2
 
 
 class FaultKind(StrEnum):
@@ -61,6 +65,43 @@
     length_s: float
 
 
+class HostileGroup(NamedTuple):
+    """Callers outside the limits that meet a node for a time.
+
+    Parameters
+    ----------
+    at_s : float
+        Seconds from the start of traffic.
+    name : str
+        Name in `standins.hostile_callers.GROUPS`.
+    target : int
+        Number of the node, modulo how many there are.
+    length_s : float
+        How long they stay, in seconds.
+    """
+
+    at_s: float
+    name: str
+    target: int
+    length_s: float
+
+
+def make_hostile_groups(seed: int, length_s: float, names: Sequence[str]) -> list[HostileGroup]:
+    """Return the groups of callers outside the limits of a run, none for most seeds.
+
+    They are drawn apart from the faults, so that the faults of a seed stay the same.
+    """
+    if seed % HOSTILE_SEEDS != HOSTILE_SEEDS - 1:
+        return []
+    draw = random.Random(f"hostile-{seed}")
+    groups = []
+    for _ in range(HOSTILE_GROUPS):
+        at_s = draw.uniform(0.0, length_s / 2)
+        lasts_s = min(draw.uniform(SHORTEST_S, LONGEST_S), length_s - at_s)
+        groups.append(HostileGroup(at_s, draw.choice(names), draw.randrange(100), lasts_s))
+    return groups
+
+
 def make_plan(seed: int, length_s: float) -> list[Fault]:
     """Return the faults of a run, in their order."""
     draw = random.Random(seed)
--- a/soak/site.py
+++ b/soak/site.py
@@ -7,13 +7,14 @@
 from tornado.httpserver import HTTPServer
 
 from amaranthbend.adapters.addresses import split_address
+from standins.hostile_callers import Target, hold_group
 from standins.instance import ENDLESS_PARTS, Instance
 from standins.node_caller import DESK, make_configuration
 from standins.node_program import NodeProgram
 from standins.processes import pick_endpoint, pick_network
 from standins.store import RawJson, StoreState, make_store_app
 
-from .plan import Fault, FaultKind
+from .plan import Fault, FaultKind, HostileGroup
 from .proxy import LinkState, Proxy
 
 __all__ = ["Site"]
@@ -122,6 +123,15 @@
         }
         await strikes[fault.kind.partition("_")[0]](fault)
 
+    async def meet_group(self, group: HostileGroup) -> None:
+        """Let callers outside the limits meet a node for a time."""
+        await asyncio.sleep(group.at_s)
+        node = self.nodes[group.target % NODES]
+        address = split_address(node.names["frontend"])
+        target = Target(address, "shop.example", "/unsafe/up", "/safe/down")
+        async with hold_group(target, group.name):
+            await asyncio.sleep(group.length_s)
+
     async def _strike_node(self, fault: Fault) -> None:
         node = self.nodes[fault.target % NODES]
         if fault.kind is FaultKind.NODE_RELOAD:
--- a/tests/hostile_callers.py
+++ b/standins/hostile_callers.py
@@ -4,13 +4,13 @@
 import contextlib
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 from typing import NamedTuple
 
 import psutil
 
-__all__ = ["GROUPS", "Figures", "Target", "hold_group", "measure"]
+__all__ = ["GROUPS", "HOSTILE_ID_PREFIX", "Figures", "Target", "hold_group", "measure"]
 
 Script = Callable[["Target", int, asyncio.StreamWriter], Awaitable[None]]
 
@@ -22,6 +22,8 @@
 LARGE_BODY_BYTES = 64 * 1024 * 1024
 HEAD_BYTES = 16_000
 ESTABLISHED = "01"
+# Prefix of the ids of their requests.
+HOSTILE_ID_PREFIX = "h"
 
 
 class Target(NamedTuple):
@@ -47,7 +49,11 @@
     def make_head(self, *lines: str, is_upload: bool = True, number: int = 0) -> bytes:
         """Return the head of a request with further header lines."""
         start = f"POST {self.upload_path}" if is_upload else f"GET {self.download_path}"
-        fields = [f"Host: {self.host}", f"X-Amaranthbend-Attempt-Id: h{number}", *lines]
+        fields = [
+            f"Host: {self.host}",
+            f"X-Amaranthbend-Attempt-Id: {HOSTILE_ID_PREFIX}{number}",
+            *lines,
+        ]
         return "\r\n".join([f"{start} HTTP/1.1", *fields]).encode() + b"\r\n\r\n"
 
 
@@ -184,7 +190,7 @@
 
 
 @contextlib.asynccontextmanager
-async def hold_group(target: Target, name: str):  # noqa: ANN201
+async def hold_group(target: Target, name: str) -> AsyncIterator[None]:
     """Run the callers of a group while the context is open."""
     count, script = GROUPS[name]
     tasks = [asyncio.ensure_future(run_caller(target, n, script)) for n in range(count)]
--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -14,13 +14,13 @@
 from amaranthbend.adapters.addresses import split_address
 from amaranthbend.settings.process import EntrySettings
 from standins.deployment import Plan
+from standins.hostile_callers import GROUPS, Figures, Target, hold_group, measure
 from standins.http import call
 from standins.instance import Instance
 from standins.node_caller import make_call, make_configuration, read_answer
 from standins.node_program import NodeProgram
 
 from .harness import run_deployment
-from .hostile_callers import GROUPS, Figures, Target, hold_group, measure
 from .program_cases import run_program
 
 # Run in one worker, so that the groups do not compete with each other.
