--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,8 +6,9 @@
 import pytest
 
 from soak.judge import Call, find_violations
-from soak.plan import FaultKind, make_plan
+from soak.plan import FaultKind, make_hostile_groups, make_plan
 from soak.runs import run_seed
+from standins.hostile_callers import GROUPS
 from standins.node_caller import Answer
 
 # Seed and seconds of a run. In seed 5 with 6 s callers keep connections on which a response
@@ -29,6 +30,14 @@
     assert kinds == set(FaultKind)
 
 
+def test_hostile_groups_leave_the_faults_of_a_seed_as_they_are() -> None:
+    """Guards against a failed seed that plays other faults or callers when it is run again."""
+    groups = [make_hostile_groups(seed, 6.0, sorted(GROUPS)) for seed in range(200)]
+    assert groups == [make_hostile_groups(seed, 6.0, sorted(GROUPS)) for seed in range(200)]
+    assert {group.name for played in groups for group in played} == set(GROUPS)
+    assert sum(map(bool, groups)) == 50
+
+
 @pytest.mark.parametrize(
     ("call", "runs", "problem"),
     [
