--- a/amaranthbend/adapters/caller_server.py
+++ b/amaranthbend/adapters/caller_server.py
@@ -4,7 +4,6 @@
 import contextlib
 import select
 import socket
-import struct
 from typing import Any
 
 from tornado.httpserver import HTTPServer
@@ -15,6 +14,7 @@
 from ..core.outcomes import OutcomeReason
 from ..filters.local_responses import LocalResponse, make_refusal
 from .caller import CallerRequest, RequestHandler
+from .caller_guard import READ_SIZE_BYTES, GuardedStream
 from .metrics import Counters
 from .pipelining import CallerConnection
 
@@ -24,8 +24,6 @@
 # can make it lose the refusal.
 LINGER_TIMEOUT_S = 1.0
 MAX_LINGER_BYTES = 4 * 1024 * 1024
-READ_SIZE_BYTES = 64 * 1024
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 IDLE_TIMEOUT_S = 75.0
 # Limits the sockets and tasks that callers with invalid input can occupy.
 MAX_LINGERING_CLOSES = 128
@@ -50,7 +48,7 @@
         connection.close()
 
 
-class CallerStream(IOStream):
+class CallerStream(GuardedStream):
     """Stream of a caller's connection; responds to oversized input with the reason."""
 
     connection: CallerConnection | None = None
@@ -93,7 +91,10 @@
             future.set_exception(error)
 
     def _start_lingering_close(self) -> None:
-        if len(_lingering_closes) >= MAX_LINGERING_CLOSES:
+        limit = MAX_LINGERING_CLOSES
+        if self.guard is not None:
+            limit = min(limit, self.guard.max_lingering_closes)
+        if len(_lingering_closes) >= limit:
             return
         task = asyncio.ensure_future(read_and_discard(self.socket.dup()))
         _lingering_closes.add(task)
@@ -114,13 +115,19 @@
             self.socket.send(request.reject_malformed(reason))
 
     def reset(self) -> None:
-        """Make the following close reset the connection.
-
-        Callers do not take a connection reset as the end of a body.
-        """
+        """Make the following close reset the connection, without reading further input."""
         self.lingers = False
-        if not self.closed():
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        super().reset()
+
+    def list_requests(self) -> list[CallerRequest]:
+        """Return the requests whose responses are not written, in order."""
+        connection = self.connection
+        return [] if connection is None else [entry.request for entry in connection.exchanges]
+
+    def is_reading_head(self) -> bool:
+        """Return whether the next input belongs to a head."""
+        reading = self.connection.reading if self.connection is not None else None
+        return reading is None or not reading.request.method
 
     def has_unread_input(self) -> bool:
         """Return whether a part of the next request has arrived."""
@@ -151,12 +158,6 @@
     return bool(request.method) and not request.has_ended
 
 
-def list_requests(stream: CallerStream) -> list[CallerRequest]:
-    """Return the requests of a connection whose responses are not written, in order."""
-    connection = stream.connection
-    return [] if connection is None else [entry.request for entry in connection.exchanges]
-
-
 class CallerServer(HTTPServer, HTTPServerConnectionDelegate):
     """Server for callers.
 
@@ -202,6 +203,9 @@
             stream.socket, max_buffer_size=self.max_buffer_size, read_chunk_size=READ_SIZE_BYTES
         )
         caller_stream.buffers = self._handler.buffers
+        if not self._handler.guard.admit(caller_stream, address):
+            caller_stream.close()
+            return
         self._streams.add(caller_stream)
         connection = CallerConnection(
             caller_stream,
@@ -219,8 +223,11 @@
         """Remove a closed connection; called by `CallerConnection`."""
         super().on_close(server_conn)
         stream = server_conn.caller_stream
+        # Breaks the reference cycle, so that the memory of its requests is free before the next
+        # garbage collection.
         stream.connection = None
         self._streams.discard(stream)
+        self._handler.guard.forget(stream)
 
     def count_connections(self) -> int:
         """Return the number of open connections."""
@@ -233,21 +240,21 @@
         completely: the caller of a large one may be slow to read it.
         """
         return sum(
-            sum(bool(request.method) for request in list_requests(stream)) or stream.writing()
+            sum(bool(request.method) for request in stream.list_requests()) or stream.writing()
             for stream in self._streams
         )
 
     def refuse_incomplete(self, response: LocalResponse) -> None:
         """Refuse the requests whose bodies are still read, which have not been passed on."""
         for stream in list(self._streams):
-            for request in list_requests(stream):
+            for request in stream.list_requests():
                 if _is_in_progress(request) and not request.is_running:
                     request.send_local_response(response)
 
     def close_idle(self) -> None:
         """Close connections on which no part of a request has been received."""
         for stream in list(self._streams):
-            is_idle = not any(request.method for request in list_requests(stream))
+            is_idle = not any(request.method for request in stream.list_requests())
             if is_idle and not stream.has_unread_input():
                 stream.close()
 
@@ -277,7 +284,7 @@
             if connection is not None and not connection.is_reading and stream.has_caller_left():
                 stream.close()
                 continue
-            requests = list_requests(stream)
+            requests = stream.list_requests()
             if not requests:
                 continue
             for request in requests[1:]:
--- a/amaranthbend/adapters/exchange.py
+++ b/amaranthbend/adapters/exchange.py
@@ -124,6 +124,7 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
         """Pass the head on, at once or when all responses before this one are written."""
+        self._stream.head_started_at = 0.0
         if self.has_turn:
             self.request.headers_received(start_line, headers)
             return None
