--- a/tests/test_fuzzed_connections.py
+++ b/tests/test_fuzzed_connections.py
@@ -161,7 +161,7 @@
 @pytest.fixture(scope="module")
 def case(runner: asyncio.Runner) -> Iterator[NodeCase]:
     """Return a node process that all examples share."""
-    context = start_node(2, True, {}, 6.0)
+    context = start_node(2, True, {}, {}, ("huye",))
     node = runner.run(context.__aenter__())
     node.process.chain.held_body_bytes = BUFFERED_BODY_BYTES
     node.process.chain.buffers.set_limit(MEMORY_BYTES)
