--- a/amaranthbend/core/policy.py
+++ b/amaranthbend/core/policy.py
@@ -139,6 +139,9 @@
         Delay after which a refused caller should retry; jitter is added.
     cold_rate_per_s : float
         Requests per second that a cold upstream tolerates from all hosts; 0 for no limit.
+    is_prioritized : bool
+        Whether requests are ordered by urgency and wait for room, see
+        `DeploymentPolicy.is_prioritized`.
     """
 
     name: str
@@ -150,6 +153,7 @@
     probe_path: str = "/load"
     retry_after_s: float = 1.0
     cold_rate_per_s: float = 0.0
+    is_prioritized: bool = False
 
 
 class TeamPolicy(NamedTuple):
--- a/amaranthbend/core/probing_dispatcher.py
+++ b/amaranthbend/core/probing_dispatcher.py
@@ -22,6 +22,8 @@
 from .occupancy import OccupancyProfile
 from .outcomes import OutcomeReason, RetryReason
 from .policy import ProbePolicy, ServicePolicy
+from .probe_counts import MULTI_ROUND_TOKEN_SHARE, count_probes_allowed
+from .probe_failures import ProbeFailures
 from .probe_rounds import (
     SHARED_REPORT_MAX_AGE_S,
     PendingProbeRounds,
@@ -37,23 +39,13 @@
 from .retries import RetryBudget, count_attempts_allowed
 from .routing import UpstreamLoad
 
-__all__ = ["ProbingDispatcher"]
+__all__ = ["COMPLETION_TIME_SHARE", "MULTI_ROUND_TOKEN_SHARE", "ProbingDispatcher"]
 
-# An upstream whose probe failed is paused for this time, doubled for each consecutive failure up
-# to the maximum: long enough that few requests wait for its probes, short enough to use it soon
-# after a brief outage.
-PROBE_FAILURE_PAUSE_S = 0.2
-PROBE_FAILURE_PAUSE_MAX_S = 1.6
 # Requests that an upstream may get beyond its best concurrency, as a share of it: for requests of
 # the highest priority seen in the service, and for all others. At a peak, requests of lower
 # priority are thus refused first.
 URGENT_MAX_EXCESS_SHARE = 0.67
 MAX_EXCESS_SHARE = 0.34
-# Fill level of the probe budget below which each attempt gets a single round of probes.
-MULTI_ROUND_TOKEN_SHARE = 0.8
-# Fill level of the probe budget below which rounds have fewer probes, down to the minimum.
-FULL_ROUND_TOKEN_SHARE = 0.1
-MIN_PROBES_PER_ROUND = 2
 # Share of the expected completion time that must remain before the deadline: for attempts in
 # general, and for hedges. Durations vary, so that an attempt is worth the risk of being late; a
 # hedge uses the shared retry budget and must be more certain.
@@ -101,8 +93,7 @@
         self._rounds = PendingProbeRounds(policy.request_probes)
         self._rng = random.Random(seed)
         self._retry_budget = RetryBudget(policy.retries, self._rng.random)
-        # Consecutive failed probes by upstream; an upstream that answered has no entry.
-        self._probe_failures: dict[str, int] = {}
+        self._probe_failures = ProbeFailures()
         self._hedge_timers = HedgeTimers()
         # Highest priority of all requests so far.
         self._highest_priority = -math.inf
@@ -113,7 +104,7 @@
 
     def report(self, upstream: str, report: LoadReport, now: float) -> list[Action]:
         """Record a load report, and decide the probe rounds that waited for it."""
-        self._probe_failures.pop(upstream, None)
+        self._probe_failures.record_answer(upstream)
         actions = super().report(upstream, report, now)
         self._rounds.record_probe_end(upstream)
         return actions + self._dispatch_ready(now)
@@ -139,11 +130,7 @@
         """Record a failed probe; the upstream is paused for longer with each one in a row."""
         load = self._loads.get(upstream)
         if load is not None:
-            failures = self._probe_failures.get(upstream, 0)
-            self._probe_failures[upstream] = failures + 1
-            pause_s = min(
-                PROBE_FAILURE_PAUSE_MAX_S, PROBE_FAILURE_PAUSE_S * 2.0 ** min(failures, 8)
-            )
+            pause_s = self._probe_failures.record_failure(upstream)
             load.paused_until = max(load.paused_until, now + pause_s)
         self._rounds.record_probe_end(upstream)
         return super().report_probe_failure(upstream, now)
@@ -163,8 +150,7 @@
         """Replace the members of the service."""
         actions = super().set_members(members, now)
         actions += self._replace_lost_attempts(now)
-        for upstream in self._probe_failures.keys() - self._loads.keys():
-            del self._probe_failures[upstream]
+        self._probe_failures.retain(self._loads.keys())
         self._probe_budget.set_upstreams(self._policy.name, len(self._loads))
         return actions
 
@@ -224,12 +210,14 @@
         """Start the first probe round for the next attempt of a request."""
         record.fresh_since = now - SHARED_REPORT_MAX_AGE_S
         if record.attempts == 0:
-            outstanding = sum(
-                count_outstanding(load) for load in self._loads.values() if load.usable
-            )
-            self._probe_budget.refill(self._policy.name, outstanding, self._ejector.mean_duration_s)
+            self._refill_probe_budget()
         return self._start_round(record, frozenset(), 1, False, now)
 
+    def _refill_probe_budget(self) -> None:
+        """Add the probes that a new request earns."""
+        outstanding = sum(count_outstanding(load) for load in self._loads.values() if load.usable)
+        self._probe_budget.refill(self._policy.name, outstanding, self._ejector.mean_duration_s)
+
     def _start_round(
         self,
         record: RequestState,
@@ -256,7 +244,7 @@
         policy = self._rounds.policy
         excluded = probed | record.tried_upstreams
         loads = self._router.list_loads()
-        max_probes = self._count_probes_allowed(number)
+        max_probes = count_probes_allowed(policy, self._probe_budget, number)
         candidates = choose_candidates(loads, policy, excluded, max_probes, self._rng, now)
         if not candidates and not probed and not is_hedge:
             # All upstreams were tried before: another attempt at one of them is better than none.
@@ -270,25 +258,6 @@
         self._probe_budget.spend(len(probes))
         return [Probe(upstream) for upstream in probes]
 
-    def _count_probes_allowed(self, number: int) -> int:
-        """Return the number of probes that a round may send, 0 for a further round if few remain.
-
-        Parameters
-        ----------
-        number : int
-            Number of the round for its attempt, from 1.
-        """
-        full_round = self._rounds.policy.local_probes + self._rounds.policy.remote_probes
-        token_share = self._probe_budget.compute_token_share()
-        if number > 1 and token_share < MULTI_ROUND_TOKEN_SHARE:
-            return 0
-        # Two reports bring most of the gain, so that scarce probes are spread over more requests.
-        wanted = max(
-            MIN_PROBES_PER_ROUND,
-            math.ceil(full_round * min(1.0, token_share / FULL_ROUND_TOKEN_SHARE)),
-        )
-        return int(min(full_round, wanted, self._probe_budget.get_tokens()))
-
     def _dispatch_ready(self, now: float) -> list[Action]:
         """Decide the rounds that are ready."""
         actions: list[Action] = []
@@ -329,25 +298,33 @@
         Fresh reports are missing if this host is itself so slow that all of them come too late,
         or if the probe budget is used up in a long peak.
         """
-        if any(
+        if self._has_fresh_report(record, probed):
+            return self._requests.fail(record, OutcomeReason.CONCURRENCY_LIMIT)
+        load = self._choose_without_probes(record, now)
+        if load is None:
+            return self._requests.fail(record, OutcomeReason.UPSTREAM_UNREACHABLE)
+        if not self._has_room_at(load, record, now):
+            return self._requests.fail(record, OutcomeReason.CONCURRENCY_LIMIT)
+        return [self._send_and_schedule_hedge(record, load, now)]
+
+    def _has_fresh_report(self, record: RequestState, probed: frozenset[str]) -> bool:
+        """Return whether a probed upstream has reported since the probes for an attempt began."""
+        return any(
             self._loads[name].report_at >= record.fresh_since
             for name in probed & self._loads.keys()
-        ):
-            return self._requests.fail(record, OutcomeReason.CONCURRENCY_LIMIT)
+        )
+
+    def _choose_without_probes(self, record: RequestState, now: float) -> UpstreamLoad | None:
+        """Return the best upstream by the reports at hand."""
         # An upstream whose last probe failed is not chosen without another probe.
-        excluded = record.tried_upstreams | self._probe_failures.keys()
-        load = choose_without_probes(
+        excluded = record.tried_upstreams | self._probe_failures.upstreams
+        return choose_without_probes(
             self._router.list_loads(),
             excluded,
             self._router.slots,
             self._ejector.mean_duration_s,
             now,
         )
-        if load is None:
-            return self._requests.fail(record, OutcomeReason.UPSTREAM_UNREACHABLE)
-        if not self._has_room_at(load, record, now):
-            return self._requests.fail(record, OutcomeReason.CONCURRENCY_LIMIT)
-        return [self._send_and_schedule_hedge(record, load, now)]
 
     def _has_room_at(self, load: UpstreamLoad, record: RequestState, now: float) -> bool:
         """Return whether an upstream may take a request, by its queue and the deadline."""
--- a/amaranthbend/core/request_table.py
+++ b/amaranthbend/core/request_table.py
@@ -1,6 +1,6 @@
 """Table of pending requests, and the actions that end them."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from .actions import Action, Cancel, Complete, RequestInfo
 from .attempts import RequestState, make_end_action
@@ -25,6 +25,8 @@
 
     def __init__(self, retry_after_s: float) -> None:
         self.retry_after_s = retry_after_s
+        # Returns the delay for one refused request; None for the same delay for all.
+        self.estimate_retry_after: Callable[[RequestInfo, OutcomeReason], float] | None = None
         self._records: dict[int, RequestState] = {}
 
     def check_new(self, request: RequestInfo) -> None:
@@ -60,12 +62,17 @@
 
     def refuse(self, request: RequestInfo, reason: OutcomeReason) -> Action:
         """Return the action that refuses a request that was not added."""
-        return make_end_action(RequestState(request), reason, self.retry_after_s)
+        return make_end_action(RequestState(request), reason, self._get_delay(request, reason))
 
     def end(self, record: RequestState, reason: OutcomeReason) -> Action:
         """End a request that has no complete response."""
         del self._records[record.info.request_id]
-        return make_end_action(record, reason, self.retry_after_s)
+        return make_end_action(record, reason, self._get_delay(record.info, reason))
+
+    def _get_delay(self, request: RequestInfo, reason: OutcomeReason) -> float:
+        if self.estimate_retry_after is None:
+            return self.retry_after_s
+        return self.estimate_retry_after(request, reason)
 
     def end_all(self, request_ids: Iterable[int], reason: OutcomeReason) -> list[Action]:
         """End requests that have no complete response."""
--- a/amaranthbend/filters/dispatch.py
+++ b/amaranthbend/filters/dispatch.py
@@ -13,9 +13,9 @@
 from ..core.dispatching import Dispatcher
 from ..core.outcomes import Outcome, OutcomeReason
 from ..core.policy import DeploymentPolicy, ProbePolicy, RoutePolicy, ServicePolicy
+from ..core.prioritizing_dispatcher import PrioritizingDispatcher
 from ..core.probe_rounds import RequestProbeBudget
 from ..core.probing import divide_budget
-from ..core.probing_dispatcher import ProbingDispatcher
 from .local_responses import LocalResponse, make_refusal
 from .services import DispatchSettings, ServiceDispatch, ignore_probe
 
@@ -111,7 +111,7 @@
         seed = random.getrandbits(32)
         if policy.request_probes is None:
             return Dispatcher(policy, probing, data_centre, seed, processes=processes)
-        return ProbingDispatcher(
+        return PrioritizingDispatcher(
             policy,
             probing,
             data_centre,
