--- a/amaranthbend/core/actions.py
+++ b/amaranthbend/core/actions.py
@@ -123,8 +123,8 @@
         Team of the caller, empty without one.
     team_priority : int
         Priority of the team, compared before `priority`; higher values leave the queue first.
-    is_repeated : bool
-        Whether the caller has probably sent the request before, and was refused.
+    elapsed_s : float
+        Time since the caller first sent the request, which was then refused; 0 for a new request.
     """
 
     request_id: int
@@ -139,7 +139,7 @@
     max_attempts: int | None = None
     team: str = ""
     team_priority: int = 0
-    is_repeated: bool = False
+    elapsed_s: float = 0.0
 
 
 class AttemptStatus(StrEnum):
--- a/amaranthbend/core/prioritizing_dispatcher.py
+++ b/amaranthbend/core/prioritizing_dispatcher.py
@@ -46,9 +46,6 @@
 # Share of the expected wait that must fit in the time that a request may wait. The estimate is
 # rough, and a refusal costs more than a short wait that ends unserved.
 EXPECTED_WAIT_SHARE = 0.5
-# Share of the time in which a latency goal can be met during which a request is not sent to an
-# upstream that would miss it.
-SLOW_AVOIDANCE_SHARE = 0.5
 # An upstream with a higher share of failures is offered no held request without a choice among
 # several upstreams.
 MAX_OFFER_FAILURE_SHARE = 0.2
@@ -134,8 +131,7 @@
         outstanding, slots, slowdown = self._occupancy_at_send.get(key, (1, 0, 1.0))
         is_answer = result.status is AttemptStatus.ANSWERED and not is_upstream_failure(result)
         if record is not None and is_answer and outstanding <= slots:
-            duration_s = now - state.started_at
-            self._work.record(record.info.route, duration_s / max(1.0, slowdown))
+            self._work.record(record.info.route, now - state.started_at, slowdown)
         return super().finish(request_id, attempt, result, now)
 
     def abandon(self, request_id: int, now: float) -> list[Action]:
@@ -196,7 +192,7 @@
 
     def _can_meet_deadline(self, request: RequestInfo, now: float) -> bool:
         """Return whether a request could be answered in time by an idle upstream."""
-        work_s = self._work.estimate(request.route, self._ejector.mean_duration_s)
+        work_s = self._work.estimate(request.route, self._ejector.mean_duration_s).usual_s
         return now + COMPLETION_TIME_SHARE * work_s < request.deadline
 
     def _enqueue(self, record: RequestState, now: float) -> list[Action]:
@@ -206,15 +202,15 @@
         info = record.info
         record.fresh_since = now - SHARED_REPORT_MAX_AGE_S
         if record.attempts == 0:
-            record.submitted_at = now
+            record.submitted_at = now - info.elapsed_s
             self._refill_probe_budget()
-        work_s = self._work.estimate(info.route, self._ejector.mean_duration_s)
+        work_s = self._work.estimate(info.route, self._ejector.mean_duration_s).mean_s
         goal_at = info.deadline
         if info.latency_goal_s is not None:
             goal_at = min(goal_at, record.submitted_at + info.latency_goal_s)
         waiting = self._waiting.add(
             info,
-            is_retried=info.is_repeated or record.attempts > 0,
+            is_retried=info.elapsed_s > 0.0 or record.attempts > 0,
             goal_at=goal_at,
             work_s=work_s,
             give_up_at=compute_give_up_time(info, record.submitted_at, work_s, now),
@@ -386,19 +382,16 @@
         best = self._occupancy_profile.find_best_concurrency(slots)
         usual = self._forecast.usual_outstanding
         outstanding = estimate_outstanding(load, usual, self._processes, mean_s, now)
-        limit = self._ranks.compute_limit(get_rank(info), best, load.member.upstream)
+        work = self._work.estimate(info.route, mean_s)
+        goal_at = math.inf
+        if info.latency_goal_s is not None:
+            goal_at = record.submitted_at + info.latency_goal_s
+        is_late = now + work.usual_s > goal_at
+        limit = self._ranks.compute_limit(get_rank(info), best, load.member.upstream, is_late)
         if outstanding + 1.0 > limit:
             return False
-        work_s = self._work.estimate(info.route, mean_s)
-        run_s = estimate_run_s(load, slots, work_s, now)
-        if now + COMPLETION_TIME_SHARE * run_s >= info.deadline:
-            return False
-        if info.latency_goal_s is None:
-            return True
-        spare_s = info.latency_goal_s - work_s
-        goal_at = record.submitted_at + info.latency_goal_s
-        avoids_slow = now < record.submitted_at + SLOW_AVOIDANCE_SHARE * spare_s
-        return not avoids_slow or now + run_s <= goal_at
+        run_s = estimate_run_s(load, slots, work.usual_s, now)
+        return now + COMPLETION_TIME_SHARE * run_s < info.deadline
 
     def _send(self, record: RequestState, load: UpstreamLoad, now: float) -> Send:
         """Record the start of an attempt, and return the action that sends it."""
--- a/amaranthbend/core/urgency.py
+++ b/amaranthbend/core/urgency.py
@@ -7,7 +7,6 @@
 of a rank, only more urgent requests find room.
 """
 
-import bisect
 import math
 from typing import NamedTuple
 
@@ -15,15 +14,22 @@
 
 from .actions import RequestInfo
 
-__all__ = ["CallerTimes", "OrderKey", "Rank", "RankTable", "WorkEstimates", "get_rank"]
-
-# Requests that an upstream may get beyond its best concurrency, as a share of it: for the most
-# urgent rank seen in the service, and for the least urgent one. The ranks in between are spaced
-# evenly. The first value is that of deployments without ranks. With the second, upstreams of 3
-# slots get no request or one for the queue, so that a slot that becomes free does not stay unused
-# until the next probe.
-MOST_URGENT_SHARE = 0.67
-LEAST_URGENT_SHARE = 0.17
+__all__ = ["CallerTimes", "OrderKey", "Rank", "RankTable", "WorkEstimates", "WorkTime", "get_rank"]
+
+# Requests that an upstream may get beyond its best concurrency, as a share of it, for the most
+# urgent rank of the service.
+MOST_URGENT_SHARE = 0.5
+# How much less a rank may use, as a share of the best concurrency, if all requests but its own are
+# more urgent. What is left to more urgent ranks lies unused unless they need it, so it grows with
+# their part of the requests (see docs/design/queueing.md for the trials).
+RESERVED_SHARE = 0.6
+# Least difference between a rank and the next one, for ranks with few requests.
+MIN_STEP = 0.1
+# Part of the difference to the next rank that late requests have less.
+LATE_STEP = 0.5
+# Weight of one request in the mean parts of the ranks, which thus cover the last 20 requests: some
+# seconds at a host with 3 requests a second.
+PART_WEIGHT = 0.05
 # A rank that was not seen for this time no longer counts: longer than the pauses of a host with 3
 # requests a second, shorter than a change of the priorities stays relevant.
 RANK_RETENTION_S = 60.0
@@ -89,32 +95,53 @@
 
     def __init__(self) -> None:
         self._seen_at: dict[Rank, float] = {}
-        self._ordered: list[Rank] = []
+        # Part of the recent requests that had each rank.
+        self._parts: dict[Rank, float] = {}
+        # What each rank may use beyond the best concurrency, as a share, and late requests of it.
+        self._shares: dict[Rank, tuple[float, float]] = {}
 
     def observe(self, rank: Rank, now: float) -> None:
         """Record a request of a rank."""
-        is_new = rank not in self._seen_at
         self._seen_at[rank] = now
         oldest = min(self._seen_at, key=self._seen_at.__getitem__)
         if now - self._seen_at[oldest] > RANK_RETENTION_S or len(self._seen_at) > MAX_RANKS:
             del self._seen_at[oldest]
-            is_new = True
-        if is_new:
-            self._ordered = sorted(self._seen_at)
+            self._parts.pop(oldest, None)
+        for other in self._parts:
+            self._parts[other] *= 1.0 - PART_WEIGHT
+        self._parts[rank] = self._parts.get(rank, 0.0) + PART_WEIGHT
+        self._divide()
+
+    def _divide(self) -> None:
+        """Compute what each rank may use, from the most urgent one on."""
+        total = sum(self._parts.values())
+        share = MOST_URGENT_SHARE
+        self._shares = {}
+        for rank in sorted(self._parts, reverse=True):
+            step = max(MIN_STEP, RESERVED_SHARE * self._parts[rank] / total)
+            self._shares[rank] = (share, share - LATE_STEP * step)
+            share -= step
 
     def list_ranks(self) -> list[Rank]:
         """Return the ranks, the least urgent one first."""
-        return self._ordered
+        return sorted(self._parts)
+
+    def compute_share(self, rank: Rank, is_late: bool = False) -> float:
+        """Return the requests beyond the best concurrency that a rank may cause, as a share.
 
-    def compute_share(self, rank: Rank) -> float:
-        """Return the requests beyond the best concurrency that a rank may cause, as a share."""
-        last = len(self._ordered) - 1
-        if last < 1:
-            return MOST_URGENT_SHARE
-        position = min(last, bisect.bisect_left(self._ordered, rank)) / last
-        return LEAST_URGENT_SHARE + position * (MOST_URGENT_SHARE - LEAST_URGENT_SHARE)
+        A request that can no longer meet its latency goal is worth a tenth of one that can. It
+        may use less than others of its rank, and more than the next rank.
+
+        Parameters
+        ----------
+        rank : Rank
+            Rank of the request, which has been observed.
+        is_late : bool
+            Whether the request can no longer meet its latency goal.
+        """
+        return self._shares[rank][is_late]
 
-    def compute_limit(self, rank: Rank, best: int, upstream: str) -> float:
+    def compute_limit(self, rank: Rank, best: int, upstream: str, is_late: bool = False) -> float:
         """Return how many requests an upstream may hold for one of this rank to be added.
 
         Upstreams have few slots, so that whole numbers would give several ranks the same limit.
@@ -129,18 +156,35 @@
             Best concurrency of the upstream.
         upstream : str
             The upstream.
+        is_late : bool
+            Whether the request can no longer meet its latency goal.
         """
         part = xxhash.xxh64_intdigest(upstream.encode()) / HASH_RANGE
-        return best * (1.0 + self.compute_share(rank)) + part
+        return best * (1.0 + self.compute_share(rank, is_late)) + part
+
+
+class WorkTime(NamedTuple):
+    """Time that a request needs at an upstream, in seconds.
+
+    Parameters
+    ----------
+    usual_s : float
+        On a machine at its usual speed.
+    mean_s : float
+        On the machines at their present speeds.
+    """
+
+    usual_s: float
+    mean_s: float
 
 
 class WorkEstimates:
-    """Mean time that an upstream at its usual speed needs for the requests of each route."""
+    """Mean time that the requests of each route need at an upstream."""
 
     def __init__(self) -> None:
-        self._means: dict[str, float] = {}
+        self._times: dict[str, WorkTime] = {}
 
-    def record(self, route: str, duration_s: float) -> None:
+    def record(self, route: str, duration_s: float, slowdown: float) -> None:
         """Record the duration of a request that did not have to queue.
 
         Parameters
@@ -148,19 +192,25 @@
         route : str
             Route of the request.
         duration_s : float
-            Duration in seconds, divided by the slowdown of the upstream.
+            Duration in seconds.
+        slowdown : float
+            Reported slowdown of the upstream when the request was sent.
         """
-        mean = self._means.get(route)
-        if mean is None:
-            if len(self._means) >= MAX_ROUTES:
-                self._means.clear()
-            self._means[route] = duration_s
+        usual_s = duration_s / max(1.0, slowdown)
+        time = self._times.get(route)
+        if time is None:
+            if len(self._times) >= MAX_ROUTES:
+                self._times.clear()
+            self._times[route] = WorkTime(usual_s, duration_s)
             return
-        self._means[route] = mean + WORK_WEIGHT * (duration_s - mean)
+        self._times[route] = WorkTime(
+            time.usual_s + WORK_WEIGHT * (usual_s - time.usual_s),
+            time.mean_s + WORK_WEIGHT * (duration_s - time.mean_s),
+        )
 
-    def estimate(self, route: str, default_s: float) -> float:
-        """Return the expected work of a request in seconds, the default for an unknown route."""
-        return self._means.get(route, default_s)
+    def estimate(self, route: str, default_s: float) -> WorkTime:
+        """Return the expected time of a request, the default for an unknown route."""
+        return self._times.get(route, WorkTime(default_s, default_s))
 
 
 class CallerTimes:
@@ -173,8 +223,8 @@
     def __init__(self) -> None:
         self._most_s: dict[str, float] = {}
 
-    def is_repeated(self, route: str, left_s: float) -> bool:
-        """Record a request, and return whether its caller has probably been refused before.
+    def estimate_elapsed_s(self, route: str, left_s: float) -> float:
+        """Record a request, and return for how long its caller has been trying, in seconds.
 
         Parameters
         ----------
@@ -184,9 +234,9 @@
             Time that the caller had left when the request arrived, in seconds.
         """
         if not math.isfinite(left_s):
-            return False
+            return 0.0
         if route not in self._most_s and len(self._most_s) >= MAX_ROUTES:
             self._most_s.clear()
         most_s = max(left_s, CALLER_TIME_DECAY * self._most_s.get(route, 0.0))
         self._most_s[route] = most_s
-        return left_s < FIRST_TIME_SHARE * most_s
+        return most_s - left_s if left_s < FIRST_TIME_SHARE * most_s else 0.0
--- a/amaranthbend/filters/dispatch.py
+++ b/amaranthbend/filters/dispatch.py
@@ -96,7 +96,9 @@
                 service.apply(service.dispatcher.set_probing(probing, now))
                 continue
             dispatcher = self._make_dispatcher(service_policy, probing, processes)
-            service = ServiceDispatch(dispatcher, self._client, self._counters, self._settings)
+            service = ServiceDispatch(
+                dispatcher, self._client, self._counters, self._settings, name
+            )
             service.on_probe_sent = self.on_probe_sent
             service.probe_path = service_policy.probe_path
             self.services[name] = service
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -34,7 +34,14 @@
 from amaranthbend.core.policy import ProbePolicy, RequestProbePolicy, RetryPolicy, ServicePolicy
 from amaranthbend.core.probing_dispatcher import ProbingDispatcher
 
-__all__ = ["FleetResult", "FleetSettings", "run_fleet_model"]
+__all__ = [
+    "AttemptKey",
+    "FleetModel",
+    "FleetResult",
+    "FleetSettings",
+    "ModelUpstream",
+    "run_fleet_model",
+]
 
 NETWORK_DELAY_S = 0.001
 # Upstreams close connections that were idle for this long.
@@ -117,19 +124,29 @@
 
 
 # Host, identifier of the request, number of the attempt.
-_AttemptKey = tuple[int, int, int]
+AttemptKey = tuple[int, int, int]
 
 
-class _Upstream:
+class ModelUpstream:
+    """An upstream with its running and waiting attempts."""
+
     def __init__(self, name: str, is_faulty: bool) -> None:
         self.name = name
         self.is_faulty = is_faulty
-        self.running: set[_AttemptKey] = set()
-        self.waiting: deque[_AttemptKey] = deque()
+        self.running: set[AttemptKey] = set()
+        self.waiting: deque[AttemptKey] = deque()
         self.arrivals = 0
 
 
-class _FleetModel:
+class FleetModel:
+    """Deployment in virtual time; a subclass may change the requests and the upstreams.
+
+    Parameters
+    ----------
+    settings : FleetSettings
+        Size and load of the deployment.
+    """
+
     def __init__(self, settings: FleetSettings) -> None:
         self._settings = settings
         self._random = random.Random(settings.seed)
@@ -138,9 +155,9 @@
         self._numbers = itertools.count()
         faulty = round(settings.faulty_share * settings.upstreams)
         self._upstreams = {
-            f"u{n}": _Upstream(f"u{n}", n < faulty) for n in range(settings.upstreams)
+            f"u{n}": ModelUpstream(f"u{n}", n < faulty) for n in range(settings.upstreams)
         }
-        self._upstream_of: dict[_AttemptKey, _Upstream] = {}
+        self._upstream_of: dict[AttemptKey, ModelUpstream] = {}
         self._tick_at: dict[int, float] = {}
         self._connection_used_at: dict[tuple[int, str], float] = {}
         self._writes: set[int] = set()
@@ -177,9 +194,7 @@
         time = 0.0
         while (time := time + self._random.expovariate(rate)) < settings.length_s:
             self._schedule(time, self._submit)
-        while self._events:
-            self._now, _, handle = heapq.heappop(self._events)
-            handle()
+        self.run_events()
         arrivals = [upstream.arrivals for upstream in self._upstreams.values()]
         return FleetResult(
             self._requests,
@@ -192,6 +207,12 @@
             self._connections,
         )
 
+    def run_events(self) -> None:
+        """Handle all events in the order of their times."""
+        while self._events:
+            self._now, _, handle = heapq.heappop(self._events)
+            handle()
+
     def _schedule(self, time: float, handle: Callable[[], None]) -> None:
         heapq.heappush(self._events, (time, next(self._numbers), handle))
 
@@ -257,7 +278,7 @@
         )
         self._apply(host, self._hosts[host].report(name, report, self._now))
 
-    def _arrive(self, key: _AttemptKey) -> None:
+    def _arrive(self, key: AttemptKey) -> None:
         upstream = self._upstream_of.get(key)
         if upstream is None:
             return
@@ -276,9 +297,9 @@
         running = sum(len(other.running) for other in self._upstreams.values())
         self._waited += slots - running >= FREE_SLOTS_SHARE * slots
 
-    def _start(self, upstream: _Upstream, key: _AttemptKey) -> None:
+    def _start(self, upstream: ModelUpstream, key: AttemptKey) -> None:
         upstream.running.add(key)
-        work_s = self._random.expovariate(1.0 / self._settings.work_s)
+        work_s = self._draw_work(key)
         time = self._now
         while work_s > 0.0:
             slowdown = self._get_slowdown(upstream, time)
@@ -287,7 +308,10 @@
             work_s -= interval_s / slowdown
         self._schedule(time, lambda: self._end(key, AttemptResult(AttemptStatus.ANSWERED, 200)))
 
-    def _end(self, key: _AttemptKey, result: AttemptResult) -> None:
+    def _draw_work(self, key: AttemptKey) -> float:  # noqa: ARG002
+        return self._random.expovariate(1.0 / self._settings.work_s)
+
+    def _end(self, key: AttemptKey, result: AttemptResult) -> None:
         upstream = self._upstream_of.pop(key, None)
         if upstream is None:
             return
@@ -298,7 +322,7 @@
             self._start(upstream, upstream.waiting.popleft())
         self._later(NETWORK_DELAY_S, self._finish, key, result)
 
-    def _finish(self, key: _AttemptKey, result: AttemptResult) -> None:
+    def _finish(self, key: AttemptKey, result: AttemptResult) -> None:
         host, request_id, attempt = key
         self._apply(host, self._hosts[host].finish(request_id, attempt, result, self._now))
 
@@ -316,7 +340,7 @@
         self._tick_at.pop(host, None)
         self._apply(host, self._hosts[host].tick(self._now))
 
-    def _get_slowdown(self, upstream: _Upstream, time: float) -> float:
+    def _get_slowdown(self, upstream: ModelUpstream, time: float) -> float:
         interval = int(time / SLOWDOWN_INTERVAL_S)
         draw = xxhash.xxh64_intdigest(f"{upstream.name}/{interval}".encode(), self._settings.seed)
         return SLOWDOWN if draw % SLOW_MACHINES_ONE_IN == 0 else 1.0
@@ -330,7 +354,7 @@
     settings : FleetSettings
         Size and load of the deployment.
     """
-    return _FleetModel(settings).run()
+    return FleetModel(settings).run()
 
 
 def print_run(**settings: float) -> None:
--- /dev/null
+++ b/tests/test_urgency.py
@@ -0,0 +1,87 @@
+"""Order of requests, and what requests of each rank may use of an upstream."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from amaranthbend.core.urgency import (
+    MAX_RANKS,
+    RANK_RETENTION_S,
+    CallerTimes,
+    Rank,
+    RankTable,
+    WorkEstimates,
+)
+
+RANKS = st.builds(Rank, st.integers(-3, 3), st.integers(-3, 3))
+
+
+@given(st.lists(RANKS, min_size=1, max_size=8), st.integers(1, 12), st.text(max_size=8))
+def test_more_urgent_ranks_may_use_more(seen: list[Rank], best: int, upstream: str) -> None:
+    """Guards against an upstream that has room for a rank but not for a more urgent one.
+
+    A late request of a rank still goes before the next rank.
+    """
+    table = RankTable()
+    for rank in seen:
+        table.observe(rank, 0.0)
+    limits = [table.compute_limit(rank, best, upstream) for rank in sorted(set(seen))]
+    late = [table.compute_limit(rank, best, upstream, is_late=True) for rank in sorted(set(seen))]
+    assert all(low < high for low, high in zip(limits, limits[1:], strict=False))
+    assert all(low < high for low, high in zip(limits, late[1:], strict=False))
+    assert all(of_late < limit for of_late, limit in zip(late, limits, strict=True))
+
+
+def test_all_ranks_are_graded() -> None:
+    """Guards against ranks below the highest one that all share one limit.
+
+    Deployment T: a service gets requests of priorities 0, 1 and 2.
+    """
+    table = RankTable()
+    for priority in (0, -1, -2):
+        table.observe(Rank(0, priority), 0.0)
+    shares = [table.compute_share(Rank(0, priority)) for priority in (0, -1, -2)]
+    assert shares[0] - shares[1] > 0.1
+    assert shares[1] - shares[2] > 0.1
+
+
+def test_team_priority_goes_before_route_priority() -> None:
+    """Guards against a route of high priority that overtakes a more urgent team."""
+    assert Rank(1, -5) > Rank(0, 0)
+
+
+def test_old_ranks_are_forgotten() -> None:
+    """Guards against limits that stay low for ranks that no longer exist, and against a leak."""
+    table = RankTable()
+    table.observe(Rank(0, 7), 0.0)
+    table.observe(Rank(0, 0), RANK_RETENTION_S)
+    table.observe(Rank(0, 0), RANK_RETENTION_S + 1.0)
+    assert table.list_ranks() == [Rank(0, 0)]
+    for number in range(2 * MAX_RANKS):
+        table.observe(Rank(0, number), RANK_RETENTION_S + 2.0 + number * 1e-6)
+    assert len(table.list_ranks()) == MAX_RANKS
+
+
+def test_repeated_requests_are_recognised() -> None:
+    """Guards against a refused caller that waits behind new ones when it comes back.
+
+    `rate-check` of deployment N: 2.5 s in all, a first refusal and a pause of 0.2 s.
+    """
+    times = CallerTimes()
+    assert times.estimate_elapsed_s("rate-check", 2.5) == 0.0
+    assert times.estimate_elapsed_s("rate-check", 2.49) == 0.0
+    elapsed_s = times.estimate_elapsed_s("rate-check", 2.28)
+    assert 0.2 < elapsed_s < 0.23
+    assert times.estimate_elapsed_s("stay-history", 2.28) == 0.0
+    assert times.estimate_elapsed_s("rate-check", float("inf")) == 0.0
+
+
+def test_work_is_known_by_route() -> None:
+    """Guards against long requests that are expected to take as long as short ones."""
+    work = WorkEstimates()
+    for _ in range(50):
+        work.record("rate-check", 0.16, 1.0)
+        work.record("stay-history", 3.2, 5.0)
+    assert abs(work.estimate("rate-check", 9.0).usual_s - 0.16) < 0.001
+    assert abs(work.estimate("stay-history", 9.0).usual_s - 0.64) < 0.001
+    assert work.estimate("stay-history", 9.0).mean_s > 3.0
+    assert work.estimate("unknown", 0.3).usual_s == 0.3
