--- a/amaranthbend/core/prioritizing_dispatcher.py
+++ b/amaranthbend/core/prioritizing_dispatcher.py
@@ -202,8 +202,9 @@
         info = record.info
         record.fresh_since = now - SHARED_REPORT_MAX_AGE_S
         if record.attempts == 0:
-            record.submitted_at = now - info.elapsed_s
             self._refill_probe_budget()
+        if not record.submitted_at:
+            record.submitted_at = now - info.elapsed_s
         work_s = self._work.estimate(info.route, self._ejector.mean_duration_s).mean_s
         goal_at = info.deadline
         if info.latency_goal_s is not None:
--- a/amaranthbend/core/urgency.py
+++ b/amaranthbend/core/urgency.py
@@ -135,11 +135,14 @@
         Parameters
         ----------
         rank : Rank
-            Rank of the request, which has been observed.
+            Rank of the request; one that was not observed yet may use as much as the least urgent.
         is_late : bool
             Whether the request can no longer meet its latency goal.
         """
-        return self._shares[rank][is_late]
+        shares = self._shares.get(rank)
+        if shares is None:
+            shares = min(self._shares.values(), default=(MOST_URGENT_SHARE, MOST_URGENT_SHARE))
+        return shares[is_late]
 
     def compute_limit(self, rank: Rank, best: int, upstream: str, is_late: bool = False) -> float:
         """Return how many requests an upstream may hold for one of this rank to be added.
