--- a/amaranthbend/core/prioritizing_dispatcher.py
+++ b/amaranthbend/core/prioritizing_dispatcher.py
@@ -46,6 +46,10 @@
 # Share of the expected wait that must fit in the time that a request may wait. The estimate is
 # rough, and a refusal costs more than a short wait that ends unserved.
 EXPECTED_WAIT_SHARE = 0.5
+# A request that is not of the most urgent rank leaves the queues of the upstreams to more urgent
+# ones while it can wait for this many mean durations. One that can no longer meet its latency goal
+# leaves them too: it is worth a tenth of one that can.
+PATIENCE = 1.0
 # An upstream with a higher share of failures is offered no held request without a choice among
 # several upstreams.
 MAX_OFFER_FAILURE_SHARE = 0.2
@@ -387,8 +391,11 @@
         goal_at = math.inf
         if info.latency_goal_s is not None:
             goal_at = record.submitted_at + info.latency_goal_s
-        is_late = now + work.usual_s > goal_at
-        limit = self._ranks.compute_limit(get_rank(info), best, load.member.upstream, is_late)
+        rank = get_rank(info)
+        yields = now + work.usual_s > goal_at or (
+            now + work.mean_s + PATIENCE * mean_s < goal_at and not self._ranks.is_most_urgent(rank)
+        )
+        limit = self._ranks.compute_limit(rank, best, load.member.upstream, yields)
         if outstanding + 1.0 > limit:
             return False
         run_s = estimate_run_s(load, slots, work.usual_s, now)
--- a/amaranthbend/core/urgency.py
+++ b/amaranthbend/core/urgency.py
@@ -25,8 +25,11 @@
 RESERVED_SHARE = 0.6
 # Least difference between a rank and the next one, for ranks with few requests.
 MIN_STEP = 0.1
-# Part of the difference to the next rank that late requests have less.
-LATE_STEP = 0.5
+# Part of the difference to the next rank by which the limit of late and patient requests is lower.
+YIELDED_STEP = 0.5
+# What such requests of the least urgent rank may use at most beyond the best concurrency. They
+# leave the queues to more urgent requests, which would otherwise wait there for long work.
+YIELDED_SHARE = 0.0
 # Weight of one request in the mean parts of the ranks, which thus cover the last 20 requests: some
 # seconds at a host with 3 requests a second.
 PART_WEIGHT = 0.05
@@ -97,7 +100,7 @@
         self._seen_at: dict[Rank, float] = {}
         # Part of the recent requests that had each rank.
         self._parts: dict[Rank, float] = {}
-        # What each rank may use beyond the best concurrency, as a share, and late requests of it.
+        # What each rank may use beyond the best concurrency, as a share: usually, and if it yields.
         self._shares: dict[Rank, tuple[float, float]] = {}
 
     def observe(self, rank: Rank, now: float) -> None:
@@ -119,32 +122,37 @@
         self._shares = {}
         for rank in sorted(self._parts, reverse=True):
             step = max(MIN_STEP, RESERVED_SHARE * self._parts[rank] / total)
-            self._shares[rank] = (share, share - LATE_STEP * step)
+            self._shares[rank] = (share, share - YIELDED_STEP * step)
             share -= step
+        if len(self._shares) > 1:
+            self._shares[rank] = (self._shares[rank][0], min(YIELDED_SHARE, self._shares[rank][1]))
 
     def list_ranks(self) -> list[Rank]:
         """Return the ranks, the least urgent one first."""
         return sorted(self._parts)
 
-    def compute_share(self, rank: Rank, is_late: bool = False) -> float:
+    def is_most_urgent(self, rank: Rank) -> bool:
+        """Return whether no rank that was seen is more urgent."""
+        return not any(other > rank for other in self._parts)
+
+    def compute_share(self, rank: Rank, yields: bool = False) -> float:
         """Return the requests beyond the best concurrency that a rank may cause, as a share.
 
-        A request that can no longer meet its latency goal is worth a tenth of one that can. It
-        may use less than others of its rank, and more than the next rank.
+        A request that yields may use less than others of its rank, and more than the next rank.
 
         Parameters
         ----------
         rank : Rank
             Rank of the request; one that was not observed yet may use as much as the least urgent.
-        is_late : bool
-            Whether the request can no longer meet its latency goal.
+        yields : bool
+            Whether the request has less need of the upstream than others of its rank.
         """
         shares = self._shares.get(rank)
         if shares is None:
             shares = min(self._shares.values(), default=(MOST_URGENT_SHARE, MOST_URGENT_SHARE))
-        return shares[is_late]
+        return shares[yields]
 
-    def compute_limit(self, rank: Rank, best: int, upstream: str, is_late: bool = False) -> float:
+    def compute_limit(self, rank: Rank, best: int, upstream: str, yields: bool = False) -> float:
         """Return how many requests an upstream may hold for one of this rank to be added.
 
         Upstreams have few slots, so that whole numbers would give several ranks the same limit.
@@ -159,11 +167,11 @@
             Best concurrency of the upstream.
         upstream : str
             The upstream.
-        is_late : bool
-            Whether the request can no longer meet its latency goal.
+        yields : bool
+            Whether the request has less need of the upstream than others of its rank.
         """
         part = xxhash.xxh64_intdigest(upstream.encode()) / HASH_RANGE
-        return best * (1.0 + self.compute_share(rank, is_late)) + part
+        return best * (1.0 + self.compute_share(rank, yields)) + part
 
 
 class WorkTime(NamedTuple):
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -19,16 +19,16 @@
 def test_more_urgent_ranks_may_use_more(seen: list[Rank], best: int, upstream: str) -> None:
     """Guards against an upstream that has room for a rank but not for a more urgent one.
 
-    A late request of a rank still goes before the next rank.
+    A request that yields still goes before the next rank.
     """
     table = RankTable()
     for rank in seen:
         table.observe(rank, 0.0)
     limits = [table.compute_limit(rank, best, upstream) for rank in sorted(set(seen))]
-    late = [table.compute_limit(rank, best, upstream, is_late=True) for rank in sorted(set(seen))]
+    yielded = [table.compute_limit(rank, best, upstream, yields=True) for rank in sorted(set(seen))]
     assert all(low < high for low, high in zip(limits, limits[1:], strict=False))
-    assert all(low < high for low, high in zip(limits, late[1:], strict=False))
-    assert all(of_late < limit for of_late, limit in zip(late, limits, strict=True))
+    assert all(low < high for low, high in zip(limits, yielded[1:], strict=False))
+    assert all(low < high for low, high in zip(yielded, limits, strict=True))
 
 
 def test_all_ranks_are_graded() -> None:
