--- a/amaranthbend/core/silence_dispatcher.py
+++ b/amaranthbend/core/silence_dispatcher.py
@@ -4,7 +4,7 @@
 until their deadlines, also those whose other attempt has been answered with an error.
 """
 
-from .actions import Action, AttemptResult, AttemptStatus, LoadReport
+from .actions import Action, AttemptResult, AttemptStatus, LoadReport, Probe
 from .attempts import RequestState
 from .hedging import HedgeTimers
 from .outcomes import OutcomeReason
@@ -18,6 +18,8 @@
 
 # An upstream that has dropped a request is avoided for this time, in which its queue drains.
 SILENCE_PAUSE_S = 0.5
+# A request is looked for again after this time, in which a response arrives that is on its way.
+CONFIRMATION_S = 0.05
 
 
 class SilenceDispatcher(ProbingDispatcher):
@@ -55,7 +57,9 @@
     ) -> None:
         super().__init__(policy, probing, data_centre, seed, processes=processes, budget=budget)
         self._fallback_timers = HedgeTimers()
-        self._silent_attempts: set[AttemptKey] = set()
+        # Since when probes have not found an attempt at its upstream, and when to probe again.
+        self._missing_since: dict[AttemptKey, float] = {}
+        self._confirmations: dict[str, float] = {}
 
     @property
     def is_prioritized(self) -> bool:
@@ -78,7 +82,7 @@
         """Record the end of an attempt; a timeout moves the other requests at its upstream."""
         key = (request_id, attempt)
         state = self._attempts.get(key)
-        self._silent_attempts.discard(key)
+        self._missing_since.pop(key, None)
         is_timeout = result.reason is OutcomeReason.TIMEOUT
         if (
             self.is_prioritized
@@ -93,11 +97,13 @@
 
     def tick(self, now: float) -> list[Action]:
         """Handle the timers that are due."""
-        return self._deliver_fallbacks(now) + super().tick(now)
+        actions = self._deliver_fallbacks(now) + self._start_confirmations(now)
+        return actions + super().tick(now)
 
     def get_next_tick_time(self, now: float) -> float | None:
         """Return the time of the next timer, or None without one."""
-        times = (super().get_next_tick_time(now), self._fallback_timers.get_next_time())
+        times = [super().get_next_tick_time(now), self._fallback_timers.get_next_time()]
+        times += self._confirmations.values()
         return min((max(now, time) for time in times if time is not None), default=None)
 
     def _complete_or_retry(
@@ -127,20 +133,43 @@
         return actions
 
     def _record_dropped_requests(self, load: UpstreamLoad, held: int, now: float) -> None:
-        """Avoid an upstream that has dropped requests of this host, and move them."""
+        """Avoid an upstream that has dropped requests of this host, and move them.
+
+        A response may be on its way while the upstream no longer holds its request. So a request
+        counts as dropped when a second probe some time later still does not find it.
+        """
         attempts = [
             (key, attempt.started_at)
             for key, attempt in self._attempts.items()
             if attempt.load is load
         ]
-        for key in find_silent(attempts, held, now):
-            if key in self._silent_attempts:
+        missing = find_silent(attempts, held, now)
+        for key, _ in attempts:
+            if key not in missing:
+                self._missing_since.pop(key, None)
+        for key in missing:
+            since = self._missing_since.setdefault(key, now)
+            if now - since < CONFIRMATION_S:
+                self._confirmations.setdefault(load.member.upstream, since + CONFIRMATION_S)
                 continue
-            self._silent_attempts.add(key)
-            self._ejector.record_failure(load.health, True, now)
             load.paused_until = max(load.paused_until, now + SILENCE_PAUSE_S)
             self._move_request(key, now)
 
+    def _start_confirmations(self, now: float) -> list[Action]:
+        """Probe the upstreams at which requests were missing before."""
+        actions: list[Action] = []
+        for upstream, due in list(self._confirmations.items()):
+            if now < due:
+                continue
+            del self._confirmations[upstream]
+            load = self._loads.get(upstream)
+            if load is None or load.probe_pending or self._probe_budget.get_tokens() < 1.0:
+                continue
+            load.probe_pending = True
+            self._probe_budget.spend(1)
+            actions.append(Probe(upstream))
+        return actions
+
     def _move_request(self, key: AttemptKey, now: float) -> None:
         """Let a request be hedged now, within the retry budget, if it may run more than once."""
         record = self._requests.get(key[0])
