--- a/amaranthbend/core/prioritizing_dispatcher.py
+++ b/amaranthbend/core/prioritizing_dispatcher.py
@@ -46,10 +46,9 @@
 # Share of the expected wait that must fit in the time that a request may wait. The estimate is
 # rough, and a refusal costs more than a short wait that ends unserved.
 EXPECTED_WAIT_SHARE = 0.5
-# A request that is not of the most urgent rank leaves the queues of the upstreams to more urgent
-# ones while it can wait for this many mean durations. One that can no longer meet its latency goal
-# leaves them too: it is worth a tenth of one that can.
-PATIENCE = 1.0
+# A request of the least urgent rank leaves the queues of the upstreams to others while it can wait
+# for this many mean durations and still meet its latency goal.
+PATIENCE = 1.5
 # An upstream with a higher share of failures is offered no held request without a choice among
 # several upstreams.
 MAX_OFFER_FAILURE_SHARE = 0.2
@@ -207,18 +206,18 @@
         record.fresh_since = now - SHARED_REPORT_MAX_AGE_S
         if record.attempts == 0:
             self._refill_probe_budget()
-        if not record.submitted_at:
-            record.submitted_at = now - info.elapsed_s
+        if not record.began_at:
+            record.began_at = now - info.elapsed_s
         work_s = self._work.estimate(info.route, self._ejector.mean_duration_s).mean_s
         goal_at = info.deadline
         if info.latency_goal_s is not None:
-            goal_at = min(goal_at, record.submitted_at + info.latency_goal_s)
+            goal_at = min(goal_at, record.began_at + info.latency_goal_s)
         waiting = self._waiting.add(
             info,
             is_retried=info.elapsed_s > 0.0 or record.attempts > 0,
             goal_at=goal_at,
             work_s=work_s,
-            give_up_at=compute_give_up_time(info, record.submitted_at, work_s, now),
+            give_up_at=compute_give_up_time(info, record.began_at, work_s, now),
             now=now,
         )
         if self._waiting.count_ahead(waiting):
@@ -390,12 +389,9 @@
         work = self._work.estimate(info.route, mean_s)
         goal_at = math.inf
         if info.latency_goal_s is not None:
-            goal_at = record.submitted_at + info.latency_goal_s
-        rank = get_rank(info)
-        yields = now + work.usual_s > goal_at or (
-            now + work.mean_s + PATIENCE * mean_s < goal_at and not self._ranks.is_most_urgent(rank)
-        )
-        limit = self._ranks.compute_limit(rank, best, load.member.upstream, yields)
+            goal_at = record.began_at + info.latency_goal_s
+        is_patient = now + work.mean_s + PATIENCE * mean_s < goal_at
+        limit = self._ranks.compute_limit(get_rank(info), best, load.member.upstream, is_patient)
         if outstanding + 1.0 > limit:
             return False
         run_s = estimate_run_s(load, slots, work.usual_s, now)
--- a/amaranthbend/core/silence_dispatcher.py
+++ b/amaranthbend/core/silence_dispatcher.py
@@ -4,7 +4,7 @@
 until their deadlines, also those whose other attempt has been answered with an error.
 """
 
-from .actions import Action, AttemptResult, AttemptStatus, LoadReport, Probe
+from .actions import Action, AttemptResult, AttemptStatus, LoadReport, Probe, Send
 from .attempts import RequestState
 from .hedging import HedgeTimers
 from .outcomes import OutcomeReason
@@ -111,16 +111,29 @@
     ) -> list[Action]:
         """Act on the end of an attempt, and bound the wait for another one beside an error."""
         actions = super()._complete_or_retry(record, attempt, result, now)
-        if self.is_prioritized and record.fallback_attempt and record.running:
-            info = record.info
-            sent_at = max(
-                self._attempts[info.request_id, number].started_at for number in record.running
-            )
-            goal_s = info.latency_goal_s or info.deadline - record.submitted_at
-            due = compute_fallback_time(sent_at, goal_s, info.deadline, now)
-            self._fallback_timers.schedule(info.request_id, max(now, due))
+        if record.fallback_attempt and record.running:
+            self._schedule_fallback(record, now)
         return actions
 
+    def _send(self, record: RequestState, load: UpstreamLoad, now: float) -> Send:
+        """Record the start of an attempt, which may follow one that ended with an error."""
+        send = super()._send(record, load, now)
+        if record.fallback_attempt:
+            self._schedule_fallback(record, now)
+        return send
+
+    def _schedule_fallback(self, record: RequestState, now: float) -> None:
+        """Set the time until which an error response is kept back for the attempts in flight."""
+        if not self.is_prioritized:
+            return
+        info = record.info
+        sent_at = max(
+            self._attempts[info.request_id, number].started_at for number in record.running
+        )
+        goal_s = info.latency_goal_s or info.deadline - record.began_at
+        due = compute_fallback_time(sent_at, goal_s, info.deadline, now)
+        self._fallback_timers.schedule(info.request_id, max(now, due))
+
     def _deliver_fallbacks(self, now: float) -> list[Action]:
         """Deliver the error responses that were kept back for long enough."""
         actions: list[Action] = []
--- a/amaranthbend/core/urgency.py
+++ b/amaranthbend/core/urgency.py
@@ -25,11 +25,9 @@
 RESERVED_SHARE = 0.6
 # Least difference between a rank and the next one, for ranks with few requests.
 MIN_STEP = 0.1
-# Part of the difference to the next rank by which the limit of late and patient requests is lower.
-YIELDED_STEP = 0.5
-# What such requests of the least urgent rank may use at most beyond the best concurrency. They
+# What patient requests of the least urgent rank may use at most beyond the best concurrency. They
 # leave the queues to more urgent requests, which would otherwise wait there for long work.
-YIELDED_SHARE = 0.0
+PATIENT_SHARE = 0.0
 # Weight of one request in the mean parts of the ranks, which thus cover the last 20 requests: some
 # seconds at a host with 3 requests a second.
 PART_WEIGHT = 0.05
@@ -100,8 +98,8 @@
         self._seen_at: dict[Rank, float] = {}
         # Part of the recent requests that had each rank.
         self._parts: dict[Rank, float] = {}
-        # What each rank may use beyond the best concurrency, as a share: usually, and if it yields.
-        self._shares: dict[Rank, tuple[float, float]] = {}
+        # What each rank may use beyond the best concurrency, as a share.
+        self._shares: dict[Rank, float] = {}
 
     def observe(self, rank: Rank, now: float) -> None:
         """Record a request of a rank."""
@@ -121,38 +119,33 @@
         share = MOST_URGENT_SHARE
         self._shares = {}
         for rank in sorted(self._parts, reverse=True):
-            step = max(MIN_STEP, RESERVED_SHARE * self._parts[rank] / total)
-            self._shares[rank] = (share, share - YIELDED_STEP * step)
-            share -= step
-        if len(self._shares) > 1:
-            self._shares[rank] = (self._shares[rank][0], min(YIELDED_SHARE, self._shares[rank][1]))
+            self._shares[rank] = share
+            share -= max(MIN_STEP, RESERVED_SHARE * self._parts[rank] / total)
 
     def list_ranks(self) -> list[Rank]:
         """Return the ranks, the least urgent one first."""
         return sorted(self._parts)
 
-    def is_most_urgent(self, rank: Rank) -> bool:
-        """Return whether no rank that was seen is more urgent."""
-        return not any(other > rank for other in self._parts)
-
-    def compute_share(self, rank: Rank, yields: bool = False) -> float:
+    def compute_share(self, rank: Rank, is_patient: bool = False) -> float:
         """Return the requests beyond the best concurrency that a rank may cause, as a share.
 
-        A request that yields may use less than others of its rank, and more than the next rank.
-
         Parameters
         ----------
         rank : Rank
             Rank of the request; one that was not observed yet may use as much as the least urgent.
-        yields : bool
-            Whether the request has less need of the upstream than others of its rank.
+        is_patient : bool
+            Whether the request can wait, and leaves queues to others if its rank is the least
+            urgent of several.
         """
-        shares = self._shares.get(rank)
-        if shares is None:
-            shares = min(self._shares.values(), default=(MOST_URGENT_SHARE, MOST_URGENT_SHARE))
-        return shares[yields]
-
-    def compute_limit(self, rank: Rank, best: int, upstream: str, yields: bool = False) -> float:
+        least = min(self._shares.values(), default=MOST_URGENT_SHARE)
+        share = self._shares.get(rank, least)
+        if is_patient and len(self._shares) > 1 and share == least:
+            return min(PATIENT_SHARE, share)
+        return share
+
+    def compute_limit(
+        self, rank: Rank, best: int, upstream: str, is_patient: bool = False
+    ) -> float:
         """Return how many requests an upstream may hold for one of this rank to be added.
 
         Upstreams have few slots, so that whole numbers would give several ranks the same limit.
@@ -167,11 +160,11 @@
             Best concurrency of the upstream.
         upstream : str
             The upstream.
-        yields : bool
-            Whether the request has less need of the upstream than others of its rank.
+        is_patient : bool
+            Whether the request can wait.
         """
         part = xxhash.xxh64_intdigest(upstream.encode()) / HASH_RANGE
-        return best * (1.0 + self.compute_share(rank, yields)) + part
+        return best * (1.0 + self.compute_share(rank, is_patient)) + part
 
 
 class WorkTime(NamedTuple):
--- a/amaranthbend/core/waiting.py
+++ b/amaranthbend/core/waiting.py
@@ -53,9 +53,7 @@
     end: WaitEnd
 
 
-def compute_give_up_time(
-    request: RequestInfo, submitted_at: float, work_s: float, now: float
-) -> float:
+def compute_give_up_time(request: RequestInfo, began_at: float, work_s: float, now: float) -> float:
     """Return until when a request may wait.
 
     It may wait as long as its expected completion meets its latency goal. If that is lost, it may
@@ -65,16 +63,17 @@
     ----------
     request : RequestInfo
         The request.
-    submitted_at : float
-        Time at which the request arrived.
+    began_at : float
+        Time at which the caller first sent the request.
     work_s : float
         Expected work in seconds.
     now : float
         Present time.
     """
-    until = submitted_at + MAX_HOLD_SHARE * (request.deadline - submitted_at)
+    arrived_at = began_at + request.elapsed_s
+    until = arrived_at + MAX_HOLD_SHARE * (request.deadline - arrived_at)
     if request.latency_goal_s is not None:
-        in_time_until = submitted_at + request.latency_goal_s - work_s
+        in_time_until = began_at + request.latency_goal_s - work_s
         if in_time_until > now:
             until = max(until, in_time_until)
     return min(until, request.deadline - work_s)
