--- a/amaranthbend/core/prioritizing_dispatcher.py
+++ b/amaranthbend/core/prioritizing_dispatcher.py
@@ -49,6 +49,8 @@
 # A request of the least urgent rank leaves the queues of the upstreams to others while it can wait
 # for this many mean durations and still meet its latency goal.
 PATIENCE = 1.5
+# Expected waits change little in this time, and a host may hold hundreds of requests.
+HOPELESS_CHECK_INTERVAL_S = 0.02
 # An upstream with a higher share of failures is offered no held request without a choice among
 # several upstreams.
 MAX_OFFER_FAILURE_SHARE = 0.2
@@ -93,6 +95,7 @@
         self._work = WorkEstimates()
         self._forecast = RoomForecast()
         self._next_try_at = math.inf
+        self._hopeless_checked_at = -math.inf
         # Time of the latest event, for those without one of their own.
         self._now = 0.0
         self._requests.estimate_retry_after = self._estimate_retry_after
@@ -231,6 +234,7 @@
         limits = self._policy.limits
         for excess in self._waiting.list_excess(limits.queue_length, limits.queue_bytes):
             actions += self._refuse(excess, OutcomeReason.QUEUE_FULL, WaitEnd.DISPLACED, now)
+        self._hopeless_checked_at = -math.inf
         return actions + self._refuse_hopeless(now)
 
     def _refuse(
@@ -250,6 +254,9 @@
             is_past = now >= waiting.request.deadline or waiting.since < now
             reason = OutcomeReason.QUEUE_TIMEOUT if is_past else OutcomeReason.CONCURRENCY_LIMIT
             actions += self._refuse(waiting, reason, WaitEnd.REFUSED, now)
+        if now - self._hopeless_checked_at < HOPELESS_CHECK_INTERVAL_S:
+            return actions
+        self._hopeless_checked_at = now
         for ahead, waiting in reversed(list(enumerate(self._waiting.list_held()))):
             wait_s = self._estimate_wait_s(waiting.rank, ahead, now)
             if now + EXPECTED_WAIT_SHARE * wait_s > waiting.give_up_at:
@@ -363,7 +370,11 @@
 
     def _serve(self, load: UpstreamLoad, now: float) -> list[Action]:
         """Send the first request in the order of urgency that can use an upstream."""
-        if not load.has_room():
+        if not load.has_room() or self._estimate_outstanding(load, now) + 1.0 > (
+            self._ranks.compute_highest_limit(
+                self._find_best_concurrency(load), load.member.upstream
+            )
+        ):
             return []
         usable = self._router.count_usable()
         for waiting in self._waiting.list_ordered():
@@ -383,20 +394,29 @@
         info = record.info
         mean_s = self._ejector.mean_duration_s
         slots = self._router.slots if load.report is None else load.report.slots
-        best = self._occupancy_profile.find_best_concurrency(slots)
-        usual = self._forecast.usual_outstanding
-        outstanding = estimate_outstanding(load, usual, self._processes, mean_s, now)
+        best = self._find_best_concurrency(load)
         work = self._work.estimate(info.route, mean_s)
         goal_at = math.inf
         if info.latency_goal_s is not None:
             goal_at = record.began_at + info.latency_goal_s
         is_patient = now + work.mean_s + PATIENCE * mean_s < goal_at
         limit = self._ranks.compute_limit(get_rank(info), best, load.member.upstream, is_patient)
-        if outstanding + 1.0 > limit:
+        if self._estimate_outstanding(load, now) + 1.0 > limit:
             return False
         run_s = estimate_run_s(load, slots, work.usual_s, now)
         return now + COMPLETION_TIME_SHARE * run_s < info.deadline
 
+    def _find_best_concurrency(self, load: UpstreamLoad) -> int:
+        slots = self._router.slots if load.report is None else load.report.slots
+        return self._occupancy_profile.find_best_concurrency(slots)
+
+    def _estimate_outstanding(self, load: UpstreamLoad, now: float) -> float:
+        usual, mean_s = self._forecast.usual_outstanding, self._ejector.mean_duration_s
+        sent_at = [
+            attempt.started_at for attempt in self._attempts.values() if attempt.load is load
+        ]
+        return estimate_outstanding(load, sent_at, usual, self._processes, mean_s, now)
+
     def _send(self, record: RequestState, load: UpstreamLoad, now: float) -> Send:
         """Record the start of an attempt, and return the action that sends it."""
         request_id = record.info.request_id
--- a/amaranthbend/core/room.py
+++ b/amaranthbend/core/room.py
@@ -17,6 +17,8 @@
 # Weight of one report in the means, which thus cover about the last 20 reports.
 AVERAGING_WEIGHT = 0.05
 MIN_SERVICE_S = 0.01
+# Time in which a request reaches an upstream, on a new connection and from a busy host.
+MAX_TRANSIT_S = 0.05
 # Weight of one held request that found room, and for how long it is an example.
 INTERVAL_WEIGHT = 0.2
 SERVED_MAX_AGE_S = 2.0
@@ -33,18 +35,26 @@
 
 
 def estimate_outstanding(
-    load: UpstreamLoad, usual: float, hosts: int, service_s: float, now: float
+    load: UpstreamLoad,
+    sent_at: Iterable[float],
+    usual: float,
+    hosts: int,
+    service_s: float,
+    now: float,
 ) -> float:
     """Return the number of requests that an upstream holds now, on the safe side.
 
     The value of a report fades with the time in which requests complete. In its place come the
     usual number at an upstream and the standard deviation of random arrivals, as far as other
-    hosts send them.
+    hosts send them. Requests of this host that were sent just before the report may have arrived
+    after it, so they are added: in a burst, each report would otherwise hide those on their way.
 
     Parameters
     ----------
     load : UpstreamLoad
         Load of the upstream.
+    sent_at : iterable of float
+        Times at which this host's attempts in flight at the upstream were sent.
     usual : float
         Mean number of requests at an upstream of the service.
     hosts : int
@@ -61,7 +71,9 @@
     age_s = max(0.0, now - load.report_at)
     weight = math.exp(-age_s / max(MIN_SERVICE_S, service_s))
     reported = report.in_flight + report.queued
-    return load.sent_since_report + reported * weight + others * (1.0 - weight)
+    own = load.sent_since_report
+    own += sum(load.report_at - MAX_TRANSIT_S < time <= load.report_at for time in sent_at)
+    return max(load.in_flight, own + reported * weight + others * (1.0 - weight))
 
 
 class RoomForecast:
--- a/amaranthbend/core/urgency.py
+++ b/amaranthbend/core/urgency.py
@@ -163,8 +163,16 @@
         is_patient : bool
             Whether the request can wait.
         """
-        part = xxhash.xxh64_intdigest(upstream.encode()) / HASH_RANGE
-        return best * (1.0 + self.compute_share(rank, is_patient)) + part
+        return best * (1.0 + self.compute_share(rank, is_patient)) + _compute_part(upstream)
+
+    def compute_highest_limit(self, best: int, upstream: str) -> float:
+        """Return how many requests an upstream may hold for one of any rank to be added."""
+        return best * (1.0 + MOST_URGENT_SHARE) + _compute_part(upstream)
+
+
+def _compute_part(upstream: str) -> float:
+    """Return the part of 1 that an upstream adds to its limits."""
+    return xxhash.xxh64_intdigest(upstream.encode()) / HASH_RANGE
 
 
 class WorkTime(NamedTuple):
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -114,12 +114,30 @@
     load = UpstreamLoad(list_members(1)[0], False, 0)
     load.health = UpstreamHealth()
     load.record_report(make_report(running=1), 0, 0.0)
-    estimates = [estimate_outstanding(load, 6.0, 194, 0.4, now) for now in (0.003, 0.05, 0.5, 5.0)]
+    estimates = [
+        estimate_outstanding(load, [], 6.0, 194, 0.4, now) for now in (0.003, 0.05, 0.5, 5.0)
+    ]
     assert estimates == sorted(estimates)
     assert estimates[0] < 1.2 and estimates[-1] > 8.0
-    assert estimate_outstanding(load, 6.0, 1, 0.4, 5.0) < 0.1
+    assert estimate_outstanding(load, [], 6.0, 1, 0.4, 5.0) < 0.1
     load.sent_since_report = 2
-    assert estimate_outstanding(load, 6.0, 194, 0.4, 0.003) > 3.0
+    assert estimate_outstanding(load, [], 6.0, 194, 0.4, 0.003) > 3.0
+
+
+def test_estimate_counts_requests_on_their_way() -> None:
+    """Guards against a burst that fills an upstream beyond its queue between two reports.
+
+    Seen over a node process: 40 requests at once, of which an instance with 4 slots and a queue of
+    8 dropped 9, since each report reset the count of those that were still on their way.
+    """
+    load = UpstreamLoad(list_members(1)[0], False, 0)
+    load.record_report(make_report(running=0), 0, 1.0)
+    load.in_flight = 4
+    on_their_way = [0.97, 0.98, 0.99, 1.0]
+    assert estimate_outstanding(load, on_their_way, 1.0, 1, 0.1, 1.001) >= 4.0
+    assert estimate_outstanding(load, [0.5, 0.6], 1.0, 1, 0.1, 1.001) >= 4.0
+    load.record_report(make_report(running=2), 0, 2.0)
+    assert 5.9 < estimate_outstanding(load, [1.96, 1.97, 1.98, 1.99], 1.0, 1, 0.1, 2.001) <= 6.0
 
 
 def test_forecast_counts_requests_ahead_and_full_time() -> None:
