--- a/amaranthbend/core/waiting.py
+++ b/amaranthbend/core/waiting.py
@@ -57,7 +57,9 @@
     """Return until when a request may wait.
 
     It may wait as long as its expected completion meets its latency goal. If that is lost, it may
-    wait until its deadline is lost too, but only for the first part of the time that it had.
+    wait until its deadline is lost too, but only for the first part of the time that it had since
+    its caller first sent it. The slots that later ones took would make others late (trials in
+    docs/design/queueing.md).
 
     Parameters
     ----------
@@ -70,8 +72,7 @@
     now : float
         Present time.
     """
-    arrived_at = began_at + request.elapsed_s
-    until = arrived_at + MAX_HOLD_SHARE * (request.deadline - arrived_at)
+    until = began_at + MAX_HOLD_SHARE * (request.deadline - began_at)
     if request.latency_goal_s is not None:
         in_time_until = began_at + request.latency_goal_s - work_s
         if in_time_until > now:
