--- a/benchmarks/contention.py
+++ b/benchmarks/contention.py
@@ -15,7 +15,6 @@
     Action,
     AttemptResult,
     AttemptStatus,
-    Cancel,
     Complete,
     Member,
     Refuse,
@@ -238,8 +237,6 @@
                 self._retry(action)
             elif isinstance(action, Complete):
                 self._record(action)
-            elif isinstance(action, Cancel) and action.reason is not None:
-                continue
         super()._apply(host, actions)
 
     def _retry(self, action: Refuse) -> None:
