--- a/amaranthbend/core/actions.py
+++ b/amaranthbend/core/actions.py
@@ -126,6 +126,8 @@
         Team of the caller, empty without one.
     team_priority : int
         Priority of the team, compared before `priority`; higher values leave the queue first.
+    elapsed_s : float
+        Time since the caller first sent the request, which was then refused; 0 for a new request.
     """
 
     request_id: int
@@ -140,6 +142,7 @@
     max_attempts: int | None = None
     team: str = ""
     team_priority: int = 0
+    elapsed_s: float = 0.0
 
 
 class AttemptStatus(StrEnum):
