--- a/amaranthbend/core/prioritizing_dispatcher.py
+++ b/amaranthbend/core/prioritizing_dispatcher.py
@@ -370,7 +370,7 @@
 
     def _serve(self, load: UpstreamLoad, now: float) -> list[Action]:
         """Send the first request in the order of urgency that can use an upstream."""
-        if not load.has_room() or self._estimate_outstanding(load, now) + 1.0 > (
+        if not load.has_room(now) or self._estimate_outstanding(load, now) + 1.0 > (
             self._ranks.compute_highest_limit(
                 self._find_best_concurrency(load), load.member.upstream
             )
