End pipelined requests whose caller has left before they run

tornado passes on the requests that it had read before a connection was closed, and reports the end of the connection to the first of them only.

test_pipelined_requests_end_with_their_caller fails without the change.

--- a/amaranthbend/adapters/caller.py
+++ b/amaranthbend/adapters/caller.py
@@ -43,6 +43,7 @@
 SMALL_BODY_BYTES = 8 * 1024
 # About the time in which the uploads of a burst end and free their memory.
 BUFFERS_FULL_RETRY_S = 0.2
+BUFFERS_FULL_REFUSAL = make_refusal(OutcomeReason.BUFFERS_FULL, BUFFERS_FULL_RETRY_S, closes=True)
 # Memory of a response that is streamed faster than its caller reads, beside what is counted when
 # it is written: a part that libcurl has read, and the receive buffer of the upstream's connection.
 STREAMED_RESPONSE_BYTES = 128 * 1024
@@ -112,12 +113,7 @@
     def reserve_buffer(self, size: int, *, is_large_body: bool = False) -> bool:
         """Reserve memory until the request ends; return whether it fits.
 
-        Parameters
-        ----------
-        size : int
-            Number of bytes.
-        is_large_body : bool
-            Whether they are for a large request body, which leaves some memory to others.
+        A large request body leaves some memory to others.
         """
         if self.has_ended:
             return False
@@ -162,6 +158,11 @@
         stream = self.connection.stream
         if isinstance(stream, GuardedStream):
             stream.head_started_at = 0.0
+        if stream.closed():
+            # A pipelined request that was read before its caller left. tornado does not report the
+            # end of the connection again, so its response would wait for the caller.
+            self._set_ended()
+            return
         field = self._handler.dialect.request_id_field
         if field:
             self.caller_request_id = headers.get(field, "")
@@ -174,9 +175,7 @@
             headers["Expect"] = "100-continue"
         self._local_response = self._handler.check(self)
         if self._local_response is None and not self._reserve_head():
-            self._local_response = make_refusal(
-                OutcomeReason.BUFFERS_FULL, BUFFERS_FULL_RETRY_S, closes=True
-            )
+            self._local_response = BUFFERS_FULL_REFUSAL
         body = self.body
         length = body.length if body is not None else 0
         if self._local_response is not None:
@@ -231,6 +230,9 @@
         """Handle the end of the request; called by tornado."""
         if self.has_ended:
             return
+        if self.connection.stream.closed():
+            self.on_connection_close()
+            return
         if self._body_timer is not None:
             self._body_timer.cancel()
         self.connection.set_close_callback(self.on_connection_close)
@@ -262,8 +264,7 @@
         needed = STREAM_BUFFER_BYTES if body.length is None else body.length
         missing = min(needed, STREAM_BUFFER_BYTES) - self.reserved_bytes
         if missing > 0 and not self.reserve_buffer(missing, is_large_body=True):
-            refusal = make_refusal(OutcomeReason.BUFFERS_FULL, BUFFERS_FULL_RETRY_S, closes=True)
-            self.send_local_response(refusal)
+            self.send_local_response(BUFFERS_FULL_REFUSAL)
             return
         body.streamed = True
         self.is_running = True
@@ -284,7 +285,7 @@
         if self.is_sent:
             response = make_failure(OutcomeReason.STALLED_STREAM, closes=True)
         else:
-            response = make_refusal(OutcomeReason.BUFFERS_FULL, BUFFERS_FULL_RETRY_S, closes=True)
+            response = BUFFERS_FULL_REFUSAL
         self.send_local_response(response)
         self._handler.abandon(self)
 
--- a/amaranthbend/adapters/caller_guard.py
+++ b/amaranthbend/adapters/caller_guard.py
@@ -288,9 +288,8 @@
         request = stream.request
         stream.head_started_at = 0.0
         if request is not None and stage is ConnectionStage.BODY:
-            request.send_local_response(
-                make_refusal(OutcomeReason.BUFFERS_FULL, RETRY_AFTER_S, closes=True)
-            )
+            refusal = make_refusal(OutcomeReason.BUFFERS_FULL, RETRY_AFTER_S, closes=True)
+            request.send_local_response(refusal)
         elif request is not None and stage is ConnectionStage.STREAMED_BODY:
             request.abandon_upload()
         else:
--- a/amaranthbend/adapters/upstream.py
+++ b/amaranthbend/adapters/upstream.py
@@ -16,8 +16,9 @@
 
 __all__ = ["UpstreamClient"]
 
-# Maximum number of idle connections kept for reuse, for all upstreams together.
-MAX_IDLE_CONNECTIONS = 512
+# Maximum number of connections that libcurl keeps, for all upstreams together. Those in use count
+# too: beyond it, calls that need a new connection fail.
+MAX_CONNECTIONS = 512
 # Upstreams close idle connections as well. An idle timeout shorter than theirs avoids most cases
 # in which a request is sent on a connection that the upstream is closing.
 MAX_CONNECTION_IDLE_S = 20
@@ -133,14 +134,14 @@
     prevents_resend : bool
         Whether to prevent libcurl from sending a request a second time by itself; False only in a
         test.
-    max_idle_connections : int
-        Idle connections that are kept for reuse, at most `MAX_IDLE_CONNECTIONS`.
+    max_connections : int
+        Connections to upstreams, idle ones included; at most `MAX_CONNECTIONS`.
     """
 
     prevents_resend: bool
 
     def initialize(  # type: ignore[override]
-        self, *, prevents_resend: bool = True, max_idle_connections: int = MAX_IDLE_CONNECTIONS
+        self, *, prevents_resend: bool = True, max_connections: int = MAX_CONNECTIONS
     ) -> None:
         """Initialize the client; called by tornado instead of `__init__`."""
         # `super().initialize` already makes libcurl set a timer, which uses these attributes.
@@ -152,7 +153,7 @@
         self._ready: list[UpstreamCall] = []
         self._active: dict[pycurl.Curl, _Handle] = {}
         self._idle: dict[_HandleKind, list[_Handle]] = {}
-        self._multi.setopt(pycurl.M_MAXCONNECTS, min(MAX_IDLE_CONNECTIONS, max_idle_connections))
+        self._multi.setopt(pycurl.M_MAXCONNECTS, min(MAX_CONNECTIONS, max_connections))
 
     def close(self) -> None:
         """Cancel all calls without delivering a result, and close the client."""
--- a/amaranthbend/core/connections.py
+++ b/amaranthbend/core/connections.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "CONNECTION_BYTES",
+    "UPSTREAM_CONNECTIONS_PER_CALLER",
     "CallerLimits",
     "RECEIVE_BUFFER_BYTES",
     "ConnectionStage",
@@ -32,8 +33,8 @@
 CONNECTION_BYTES = 2 * RECEIVE_BUFFER_BYTES + 20_000 + 3 * 16 * 1024
 # Descriptors for the store, peers, readiness, metrics and the process itself.
 RESERVED_DESCRIPTORS = 64
-# A request needs its own connection and up to two to upstreams: an attempt and a hedge, or a probe.
-DESCRIPTORS_PER_CALLER = 3
+# A request needs up to two connections to upstreams: for an attempt and a hedge, or a probe.
+UPSTREAM_CONNECTIONS_PER_CALLER = 2
 MIN_CONNECTIONS = 8
 
 # A connection that was just accepted has sent nothing yet; its request arrives within a round trip.
@@ -149,7 +150,7 @@
     memory_bytes : int or None
         Memory that the process may use, None if it is not limited.
     """
-    count = (descriptors - RESERVED_DESCRIPTORS) // DESCRIPTORS_PER_CALLER
+    count = (descriptors - RESERVED_DESCRIPTORS) // (1 + UPSTREAM_CONNECTIONS_PER_CALLER)
     if memory_bytes is not None:
         room = max(0, memory_bytes - PROCESS_BYTES) * BUFFER_SHARE
         count = min(count, int(room / CONNECTION_BYTES))
--- a/amaranthbend/programs/entry.py
+++ b/amaranthbend/programs/entry.py
@@ -18,7 +18,7 @@
 from ..adapters.platform import PlatformClient
 from ..adapters.upstream import UpstreamClient
 from ..core.buffers import BufferBudget
-from ..core.connections import compute_max_connections
+from ..core.connections import UPSTREAM_CONNECTIONS_PER_CALLER, compute_max_connections
 from ..core.departures import Departure
 from ..core.envelope import SettingsEnvelope
 from ..core.envelope_decisions import EnvelopeVerdict
@@ -83,7 +83,9 @@
         self.settings = settings
         self.counters = Counters(settings.statsd_target)
         max_connections = compute_max_connections(settings.max_descriptors, None)
-        self.client = UpstreamClient(force_instance=True, max_idle_connections=max_connections)
+        self.client = UpstreamClient(
+            force_instance=True, max_connections=max_connections * UPSTREAM_CONNECTIONS_PER_CALLER
+        )
         dispatch_settings = DispatchSettings(
             settings.data_centre,
             settings.entry_processes,
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -32,7 +32,7 @@
 )
 from ..core.buffers import BufferBudget, compute_buffer_bytes
 from ..core.change_relay import HostEntry, PeerSelector
-from ..core.connections import compute_max_connections
+from ..core.connections import UPSTREAM_CONNECTIONS_PER_CALLER, compute_max_connections
 from ..core.errors import SettingsError
 from ..core.policy import DeploymentPolicy
 from ..core.shutdown import ShutdownStep, make_shutdown_plan
@@ -121,7 +121,9 @@
         self.counters = Counters()
         dialect = PlatformDialect()
         max_connections = compute_max_connections(settings.max_descriptors, settings.memory_bytes)
-        client = UpstreamClient(force_instance=True, max_idle_connections=max_connections)
+        client = UpstreamClient(
+            force_instance=True, max_connections=max_connections * UPSTREAM_CONNECTIONS_PER_CALLER
+        )
         dispatch_settings = DispatchSettings(
             settings.data_centre, 1, CONNECT_TIMEOUT_S, STALL_TIMEOUT_S, dialect
         )
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -4,6 +4,7 @@
 import contextlib
 import errno
 import socket
+import struct
 from pathlib import Path
 
 import pytest
@@ -286,6 +287,29 @@
     run_node(check)
 
 
+def test_pipelined_requests_end_with_their_caller() -> None:
+    """Guards against requests that run for a caller that has left, and hold their upstreams.
+
+    tornado still passes on the requests that it had read. Their responses waited for the caller,
+    until each connection to the upstream was in use.
+    """
+
+    async def check(case: NodeCase) -> None:
+        _reader, writer = await case.connect()
+        for number in range(4):
+            writer.write(make_call("/safe/slow", "GET", f"p{number}", 1500))
+        await wait_until(lambda: any(instance.running for instance in case.instances))
+        connection = writer.get_extra_info("socket")
+        # A reset, which the process notices when it writes the first response.
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+        await wait_until(lambda: case.process.server.count_connections() == 0)
+        await wait_until(lambda: not any(instance.running for instance in case.instances))
+        assert not any(case.count_executions(f"p{number}") for number in range(1, 4))
+
+    run_node(check)
+
+
 def test_head_without_end_is_given_up(caplog: pytest.LogCaptureFixture) -> None:
     """Guards against heads that trickle and hold a connection for as long as they like."""
 
