--- a/amaranthbend/controllers/host_directory.py
+++ b/amaranthbend/controllers/host_directory.py
@@ -19,7 +19,7 @@
 from ..core.change_relay import HostEntry
 from ..core.watching import ObjectStore, StoredObject
 
-__all__ = ["HostDirectory"]
+__all__ = ["HOSTS_KIND_PREFIX", "HostDirectory", "decode_host"]
 
 # Kind of the entries of one data centre, followed by its name.
 HOSTS_KIND_PREFIX = "hosts-"
@@ -117,7 +117,7 @@
             # The known hosts stay in use, since hosts change rarely.
             log_event("hosts_not_listed", error=listed.err_value.kind, kept=len(self._hosts))
             return False
-        hosts = [_decode_host(event.object) for event in listed.ok_value.events]
+        hosts = [decode_host(event.object) for event in listed.ok_value.events]
         if not hosts or hosts == self._hosts:
             return True
         log_event("hosts_listed", count=len(hosts), before=len(self._hosts))
@@ -126,7 +126,7 @@
         return True
 
 
-def _decode_host(stored: StoredObject) -> HostEntry:
+def decode_host(stored: StoredObject) -> HostEntry:
     """Return a host; without a usable peer address it relays no changes, but is counted."""
     value: dict[str, Any] = stored.value if isinstance(stored.value, dict) else {}
     peer_address = value.get("peer_address", "")
--- /dev/null
+++ b/amaranthbend/core/quota_credit.py
@@ -0,0 +1,108 @@
+"""Limits of teams over all hosts, and the credit that a team has left."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .policy import TeamPolicy
+from .quota_messages import compute_id
+
+__all__ = ["AMPLE_SHARE", "START_SHARE", "Credit", "QuotaMargins", "QuotaRule", "make_rules"]
+
+# Part of the permitted excess by which the capacity of the credit exceeds the burst, so that a team
+# below its limit is not refused because hosts know the totals late. The rest is for late counts.
+CAPACITY_SHARE = 0.25
+# A team whose rate in this time is within the slack needs no alerts: what it sends until the next
+# reports, at several times its usual rate, is within the slack too.
+ALERT_RATE_PERIOD_S = 8.0
+# Debt of a team in seconds of its rate. Older debt has left every window that is judged.
+MAX_DEBT_S = 3.0
+# Part of the capacity with which a process starts, as the requests of before are unknown.
+START_SHARE = 0.5
+# Answers leave out teams with at least this part of their capacity, unless the report named them.
+AMPLE_SHARE = 0.6
+
+
+class QuotaMargins(NamedTuple):
+    """What all hosts together may admit beyond a quota.
+
+    Parameters
+    ----------
+    window_s : float
+        Window in which the requests of a team are counted.
+    overshoot : float
+        Part of the quota of a window by which it may be exceeded.
+    slack : float
+        Requests in a window by which it may be exceeded besides.
+    """
+
+    window_s: float
+    overshoot: float
+    slack: float
+
+
+class QuotaRule(NamedTuple):
+    """Limit of a team.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Requests per second.
+    capacity : float
+        Largest credit, in requests.
+    has_alerts : bool
+        Whether all hosts are told at once when the credit becomes scarce.
+    """
+
+    rate_per_s: float
+    capacity: float
+    has_alerts: bool = True
+
+
+def make_rules(teams: Iterable[TeamPolicy], margins: QuotaMargins) -> dict[int, QuotaRule]:
+    """Return the limits of the teams that have one, by the identifier of the team."""
+    rules: dict[int, QuotaRule] = {}
+    for team in teams:
+        if team.rate_per_s <= 0:
+            continue
+        quota = team.rate_per_s * margins.window_s + team.burst
+        excess = quota * margins.overshoot + margins.slack
+        rules[compute_id(team.name)] = QuotaRule(
+            team.rate_per_s,
+            max(1.0, team.burst + CAPACITY_SHARE * excess),
+            team.rate_per_s * ALERT_RATE_PERIOD_S >= margins.slack,
+        )
+    return rules
+
+
+class Credit:
+    """Credit of a team, which grows with its rate up to its capacity.
+
+    Parameters
+    ----------
+    rule : QuotaRule
+        Limit of the team.
+    level : float
+        Credit at the start.
+    now : float
+        Present time.
+    """
+
+    __slots__ = ("rule", "level", "_updated_at")
+
+    def __init__(self, rule: QuotaRule, level: float, now: float) -> None:
+        self.rule = rule
+        self.level = level
+        self._updated_at = now
+
+    def refill(self, now: float, coverage: float = 1.0) -> float:
+        """Add what has accrued, in proportion to the coverage, and return the level."""
+        elapsed_s = max(0.0, now - self._updated_at)
+        self._updated_at = now
+        accrued = self.rule.rate_per_s * coverage * elapsed_s
+        self.level = min(self.rule.capacity, self.level + accrued)
+        return self.level
+
+    def consume(self, count: float) -> None:
+        """Subtract admitted requests; a negative number is a refund."""
+        lowest = -MAX_DEBT_S * self.rule.rate_per_s
+        self.level = min(self.rule.capacity, max(lowest, self.level - count))
--- /dev/null
+++ b/amaranthbend/core/quota_sums.py
@@ -0,0 +1,408 @@
+"""Sums of the counts that hosts report, kept by the collectors.
+
+Load pattern: as in `core/quotas.py`. Each host reports to the first host of its data centre that
+answers, its collector. Collectors add up what they are told, and tell each other their sums. Each
+request is thus in the sum of one collector, and the total over all of them is the deployment's.
+
+Nobody is appointed: any host that receives reports is a collector, and two in one data centre do
+no harm, as each adds its own part. Counts are cumulative, so that lost, repeated and reordered
+datagrams change nothing once the next one arrives. A host that changes its collector tells how much
+of its count no collector has confirmed, and the new one adds that part only.
+
+Hosts that fall silent may be cut off and still admit their share. So credit accrues in proportion
+to the hosts that are heard (the coverage).
+"""
+
+from .quota_credit import AMPLE_SHARE, START_SHARE, Credit, QuotaRule
+from .quota_messages import CollectorSums, QuotaAnswer, QuotaReport, TeamCredit, TeamSum
+
+__all__ = [
+    "FORGET_S",
+    "QuotaSums",
+]
+
+# Silence after which a host counts as cut off: one report and its repetitions.
+SILENT_S = 1.7
+# The same after an alert, which every host answers at once.
+SILENT_AFTER_ALERT_S = 0.6
+# Silence of a collector after which its sums count as cut off.
+COLLECTOR_SILENT_S = 2.2
+# Silence after which a host or a collector is no longer a part of the deployment. Cut-offs are
+# shorter; hosts that were removed stay in the directory.
+FORGET_S = 20.0
+# A collector without any input for this long knows nothing about the present credit.
+IDLE_RESET_S = 3.0
+# Time in which a new collector takes the credit that others know, if it is lower.
+FRESH_S = 2.0
+# A collector that is met for the first time adds its whole sum if it started within this time.
+NEW_COLLECTOR_AGE_S = 5.0
+SUMS_INTERVAL_S = 1.0
+SCARCE_SUMS_INTERVAL_S = 0.1
+ALERT_INTERVAL_S = 1.0
+# Credit below this part of the capacity is told to all hosts at once.
+ALERT_SHARE = 0.5
+# Teams in one message, so that it fits into a datagram that is not fragmented.
+MAX_SUMS = 48
+
+
+class _HostRecord:
+    """What a collector knows of a host that reports to it."""
+
+    __slots__ = ("incarnation", "earlier_incarnation", "heard_at", "counts", "demands")
+
+    def __init__(self, incarnation: int, earlier_incarnation: int, now: float) -> None:
+        self.incarnation = incarnation
+        self.earlier_incarnation = earlier_incarnation
+        self.heard_at = now
+        # Number of the report and count, by team.
+        self.counts: dict[int, tuple[int, int]] = {}
+        self.demands: dict[int, float] = {}
+
+
+class _CollectorRecord:
+    """What a collector knows of another one."""
+
+    __slots__ = (
+        "incarnation",
+        "sequence",
+        "data_centre",
+        "heard",
+        "known",
+        "heard_at",
+        "counts",
+        "demands",
+        "is_new",
+        "met_at",
+    )
+
+    def __init__(self, sums: CollectorSums, now: float) -> None:
+        self.incarnation = sums.incarnation
+        self.sequence = -1
+        self.data_centre = sums.data_centre
+        self.heard = 0
+        self.known = 0
+        self.heard_at = now
+        self.counts: dict[int, int] = {}
+        self.demands: dict[int, float] = {}
+        self.is_new = sums.age_s < NEW_COLLECTOR_AGE_S
+        self.met_at = now
+
+
+class QuotaSums:
+    """Adds up the counts of hosts and of other collectors.
+
+    Parameters
+    ----------
+    host, incarnation : int
+        Identifiers of this host and of its process.
+    data_centre : int
+        Identifier of its data centre.
+    now : float
+        Present time.
+    """
+
+    def __init__(self, host: int, incarnation: int, data_centre: int, now: float) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._data_centre = data_centre
+        self._started_at = now
+        self._credits: dict[int, Credit] = {}
+        self._hosts: dict[int, _HostRecord] = {}
+        self._collectors: dict[int, _CollectorRecord] = {}
+        self._counts: dict[int, int] = {}
+        self._demands: dict[int, float] = {}
+        self._sequence = 0
+        self._input_at = now
+        self._report_at = -FORGET_S
+        self._fresh_until = now + FRESH_S
+        # Times of the last messages with all sums and with those of scarce credit.
+        self._sums_at = -FORGET_S
+        self._scarce_sums_at = -FORGET_S
+        self._alert_at = -FORGET_S
+        self._alerted: dict[int, float] = {}
+        self._changed: set[int] = set()
+        self._updated_at = -FORGET_S
+        self._heard = 0
+        self._uncovered = 0
+        self._known = 1
+        self._expected = 0
+        self._expected_until = now
+        self.coverage = 1.0
+
+    def set_rules(self, rules: dict[int, QuotaRule], now: float) -> None:
+        """Replace the limits; credit of teams whose limit changes is kept up to the new one."""
+        start_share = 1.0 if self._credits else START_SHARE
+        kept: dict[int, Credit] = {}
+        for team, rule in rules.items():
+            credit = self._credits.get(team)
+            if credit is None:
+                credit = Credit(rule, start_share * rule.capacity, now)
+            credit.refill(now, self.coverage)
+            credit.rule = rule
+            credit.level = min(credit.level, rule.capacity)
+            kept[team] = credit
+        self._credits = kept
+
+    def expect_hosts(self, hosts: int, now: float) -> None:
+        """Set the number of hosts that another collector has stated.
+
+        A host that has to collect after it was cut off thus knows what part it can hear.
+        """
+        self._expected = hosts
+        self._expected_until = now + FORGET_S
+
+    def is_collecting(self, now: float) -> bool:
+        """Return whether hosts report to this one."""
+        return now - self._report_at < COLLECTOR_SILENT_S
+
+    def record_report(self, report: QuotaReport, now: float) -> QuotaAnswer:
+        """Add the counts of a host, and return the answer to it."""
+        self._wake(now)
+        if not self.is_collecting(now):
+            self.update(now)
+        self._report_at = now
+        record = self._hosts.get(report.host)
+        if record is None or record.incarnation != report.incarnation:
+            if record is not None and record.earlier_incarnation == report.incarnation:
+                # A late datagram of the process that ran there before.
+                return self._make_answer(report, now)
+            earlier = 0 if record is None else record.incarnation
+            if record is not None:
+                self._drop_demands(record)
+            record = self._hosts[report.host] = _HostRecord(report.incarnation, earlier, now)
+        record.heard_at = now
+        for team, count, unacked, demand in report.counts:
+            known_sequence, known = record.counts.get(team, (-1, 0))
+            if known_sequence >= report.sequence:
+                continue
+            # Counts up to the confirmed report are in the sum of some collector already.
+            base = known if known_sequence > report.acked else count - unacked
+            record.counts[team] = report.sequence, count
+            self._demands[team] = (
+                self._demands.get(team, 0.0) + demand - record.demands.get(team, 0.0)
+            )
+            record.demands[team] = demand
+            if count != base:
+                self._counts[team] = self._counts.get(team, 0) + count - base
+                self._changed.add(team)
+                self._consume(team, count - base, report.waited_s, 1, now)
+        return self._make_answer(report, now)
+
+    def record_sums(self, sums: CollectorSums, now: float) -> None:
+        """Add the sums of another collector."""
+        if sums.collector == self._host:
+            return
+        self._wake(now)
+        record = self._collectors.get(sums.collector)
+        if record is None or record.incarnation != sums.incarnation:
+            record = self._collectors[sums.collector] = _CollectorRecord(sums, now)
+        if sums.sequence <= record.sequence:
+            return
+        silent_s = now - record.heard_at
+        record.sequence = sums.sequence
+        record.data_centre = sums.data_centre
+        is_older = sums.age_s > now - self._started_at
+        for team, count, demand, level in sums.sums:
+            known = record.counts.get(team)
+            if known is None:
+                # Of a collector that is older than this acquaintance, what it added before is
+                # part of the credit already.
+                is_known = record.is_new or now - record.met_at > 2.0 * SUMS_INTERVAL_S
+                known = 0 if is_known else count
+            record.counts[team] = count
+            record.demands[team] = demand
+            if count != known:
+                self._consume(team, count - known, silent_s, record.heard, now)
+            credit = self._credits.get(team)
+            if credit is not None and now < self._fresh_until and is_older:
+                credit.refill(now, self.coverage)
+                credit.level = min(credit.level, level)
+        record.heard_at = now
+        record.heard = sums.heard
+        record.known = sums.known
+
+    def _wake(self, now: float) -> None:
+        """Forget what is out of date after a time without input, such as a frozen host."""
+        if now - self._input_at > IDLE_RESET_S:
+            self._fresh_until = now + FRESH_S
+            self._collectors.clear()
+            for credit in self._credits.values():
+                credit.refill(now, self.coverage)
+                credit.level = min(credit.level, START_SHARE * credit.rule.capacity)
+        self._input_at = now
+
+    def _consume(self, team: int, count: int, silent_s: float, hosts: int, now: float) -> None:
+        """Subtract requests from the credit, less what was reserved for hosts that were silent."""
+        credit = self._credits.get(team)
+        if credit is None:
+            return
+        credit.refill(now, self.coverage)
+        charged = float(count)
+        if silent_s > SILENT_S and count > 0:
+            rule = credit.rule
+            reserved = START_SHARE * rule.capacity + rule.rate_per_s * silent_s
+            charged = max(0.0, charged - reserved * hosts / max(1, self._known))
+        credit.consume(charged)
+
+    def _drop_demands(self, record: _HostRecord) -> None:
+        for team, demand in record.demands.items():
+            self._demands[team] = self._demands.get(team, 0.0) - demand
+        record.demands.clear()
+
+    def _sum_demand(self, team: int, now: float) -> float:
+        """Return the demand of a team at all hosts, refused requests included."""
+        demand = max(0.0, self._demands.get(team, 0.0))
+        for record in self._collectors.values():
+            if now - record.heard_at < COLLECTOR_SILENT_S:
+                demand += record.demands.get(team, 0.0)
+        return demand
+
+    def _make_answer(self, report: QuotaReport, now: float) -> QuotaAnswer:
+        named = {entry.team for entry in report.counts}
+        return QuotaAnswer(
+            report.sequence,
+            report.incarnation,
+            self._known,
+            self.coverage,
+            tuple(
+                self._describe(team, credit, now)
+                for team, credit in self._credits.items()
+                if team in named
+                or credit.refill(now, self.coverage) < AMPLE_SHARE * credit.rule.capacity
+            ),
+        )
+
+    def list_credits(self, now: float) -> list[TeamCredit]:
+        """Return the credit of all teams."""
+        return [self._describe(team, credit, now) for team, credit in self._credits.items()]
+
+    def make_alert(self, incarnation: int, alerts: tuple[TeamCredit, ...]) -> QuotaAnswer:
+        """Return the message that tells a host which credit has become scarce."""
+        return QuotaAnswer(0, incarnation, self._known, self.coverage, alerts)
+
+    def _describe(self, team: int, credit: Credit, now: float) -> TeamCredit:
+        return TeamCredit(team, credit.refill(now, self.coverage), self._sum_demand(team, now))
+
+    def take_alerts(self, now: float) -> tuple[TeamCredit, ...]:
+        """Return the teams whose credit has become scarce, which all hosts should know at once."""
+        alerts: list[TeamCredit] = []
+        for team, credit in self._credits.items():
+            level = credit.refill(now, self.coverage)
+            if not credit.rule.has_alerts or level >= ALERT_SHARE * credit.rule.capacity:
+                continue
+            if now - self._alerted.get(team, -FORGET_S) < ALERT_INTERVAL_S:
+                self._alerted[team] = now
+                continue
+            self._alerted[team] = now
+            alerts.append(self._describe(team, credit, now))
+        if alerts:
+            self._alert_at = now
+        return tuple(alerts)
+
+    def list_reporting(self, now: float) -> dict[int, int]:
+        """Return the incarnations of the hosts that report here, by identifier of the host."""
+        return {
+            host: record.incarnation
+            for host, record in self._hosts.items()
+            if now - record.heard_at < FORGET_S
+        }
+
+    def update(self, now: float) -> None:
+        """Determine which part of the hosts is heard."""
+        heard = 0
+        for host, record in list(self._hosts.items()):
+            silent_s = now - record.heard_at
+            if silent_s > FORGET_S:
+                del self._hosts[host]
+                self._drop_demands(record)
+                continue
+            is_alert_missed = (
+                record.heard_at < self._alert_at and now - self._alert_at > SILENT_AFTER_ALERT_S
+            )
+            if silent_s > SILENT_S or is_alert_missed:
+                self._drop_demands(record)
+                continue
+            heard += 1
+        self._heard = heard
+        self._updated_at = now
+        known_by_centre = {self._data_centre: len(self._hosts)}
+        heard_by_centre = {self._data_centre: heard}
+        for name, other in list(self._collectors.items()):
+            silent_s = now - other.heard_at
+            if silent_s > FORGET_S:
+                del self._collectors[name]
+                continue
+            centre = other.data_centre
+            known_by_centre[centre] = max(known_by_centre.get(centre, 0), other.known)
+            if silent_s < COLLECTOR_SILENT_S:
+                heard_by_centre[centre] = heard_by_centre.get(centre, 0) + other.heard
+        known = sum(known_by_centre.values())
+        covered = sum(
+            min(count, known_by_centre[centre]) for centre, count in heard_by_centre.items()
+        )
+        if now < self._expected_until:
+            known = max(known, self._expected)
+        self._set_coverage(known, known - covered, now)
+
+    def _set_coverage(self, known: int, uncovered: int, now: float) -> None:
+        """Let credit accrue for the hosts that are heard, and reserve some for those just lost."""
+        newly_uncovered = uncovered - self._uncovered
+        for credit in self._credits.values():
+            credit.refill(now, self.coverage)
+            if newly_uncovered > 0:
+                rule = credit.rule
+                reserved = START_SHARE * rule.capacity + rule.rate_per_s * SILENT_S
+                credit.consume(reserved * newly_uncovered / known)
+        self._uncovered = uncovered
+        self._known = max(1, known)
+        self.coverage = 1.0 if known == 0 else (known - uncovered) / known
+
+    def get_next_sums_time(self) -> float:
+        """Return the time at which the next sums should be sent."""
+        due_at = self._sums_at + SUMS_INTERVAL_S
+        if self._changed and self._list_scarce():
+            due_at = min(due_at, self._scarce_sums_at + SCARCE_SUMS_INTERVAL_S)
+        return due_at
+
+    def _list_scarce(self) -> list[int]:
+        """Return the teams with scarce credit whose sums have changed."""
+        scarce: list[int] = []
+        for team in self._changed:
+            credit = self._credits.get(team)
+            if credit is not None and credit.level < ALERT_SHARE * credit.rule.capacity:
+                scarce.append(team)
+        return scarce
+
+    def make_sums(self, now: float) -> list[CollectorSums]:
+        """Return the messages that are due: all sums, or those of scarce credit."""
+        self._scarce_sums_at = now
+        if now >= self._sums_at + SUMS_INTERVAL_S:
+            self._sums_at = now
+            teams = [team for team in self._credits if team in self._counts]
+        else:
+            teams = self._list_scarce()
+        self._changed.clear()
+        messages: list[CollectorSums] = []
+        for first in range(0, max(1, len(teams)), MAX_SUMS):
+            self._sequence += 1
+            messages.append(
+                CollectorSums(
+                    self._host,
+                    self._incarnation,
+                    self._sequence,
+                    self._data_centre,
+                    now - self._started_at,
+                    self._heard,
+                    len(self._hosts),
+                    tuple(self._sum_up(team, now) for team in teams[first : first + MAX_SUMS]),
+                )
+            )
+        return messages
+
+    def _sum_up(self, team: int, now: float) -> TeamSum:
+        return TeamSum(
+            team,
+            self._counts.get(team, 0),
+            max(0.0, self._demands.get(team, 0.0)),
+            self._credits[team].refill(now, self.coverage),
+        )
--- /dev/null
+++ b/amaranthbend/filters/quota.py
@@ -0,0 +1,56 @@
+"""Limits the requests of teams over all hosts."""
+
+from typing import Protocol
+
+from ..adapters.caller import CallerRequest
+from ..core.outcomes import Outcome, OutcomeReason
+from ..core.quotas import Admission
+from .local_responses import LocalResponse, make_refusal
+
+__all__ = ["QuotaFilter", "QuotaSource"]
+
+
+class QuotaSource(Protocol):
+    """Decides on the requests of teams."""
+
+    def admit(self, team: str, now: float) -> Admission:
+        """Return whether a request of a team is admitted, and count it if so."""
+
+    def refund(self, team: str) -> None:
+        """Take back the count of a request that has not run."""
+
+
+class QuotaFilter:
+    """Refuses requests of teams that have used up their quota.
+
+    Retries and hedges are sent by the filter behind this one, so that they count once.
+
+    Parameters
+    ----------
+    source : QuotaSource or None
+        Decides on requests; None if quotas are disabled.
+    """
+
+    def __init__(self, source: QuotaSource | None) -> None:
+        self._source = source
+
+    def run(self, request: CallerRequest, now: float) -> LocalResponse | None:
+        """Count a request whose body is complete or streamed, or refuse it."""
+        if self._source is None or request.team is None or request.team.rate_per_s <= 0:
+            return None
+        admission = self._source.admit(request.team.name, now)
+        if not admission.is_admitted:
+            return make_refusal(OutcomeReason.QUOTA_EXCEEDED, admission.retry_after_s)
+        request.has_quota_credit = True
+        return None
+
+    def abandon(self, request: CallerRequest, now: float) -> None:
+        """Do nothing; `end` follows."""
+
+    def end(self, request: CallerRequest, outcome: Outcome) -> None:
+        """Refund a request that is known not to have run."""
+        if self._source is None or not request.has_quota_credit:
+            return
+        request.has_quota_credit = False
+        if outcome is Outcome.NOT_RUN and request.team is not None:
+            self._source.refund(request.team.name)
--- a/amaranthbend/platform/settings.py
+++ b/amaranthbend/platform/settings.py
@@ -53,7 +53,7 @@
     return NodeSettings(
         host_id=reader.get_string("self.node"),
         data_centre=reader.get_string("self.zone"),
-        data_centres=reader.count_entries("network.zones"),
+        data_centres=max(1, len(reader.list_entries("network.zones"))),
         caller_address=reader.get_address("network.listenAddresses.frontend"),
         readiness_address=reader.get_address("network.listenAddresses.readiness"),
         readiness_path=READINESS_PATH,
@@ -75,6 +75,7 @@
         cold_overshoot=reader.get_number("terms.bounds.coldOvershoot", 1.0),
         cold_slack=reader.get_number("terms.bounds.coldSlack", 0.0),
         evacuation_s=reader.get_duration("terms.bounds.evacuation", 0.0),
+        data_centre_names=reader.list_entries("network.zones"),
     )
 
 
@@ -142,13 +143,13 @@
             raise self._make_error(name, f"{ports!r} is not a port range", "give [FIRST, LAST]")
         return ports
 
-    def count_entries(self, name: str) -> int:
-        """Return the number of entries of a table, 1 if the table is missing or empty."""
+    def list_entries(self, name: str) -> tuple[str, ...]:
+        """Return the names of the entries of a table, empty if the table is missing."""
         table, key = self._find(name)
         entries = table.get(key, {})
         if not isinstance(entries, dict):
             raise self._make_error(name, f"{entries!r} is not a table", "give a table")
-        return max(1, len(entries))
+        return tuple(entries)
 
     def get_boolean(self, name: str) -> bool:
         """Return a boolean, False if the field is missing."""
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -23,6 +23,7 @@
 from ..adapters.upstream import UpstreamClient
 from ..controllers.first_lists import FIRST_START_LIST_WAITS, RESTART_LIST_WAITS
 from ..controllers.host_directory import HostDirectory
+from ..controllers.quota_exchange import make_quota_exchange
 from ..controllers.relayed_store import RelayedStore
 from ..controllers.store_watch import StoreWatch, monitor_watches
 from ..controllers.watch_handlers import (
@@ -39,6 +40,7 @@
 from ..filters.dispatch import DispatchFilter
 from ..filters.idempotency import IdempotencyAndDeadlineFilter
 from ..filters.identity import IdentityFilter
+from ..filters.quota import QuotaFilter
 from ..filters.request_log import RequestLog
 from ..filters.routes import RouteFilter
 from ..filters.services import DispatchSettings
@@ -91,6 +93,11 @@
         "readiness_address",
         "readiness_path",
         "peer_address",
+        "quota_address",
+        "quota_window_s",
+        "quota_overshoot",
+        "quota_slack",
+        "data_centre_names",
         "store_address",
         "apply_s",
         "drain_s",
@@ -134,6 +141,8 @@
             settings.apply_s,
         )
         self.shutdown_filter = ShutdownFilter()
+        store = StoreClient(settings.store_address)
+        self.quotas = make_quota_exchange(settings, store, self.counters)
         page = MetricsPage(self.counters)
         self.request_log = RequestLog(self.counters, page)
         self.chain = FilterChain(
@@ -144,7 +153,7 @@
                 self.identity_filter,
                 IdempotencyAndDeadlineFilter(dialect),
             ),
-            (self.shutdown_filter, self.dispatch),
+            (self.shutdown_filter, QuotaFilter(self.quotas), self.dispatch),
             self.counters,
             MAX_BUFFERED_BODY_BYTES,
             BufferBudget(compute_buffer_bytes(settings)),
@@ -163,7 +172,6 @@
         )
         self.upstreams = UpstreamHandler(decode_listing, self.dispatch, settings, self.counters)
         self._policy: DeploymentPolicy | None = None
-        store = StoreClient(settings.store_address)
         peer_selector = PeerSelector(settings.host_id, settings.data_centre)
         list_waits = FIRST_START_LIST_WAITS if settings.is_first_start else RESTART_LIST_WAITS
         self._store = RelayedStore(
@@ -211,11 +219,15 @@
         self.dispatch.set_policy(completed_policy, now)
         self.route_filter.set_policy(completed_policy)
         self.identity_filter.set_policy(completed_policy)
+        if self.quotas is not None:
+            self.quotas.set_policy(completed_policy, now)
         self.request_log.version = version
 
     def update_hosts(self, hosts: list[HostEntry], now: float) -> None:
         """Replace the list of the hosts of the data centre."""
         self._store.set_hosts(hosts)
+        if self.quotas is not None:
+            self.quotas.set_hosts(hosts, self.host_directory.share_count, now)
         self.divide_budgets(now)
 
     def divide_budgets(self, now: float) -> None:
@@ -280,6 +292,8 @@
         tasks = [asyncio.ensure_future(watch.run()) for watch in watches]
         tasks.append(asyncio.ensure_future(monitor_watches(watches)))
         tasks.append(asyncio.ensure_future(self.host_directory.run()))
+        if self.quotas is not None:
+            tasks.append(asyncio.ensure_future(self.quotas.run()))
         return tasks
 
     def replace_settings(self, settings: NodeSettings, now: float) -> None:
--- a/amaranthbend/settings/node.py
+++ b/amaranthbend/settings/node.py
@@ -60,6 +60,8 @@
     evacuation_s : float
         Time within which hosts must stop sending to an evacuated data centre; 0 if none is ever
         evacuated.
+    data_centre_names : tuple of str
+        Names of the data centres of the deployment; empty if they are unknown.
     """
 
     host_id: str
@@ -86,3 +88,4 @@
     cold_overshoot: float = 1.0
     cold_slack: float = 0.0
     evacuation_s: float = 0.0
+    data_centre_names: tuple[str, ...] = ()
