--- a/amaranthbend/adapters/quota_link.py
+++ b/amaranthbend/adapters/quota_link.py
@@ -18,11 +18,10 @@
     TeamCredit,
     TeamSum,
 )
+from ..core.quota_node import QuotaMessage
 from .addresses import split_address
 
-__all__ = ["Message", "QuotaLink", "decode_message", "encode_message"]
-
-Message = QuotaReport | QuotaAnswer | CollectorSums
+__all__ = ["QuotaLink", "decode_message", "encode_message"]
 
 # The first bytes of each datagram: a mark, the version of the format, and the kind of the message.
 PREFIX = struct.Struct("!2sBc")
@@ -37,7 +36,7 @@
 SUM = struct.Struct("!Qqff")
 
 
-def encode_message(message: Message) -> bytes:
+def encode_message(message: QuotaMessage) -> bytes:
     """Return the datagram of a message."""
     if isinstance(message, QuotaReport):
         kind, head, entry, entries = REPORT_KIND, REPORT_HEAD, COUNT, message.counts
@@ -53,7 +52,7 @@
     return b"".join((PREFIX.pack(MARK, VERSION, kind), head, *entries))
 
 
-def decode_message(data: bytes) -> Message:
+def decode_message(data: bytes) -> QuotaMessage:
     """Return the message in a datagram.
 
     Raises
@@ -90,7 +89,7 @@
     return list(entry.iter_unpack(memoryview(data)[start:]))
 
 
-def _check(message: Message) -> Message:
+def _check(message: QuotaMessage) -> QuotaMessage:
     """Return a message if all its numbers are finite; others would spoil the sums for good."""
     for value in message[:-1]:
         if not math.isfinite(value):
@@ -113,7 +112,7 @@
     """
 
     def __init__(
-        self, on_message: Callable[[Message, str], None], on_invalid: Callable[[], None]
+        self, on_message: Callable[[QuotaMessage, str], None], on_invalid: Callable[[], None]
     ) -> None:
         self._on_message = on_message
         self._on_invalid = on_invalid
