--- a/amaranthbend/adapters/quota_link.py
+++ b/amaranthbend/adapters/quota_link.py
@@ -32,7 +32,7 @@
 COUNT = struct.Struct("!Qqif")
 ANSWER_HEAD = struct.Struct("!IQIf")
 CREDIT = struct.Struct("!Qff")
-SUMS_HEAD = struct.Struct("!QQIQfII")
+SUMS_HEAD = struct.Struct("!QQIQfIIf")
 SUM = struct.Struct("!Qqff")
 
 
--- a/amaranthbend/core/quota_credit.py
+++ b/amaranthbend/core/quota_credit.py
@@ -1,5 +1,6 @@
 """Limits of teams over all hosts, and the credit that a team has left."""
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -14,6 +15,12 @@
 # A team whose rate in this time is within the slack needs no alerts: what it sends until the next
 # reports, at several times its usual rate, is within the slack too.
 ALERT_RATE_PERIOD_S = 8.0
+# Part of the capacity, and requests missing from it, at which a burst is taken to have begun. A team
+# at its usual rate seldom lacks so many, whatever its rate: the sum of arrivals above the rate does
+# not grow with it. The part that grows with the rate is what hosts report late.
+ALERT_SHARE = 0.5
+ALERT_DEFICIT = 10.0
+ALERT_DEFICIT_S = 0.2
 # Debt of a team in seconds of its rate. Older debt has left every window that is judged.
 MAX_DEBT_S = 3.0
 # Part of the capacity with which a process starts, as the requests of before are unknown.
@@ -49,13 +56,13 @@
         Requests per second.
     capacity : float
         Largest credit, in requests.
-    has_alerts : bool
-        Whether all hosts are told at once when the credit becomes scarce.
+    alert_level : float
+        Credit below which all hosts are told at once.
     """
 
     rate_per_s: float
     capacity: float
-    has_alerts: bool = True
+    alert_level: float = -math.inf
 
 
 def make_rules(teams: Iterable[TeamPolicy], margins: QuotaMargins) -> dict[int, QuotaRule]:
@@ -66,14 +73,23 @@
             continue
         quota = team.rate_per_s * margins.window_s + team.burst
         excess = quota * margins.overshoot + margins.slack
+        capacity = max(1.0, team.burst + CAPACITY_SHARE * excess)
         rules[compute_id(team.name)] = QuotaRule(
             team.rate_per_s,
-            max(1.0, team.burst + CAPACITY_SHARE * excess),
-            team.rate_per_s * ALERT_RATE_PERIOD_S >= margins.slack,
+            capacity,
+            compute_alert_level(team.rate_per_s, capacity, margins.slack),
         )
     return rules
 
 
+def compute_alert_level(rate_per_s: float, capacity: float, slack: float) -> float:
+    """Return the credit below which all hosts are told at once."""
+    if rate_per_s * ALERT_RATE_PERIOD_S < slack:
+        return -math.inf
+    deficit = ALERT_DEFICIT + ALERT_DEFICIT_S * rate_per_s
+    return max(ALERT_SHARE * capacity, capacity - deficit)
+
+
 class Credit:
     """Credit of a team, which grows with its rate up to its capacity.
 
--- a/amaranthbend/core/quota_messages.py
+++ b/amaranthbend/core/quota_messages.py
@@ -134,6 +134,8 @@
         Time since its process started.
     heard, known : int
         Hosts that report to it at present, and hosts of its data centre that it has heard of.
+    coverage : float
+        Part of all hosts whose counts arrive at the collector, also by way of others.
     sums : tuple of TeamSum
         Sums of teams with traffic.
     """
@@ -145,4 +147,5 @@
     age_s: float
     heard: int
     known: int
+    coverage: float
     sums: tuple[TeamSum, ...]
--- a/amaranthbend/core/quota_node.py
+++ b/amaranthbend/core/quota_node.py
@@ -22,6 +22,8 @@
 # First hosts of the own data centre that get all sums. While hosts are added, some know others as
 # the first ones; with four, the collectors of both views nearly always know each other.
 UPDATED_HOSTS = 4
+# Reports without an answer after which the next host becomes the collector; one may get lost.
+UNANSWERED_REPORTS = 2
 # Collectors from which sums came within this time get those of this host.
 MET_COLLECTOR_S = 5.0
 # A longer pause between two steps of this process means that the host was frozen.
@@ -76,6 +78,7 @@
         # First hosts of the other data centres, and collectors met with the time of their sums.
         self._other_collectors: tuple[str, ...] = ()
         self._met_collectors: dict[str, float] = {}
+        self._unanswered = 0
         self._update_at = now
         self._step_at = now
         self._thawed_at = now - THAW_S
@@ -152,6 +155,7 @@
             self._met_collectors[address] = now
             return self._make_alerts(now)
         if self.ledger.apply_answer(message, now) and message.sequence:
+            self._unanswered = 0
             self._selector.record_answer(self._selector.selected)
             self.sums.expect_hosts(message.hosts, now)
         return []
@@ -165,7 +169,10 @@
     def _report(self, now: float) -> list[Outgoing]:
         """Return the reports to the collector; a host that collects reports to itself."""
         if self.ledger.is_waiting and self._selector.selected:
-            self._selector.record_failure(self._selector.selected, now)
+            self._unanswered += 1
+            if self._unanswered >= UNANSWERED_REPORTS:
+                self._unanswered = 0
+                self._selector.record_failure(self._selector.selected, now)
         target = self._selector.select(now)
         if not target:
             self.ledger.next_report_at = now + UPDATE_INTERVAL_S
--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -39,8 +39,9 @@
 SUMS_INTERVAL_S = 1.0
 SCARCE_SUMS_INTERVAL_S = 0.1
 ALERT_INTERVAL_S = 1.0
-# Credit below this part of the capacity is told to all hosts at once.
-ALERT_SHARE = 0.5
+# Time in which a host that begins to collect takes the coverage from other collectors: until then
+# they do not know it, and send it nothing.
+ACQUAINTANCE_S = 1.5
 # Teams in one message, so that it fits into a datagram that is not fragmented.
 MAX_SUMS = 48
 
@@ -73,6 +74,7 @@
         "demands",
         "is_new",
         "met_at",
+        "coverage",
     )
 
     def __init__(self, sums: CollectorSums, now: float) -> None:
@@ -86,6 +88,7 @@
         self.demands: dict[int, float] = {}
         self.is_new = sums.age_s < NEW_COLLECTOR_AGE_S
         self.met_at = now
+        self.coverage = 1.0
 
 
 class QuotaSums:
@@ -114,6 +117,7 @@
         self._sequence = 0
         self._input_at = now
         self._report_at = -FORGET_S
+        self._collecting_since = now
         self._fresh_until = now + FRESH_S
         # Times of the last messages with all sums and with those of scarce credit.
         self._sums_at = -FORGET_S
@@ -159,6 +163,7 @@
         """Add the counts of a host, and return the answer to it."""
         self._wake(now)
         if not self.is_collecting(now):
+            self._collecting_since = now
             self.update(now)
         self._report_at = now
         record = self._hosts.get(report.host)
@@ -201,6 +206,7 @@
         silent_s = now - record.heard_at
         record.sequence = sums.sequence
         record.data_centre = sums.data_centre
+        is_collecting = self.is_collecting(now)
         is_older = sums.age_s > now - self._started_at
         for team, count, demand, level in sums.sums:
             known = record.counts.get(team)
@@ -214,9 +220,12 @@
             if count != known:
                 self._consume(team, count - known, silent_s, record.heard, now)
             credit = self._credits.get(team)
-            if credit is not None and now < self._fresh_until and is_older:
+            if credit is None:
+                continue
+            if not is_collecting or (now < self._fresh_until and is_older):
                 credit.refill(now, self.coverage)
                 credit.level = min(credit.level, level)
+        record.coverage = sums.coverage
         record.heard_at = now
         record.heard = sums.heard
         record.known = sums.known
@@ -288,7 +297,7 @@
         alerts: list[TeamCredit] = []
         for team, credit in self._credits.items():
             level = credit.refill(now, self.coverage)
-            if not credit.rule.has_alerts or level >= ALERT_SHARE * credit.rule.capacity:
+            if level >= credit.rule.alert_level:
                 continue
             if now - self._alerted.get(team, -FORGET_S) < ALERT_INTERVAL_S:
                 self._alerted[team] = now
@@ -346,6 +355,14 @@
 
     def _set_coverage(self, known: int, uncovered: int, now: float) -> None:
         """Let credit accrue for the hosts that are heard, and reserve some for those just lost."""
+        if now < self._collecting_since + ACQUAINTANCE_S:
+            coverages = [
+                record.coverage
+                for record in self._collectors.values()
+                if now - record.heard_at < COLLECTOR_SILENT_S
+            ]
+            if coverages:
+                uncovered = min(uncovered, round((1.0 - min(coverages)) * known))
         newly_uncovered = uncovered - self._uncovered
         for credit in self._credits.values():
             credit.refill(now, self.coverage)
@@ -369,12 +386,13 @@
         scarce: list[int] = []
         for team in self._changed:
             credit = self._credits.get(team)
-            if credit is not None and credit.level < ALERT_SHARE * credit.rule.capacity:
+            if credit is not None and credit.level < max(credit.rule.alert_level, 0.0):
                 scarce.append(team)
         return scarce
 
     def make_sums(self, now: float) -> list[CollectorSums]:
         """Return the messages that are due: all sums, or those of scarce credit."""
+        self.update(now)
         self._scarce_sums_at = now
         if now >= self._sums_at + SUMS_INTERVAL_S:
             self._sums_at = now
@@ -394,6 +412,7 @@
                     now - self._started_at,
                     self._heard,
                     len(self._hosts),
+                    self.coverage,
                     tuple(self._sum_up(team, now) for team in teams[first : first + MAX_SUMS]),
                 )
             )
--- a/amaranthbend/core/quotas.py
+++ b/amaranthbend/core/quotas.py
@@ -27,19 +27,21 @@
 REPORT_INTERVAL_S = 1.0
 SCARCE_REPORT_INTERVAL_S = 0.25
 MIN_REPORT_INTERVAL_S = 0.1
-# A report without an answer for this long is sent again, to the next collector. Round trips take
+# A report without an answer for this long is sent again. Round trips take
 # 3 ms; the rest is for busy hosts.
-ANSWER_TIMEOUT_S = 0.3
+ANSWER_TIMEOUT_S = 0.2
+# Time without an answer after which a host uses its share only: one repetition.
+STALE_WAIT_S = 0.25
 # Age of the last answer from which a host uses its share only: one report and one repetition.
 STALE_AGE_S = 1.4
 # Requests of a team that a host may count before it reports them early, and as a part of the
 # team's credit that the host's share makes up.
-EARLY_REPORT_COUNT = 2
+EARLY_REPORT_COUNT = 3
 EARLY_REPORT_SHARE = 0.25
 # Part of its share that a host uses without answers: demand may have moved since the last one.
-STALE_SHARE = 0.6
+STALE_SHARE = 0.8
 # Shares follow the demand by this part, the rest is divided equally, for teams new to a host.
-DEMAND_WEIGHT = 0.7
+DEMAND_WEIGHT = 0.8
 # Smallest demand of a team, as a part of its rate, by which shares are computed.
 MIN_DEMAND_SHARE = 0.5
 DEMAND_PERIOD_S = 1.5
@@ -74,6 +76,7 @@
         "level",
         "level_at",
         "fleet_demand",
+        "demand_share",
         "_demand",
         "_demand_at",
         "tokens",
@@ -90,6 +93,7 @@
         self.level = level
         self.level_at = now
         self.fleet_demand = 0.0
+        self.demand_share = 0.0
         self._demand = 0.0
         self._demand_at = now
         self.tokens = 0.0
@@ -179,8 +183,8 @@
         state = self._teams.get(team)
         if state is None:
             return ADMITTED
-        demand = state.measure_demand(now, 1)
-        share = self._compute_share(state, demand)
+        state.measure_demand(now, 1)
+        share = self._get_share(state)
         level = self._estimate_level(state, now)
         if not self._may_spend(state, share, level, now):
             self._advance_report(now + SCARCE_REPORT_INTERVAL_S)
@@ -202,11 +206,10 @@
     def describe(self, team: int, now: float) -> dict[str, float]:
         """Return what the decisions on a team rest on, for logs."""
         state = self._teams[team]
-        demand = state.measure_demand(now)
         return {
             "credit": round(self._estimate_level(state, now), 1),
             "demand": round(state.fleet_demand, 1),
-            "share": round(self._compute_share(state, demand), 4),
+            "share": round(self._get_share(state), 4),
             "coverage": round(self._coverage, 3),
             "age_ms": int(self.get_silence(now) * 1000),
         }
@@ -248,15 +251,17 @@
         waiting_since = self._waiting_since
         return (
             waiting_since is not None
-            and now - waiting_since > ANSWER_TIMEOUT_S
+            and now - waiting_since > STALE_WAIT_S
             and state.count - state.acked >= EARLY_REPORT_COUNT
         )
 
-    def _compute_share(self, state: _TeamState, demand: float) -> float:
-        """Return the part of the team's credit that this host may use by itself."""
-        least = MIN_DEMAND_SHARE * state.rule.rate_per_s
-        by_demand = demand / max(demand, state.fleet_demand, least)
-        return DEMAND_WEIGHT * by_demand + (1.0 - DEMAND_WEIGHT) / self._hosts
+    def _get_share(self, state: _TeamState) -> float:
+        """Return the part of the team's credit that this host may use by itself.
+
+        It follows the demand as of the last answer: without answers, a burst here must not seem to
+        be a larger part of the demand at all hosts.
+        """
+        return DEMAND_WEIGHT * state.demand_share + (1.0 - DEMAND_WEIGHT) / self._hosts
 
     def _estimate_level(self, state: _TeamState, now: float) -> float:
         """Return the credit of a team by the last answer and the counts since then."""
@@ -340,7 +345,8 @@
         self._coverage = answer.coverage
         self._set_credits(answer.credits, now)
         is_scarce = any(
-            credit.level < SCARCE_SHARE * state.rule.capacity and state.is_reported
+            credit.level < max(state.rule.alert_level, SCARCE_SHARE * state.rule.capacity)
+            and state.is_reported
             for credit in answer.credits
             if (state := self._teams.get(credit.team)) is not None
         )
@@ -356,6 +362,9 @@
             state.level = credit.level
             state.level_at = now
             state.fleet_demand = credit.demand_per_s
+            demand = state.measure_demand(now)
+            least = MIN_DEMAND_SHARE * state.rule.rate_per_s
+            state.demand_share = demand / max(demand, credit.demand_per_s, least)
 
     def _advance_report(self, report_at: float) -> None:
         """Bring the next report forward; one that waits for its answer keeps its time."""
