--- a/amaranthbend/core/quota_credit.py
+++ b/amaranthbend/core/quota_credit.py
@@ -20,7 +20,7 @@
 # not grow with it. The part that grows with the rate is what hosts report late.
 ALERT_SHARE = 0.5
 ALERT_DEFICIT = 10.0
-ALERT_DEFICIT_S = 0.2
+ALERT_DEFICIT_S = 0.3
 # Debt of a team in seconds of its rate. Older debt has left every window that is judged.
 MAX_DEBT_S = 3.0
 # Part of the capacity with which a process starts, as the requests of before are unknown.
--- a/amaranthbend/core/quota_node.py
+++ b/amaranthbend/core/quota_node.py
@@ -209,13 +209,9 @@
         return list(addresses)
 
     def _make_alerts(self, now: float) -> list[Outgoing]:
-        """Return messages that tell the reporting hosts which credit has become scarce."""
-        alerts = self.sums.take_alerts(now)
+        """Return messages that tell hosts which credit has become scarce."""
         outgoing: list[Outgoing] = []
-        if not alerts:
-            return outgoing
-        for host, incarnation in self.sums.list_reporting(now).items():
-            alert = self.sums.make_alert(incarnation, alerts)
+        for host, alert in self.sums.make_alerts(now).items():
             address = self._reporting_addresses.get(host)
             if host == self._id:
                 self.ledger.apply_answer(alert, now)
--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -42,6 +42,10 @@
 # Time in which a host that begins to collect takes the coverage from other collectors: until then
 # they do not know it, and send it nothing.
 ACQUAINTANCE_S = 1.5
+# Part of the capacity below which collectors exchange sums often, and the part that a collector may
+# add up before it tells the others early.
+FREQUENT_SHARE = 0.5
+EARLY_SUMS_SHARE = 0.2
 # Teams in one message, so that it fits into a datagram that is not fragmented.
 MAX_SUMS = 48
 
@@ -49,12 +53,20 @@
 class _HostRecord:
     """What a collector knows of a host that reports to it."""
 
-    __slots__ = ("incarnation", "earlier_incarnation", "heard_at", "counts", "demands")
+    __slots__ = (
+        "incarnation",
+        "earlier_incarnation",
+        "heard_at",
+        "alerted_at",
+        "counts",
+        "demands",
+    )
 
     def __init__(self, incarnation: int, earlier_incarnation: int, now: float) -> None:
         self.incarnation = incarnation
         self.earlier_incarnation = earlier_incarnation
         self.heard_at = now
+        self.alerted_at = -FORGET_S
         # Number of the report and count, by team.
         self.counts: dict[int, tuple[int, int]] = {}
         self.demands: dict[int, float] = {}
@@ -122,9 +134,10 @@
         # Times of the last messages with all sums and with those of scarce credit.
         self._sums_at = -FORGET_S
         self._scarce_sums_at = -FORGET_S
-        self._alert_at = -FORGET_S
         self._alerted: dict[int, float] = {}
-        self._changed: set[int] = set()
+        # Requests by team that were added since the last message that named the team.
+        self._unsent: dict[int, int] = {}
+        self._is_early = False
         self._updated_at = -FORGET_S
         self._heard = 0
         self._uncovered = 0
@@ -189,8 +202,8 @@
             record.demands[team] = demand
             if count != base:
                 self._counts[team] = self._counts.get(team, 0) + count - base
-                self._changed.add(team)
                 self._consume(team, count - base, report.waited_s, 1, now)
+                self._note_unsent(team, count - base)
         return self._make_answer(report, now)
 
     def record_sums(self, sums: CollectorSums, now: float) -> None:
@@ -285,15 +298,11 @@
         """Return the credit of all teams."""
         return [self._describe(team, credit, now) for team, credit in self._credits.items()]
 
-    def make_alert(self, incarnation: int, alerts: tuple[TeamCredit, ...]) -> QuotaAnswer:
-        """Return the message that tells a host which credit has become scarce."""
-        return QuotaAnswer(0, incarnation, self._known, self.coverage, alerts)
-
     def _describe(self, team: int, credit: Credit, now: float) -> TeamCredit:
         return TeamCredit(team, credit.refill(now, self.coverage), self._sum_demand(team, now))
 
-    def take_alerts(self, now: float) -> tuple[TeamCredit, ...]:
-        """Return the teams whose credit has become scarce, which all hosts should know at once."""
+    def _take_scarce(self, now: float) -> tuple[TeamCredit, ...]:
+        """Return the teams whose credit has become scarce since the last call."""
         alerts: list[TeamCredit] = []
         for team, credit in self._credits.items():
             level = credit.refill(now, self.coverage)
@@ -304,17 +313,23 @@
                 continue
             self._alerted[team] = now
             alerts.append(self._describe(team, credit, now))
-        if alerts:
-            self._alert_at = now
         return tuple(alerts)
 
-    def list_reporting(self, now: float) -> dict[int, int]:
-        """Return the incarnations of the hosts that report here, by identifier of the host."""
-        return {
-            host: record.incarnation
-            for host, record in self._hosts.items()
-            if now - record.heard_at < FORGET_S
-        }
+    def make_alerts(self, now: float) -> dict[int, QuotaAnswer]:
+        """Return messages for the hosts with requests of teams whose credit has become scarce."""
+        scarce = self._take_scarce(now)
+        if not scarce:
+            return {}
+        alerts: dict[int, QuotaAnswer] = {}
+        for host, record in self._hosts.items():
+            concerned = tuple(credit for credit in scarce if record.demands.get(credit.team))
+            if not concerned or now - record.heard_at > SILENT_S:
+                continue
+            record.alerted_at = now
+            alerts[host] = QuotaAnswer(
+                0, record.incarnation, self._known, self.coverage, concerned
+            )
+        return alerts
 
     def update(self, now: float) -> None:
         """Determine which part of the hosts is heard."""
@@ -326,7 +341,8 @@
                 self._drop_demands(record)
                 continue
             is_alert_missed = (
-                record.heard_at < self._alert_at and now - self._alert_at > SILENT_AFTER_ALERT_S
+                record.heard_at < record.alerted_at
+                and now - record.alerted_at > SILENT_AFTER_ALERT_S
             )
             if silent_s > SILENT_S or is_alert_missed:
                 self._drop_demands(record)
@@ -377,18 +393,21 @@
     def get_next_sums_time(self) -> float:
         """Return the time at which the next sums should be sent."""
         due_at = self._sums_at + SUMS_INTERVAL_S
-        if self._changed and self._list_scarce():
+        if self._is_early:
             due_at = min(due_at, self._scarce_sums_at + SCARCE_SUMS_INTERVAL_S)
         return due_at
 
-    def _list_scarce(self) -> list[int]:
-        """Return the teams with scarce credit whose sums have changed."""
-        scarce: list[int] = []
-        for team in self._changed:
-            credit = self._credits.get(team)
-            if credit is not None and credit.level < max(credit.rule.alert_level, 0.0):
-                scarce.append(team)
-        return scarce
+    def _note_unsent(self, team: int, count: int) -> None:
+        """Send sums early if the credit is scarce, or much of it was used since the last ones."""
+        self._unsent[team] = self._unsent.get(team, 0) + count
+        self._is_early = self._is_early or self._is_urgent(team)
+
+    def _is_urgent(self, team: int) -> bool:
+        credit, unsent = self._credits.get(team), self._unsent.get(team, 0)
+        if credit is None or not unsent:
+            return False
+        capacity = credit.rule.capacity
+        return credit.level < FREQUENT_SHARE * capacity or unsent > EARLY_SUMS_SHARE * capacity
 
     def make_sums(self, now: float) -> list[CollectorSums]:
         """Return the messages that are due: all sums, or those of scarce credit."""
@@ -398,8 +417,10 @@
             self._sums_at = now
             teams = [team for team in self._credits if team in self._counts]
         else:
-            teams = self._list_scarce()
-        self._changed.clear()
+            teams = [team for team in self._unsent if self._is_urgent(team)]
+        self._is_early = False
+        for team in teams:
+            self._unsent.pop(team, None)
         messages: list[CollectorSums] = []
         for first in range(0, max(1, len(teams)), MAX_SUMS):
             self._sequence += 1
--- a/amaranthbend/core/quotas.py
+++ b/amaranthbend/core/quotas.py
@@ -25,18 +25,24 @@
 # Time in which credit above or below 0 is used up or regained while it is scarce.
 BALANCE_S = 0.5
 REPORT_INTERVAL_S = 1.0
+# Part by which intervals vary, so that the reports of hosts that started together spread out.
+REPORT_SPREAD = 0.25
 SCARCE_REPORT_INTERVAL_S = 0.25
+# Part of the capacity below which hosts with requests of the team report that often.
+FREQUENT_SHARE = 0.5
 MIN_REPORT_INTERVAL_S = 0.1
 # A report without an answer for this long is sent again. Round trips take
 # 3 ms; the rest is for busy hosts.
-ANSWER_TIMEOUT_S = 0.2
+ANSWER_TIMEOUT_S = 0.12
 # Time without an answer after which a host uses its share only: one repetition.
 STALE_WAIT_S = 0.25
 # Age of the last answer from which a host uses its share only: one report and one repetition.
 STALE_AGE_S = 1.4
-# Requests of a team that a host may count before it reports them early, and as a part of the
-# team's credit that the host's share makes up.
-EARLY_REPORT_COUNT = 3
+# Requests of a team that a host may count before it reports them early: a number, a multiple of
+# those that are usual in the time since the last report, and a part of the host's share of the
+# credit.
+EARLY_REPORT_COUNT = 2
+EARLY_REPORT_FACTOR = 1.5
 EARLY_REPORT_SHARE = 0.25
 # Part of its share that a host uses without answers: demand may have moved since the last one.
 STALE_SHARE = 0.8
@@ -45,6 +51,8 @@
 # Smallest demand of a team, as a part of its rate, by which shares are computed.
 MIN_DEMAND_SHARE = 0.5
 DEMAND_PERIOD_S = 1.5
+# Period of the usual demand, longer than a burst.
+USUAL_PERIOD_S = 10.0
 # Demand below which a team is left out of reports: one request seven seconds ago.
 MIN_REPORTED_DEMAND = 0.006
 # Teams in one report, so that it fits into a datagram that is not fragmented.
@@ -77,6 +85,7 @@
         "level_at",
         "fleet_demand",
         "demand_share",
+        "usual_demand",
         "_demand",
         "_demand_at",
         "tokens",
@@ -94,6 +103,7 @@
         self.level_at = now
         self.fleet_demand = 0.0
         self.demand_share = 0.0
+        self.usual_demand = 0.0
         self._demand = 0.0
         self._demand_at = now
         self.tokens = 0.0
@@ -104,7 +114,10 @@
 
     def measure_demand(self, now: float, arrivals: int = 0) -> float:
         """Add arrivals, and return the requests per second of the last seconds."""
-        self._demand *= math.exp(-max(0.0, now - self._demand_at) / DEMAND_PERIOD_S)
+        elapsed_s = max(0.0, now - self._demand_at)
+        weight = min(1.0, elapsed_s / USUAL_PERIOD_S)
+        self.usual_demand += weight * (self._demand - self.usual_demand)
+        self._demand *= math.exp(-elapsed_s / DEMAND_PERIOD_S)
         self._demand_at = now
         self._demand += arrivals / DEMAND_PERIOD_S
         return self._demand
@@ -191,7 +204,8 @@
             return Admission(False, self._draw_retry_delay(state, level))
         state.count += 1
         unacked = state.count - state.acked
-        if unacked >= max(EARLY_REPORT_COUNT, EARLY_REPORT_SHARE * share * max(0.0, level)):
+        usual = EARLY_REPORT_FACTOR * state.usual_demand * (now - self._last_report_at)
+        if unacked >= max(EARLY_REPORT_COUNT + usual, EARLY_REPORT_SHARE * share * level):
             self._advance_report(now)
         elif state.is_scarce:
             self._advance_report(now + SCARCE_REPORT_INTERVAL_S)
@@ -345,13 +359,14 @@
         self._coverage = answer.coverage
         self._set_credits(answer.credits, now)
         is_scarce = any(
-            credit.level < max(state.rule.alert_level, SCARCE_SHARE * state.rule.capacity)
+            credit.level < FREQUENT_SHARE * state.rule.capacity
             and state.is_reported
             for credit in answer.credits
             if (state := self._teams.get(credit.team)) is not None
         )
         interval_s = SCARCE_REPORT_INTERVAL_S if is_scarce else REPORT_INTERVAL_S
-        self.next_report_at = self._last_report_at + interval_s
+        spread = self._random.uniform(1.0 - REPORT_SPREAD, 1.0 + REPORT_SPREAD)
+        self.next_report_at = self._last_report_at + interval_s * spread
         return True
 
     def _set_credits(self, known: Iterable[TeamCredit], now: float) -> None:
