--- a/amaranthbend/core/quota_node.py
+++ b/amaranthbend/core/quota_node.py
@@ -152,6 +152,8 @@
             return outgoing + self._make_alerts(now)
         if isinstance(message, CollectorSums):
             self.sums.record_sums(message, now)
+            if address not in self._met_collectors and self.sums.is_collecting(now):
+                self.sums.request_sums()
             self._met_collectors[address] = now
             return self._make_alerts(now)
         if self.ledger.apply_answer(message, now) and message.sequence:
--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -24,7 +24,7 @@
 # Silence after which a host counts as cut off: one report and its repetitions.
 SILENT_S = 1.7
 # The same after an alert, which every host answers at once.
-SILENT_AFTER_ALERT_S = 0.6
+SILENT_AFTER_ALERT_S = 0.4
 # Silence of a collector after which its sums count as cut off.
 COLLECTOR_SILENT_S = 2.2
 # Silence after which a host or a collector is no longer a part of the deployment. Cut-offs are
@@ -36,15 +36,19 @@
 FRESH_S = 2.0
 # A collector that is met for the first time adds its whole sum if it started within this time.
 NEW_COLLECTOR_AGE_S = 5.0
+# A longer pause between two updates of a collector means that the host was frozen.
+FROZEN_S = 1.5
+THAW_S = 0.3
 SUMS_INTERVAL_S = 1.0
 SCARCE_SUMS_INTERVAL_S = 0.1
 ALERT_INTERVAL_S = 1.0
 # Time in which a host that begins to collect takes the coverage from other collectors: until then
 # they do not know it, and send it nothing.
-ACQUAINTANCE_S = 1.5
-# Part of the capacity below which collectors exchange sums often, and the part that a collector may
-# add up before it tells the others early.
+ACQUAINTANCE_S = 0.3
+# Part of the capacity below which collectors exchange sums often, and requests and part that a
+# collector may add up before it tells the others early.
 FREQUENT_SHARE = 0.5
+EARLY_SUMS_COUNT = 5
 EARLY_SUMS_SHARE = 0.2
 # Teams in one message, so that it fits into a datagram that is not fragmented.
 MAX_SUMS = 48
@@ -139,6 +143,7 @@
         self._unsent: dict[int, int] = {}
         self._is_early = False
         self._updated_at = -FORGET_S
+        self._thawed_until = now
         self._heard = 0
         self._uncovered = 0
         self._known = 1
@@ -333,6 +338,14 @@
 
     def update(self, now: float) -> None:
         """Determine which part of the hosts is heard."""
+        is_frozen = self._updated_at > self._collecting_since and (
+            now - self._updated_at > FROZEN_S
+        )
+        if is_frozen or now < self._thawed_until:
+            # After a freeze, what arrived meanwhile is read first; nobody seems to be heard before.
+            self._thawed_until = now + THAW_S if is_frozen else self._thawed_until
+            self._updated_at = now
+            return
         heard = 0
         for host, record in list(self._hosts.items()):
             silent_s = now - record.heard_at
@@ -397,6 +410,10 @@
             due_at = min(due_at, self._scarce_sums_at + SCARCE_SUMS_INTERVAL_S)
         return due_at
 
+    def request_sums(self) -> None:
+        """Send all sums at once, as another collector does not know them yet."""
+        self._sums_at = -FORGET_S
+
     def _note_unsent(self, team: int, count: int) -> None:
         """Send sums early if the credit is scarce, or much of it was used since the last ones."""
         self._unsent[team] = self._unsent.get(team, 0) + count
@@ -407,7 +424,9 @@
         if credit is None or not unsent:
             return False
         capacity = credit.rule.capacity
-        return credit.level < FREQUENT_SHARE * capacity or unsent > EARLY_SUMS_SHARE * capacity
+        if credit.level < FREQUENT_SHARE * capacity:
+            return True
+        return unsent > max(EARLY_SUMS_COUNT, EARLY_SUMS_SHARE * capacity)
 
     def make_sums(self, now: float) -> list[CollectorSums]:
         """Return the messages that are due: all sums, or those of scarce credit."""
--- a/amaranthbend/core/quotas.py
+++ b/amaranthbend/core/quotas.py
@@ -22,6 +22,9 @@
 
 # Below this part of the capacity a host admits its share of the credit only.
 SCARCE_SHARE = 0.35
+# Demand over the rate of the quota from which a team is bursting, and credit is scarce from the
+# first alert on.
+BURST_FACTOR = 1.25
 # Time in which credit above or below 0 is used up or regained while it is scarce.
 BALANCE_S = 0.5
 REPORT_INTERVAL_S = 1.0
@@ -35,7 +38,7 @@
 # 3 ms; the rest is for busy hosts.
 ANSWER_TIMEOUT_S = 0.12
 # Time without an answer after which a host uses its share only: one repetition.
-STALE_WAIT_S = 0.25
+STALE_WAIT_S = 0.15
 # Age of the last answer from which a host uses its share only: one report and one repetition.
 STALE_AGE_S = 1.4
 # Requests of a team that a host may count before it reports them early: a number, a multiple of
@@ -232,13 +235,17 @@
         """Return whether the credit, or the host's share of it, covers one more request."""
         is_stale = self._is_stale(state, now)
         rule = state.rule
-        if not is_stale and level >= max(1.0, SCARCE_SHARE * rule.capacity):
+        scarce_level = max(1.0, SCARCE_SHARE * rule.capacity)
+        if state.fleet_demand > BURST_FACTOR * rule.rate_per_s:
+            scarce_level = max(scarce_level, rule.alert_level)
+        if not is_stale and level >= scarce_level:
             state.is_scarce = False
             return True
         if not state.is_scarce:
             state.is_scarce = True
             # Without answers, the host pays its share of a debt at once; with them, the rate falls.
-            state.tokens = share * level if is_stale else share * max(0.0, level)
+            # The others reserve a part of the capacity for hosts that they do not hear.
+            state.tokens = share * (START_SHARE * level if is_stale else max(0.0, level))
             state.tokens_at = now
         rate = STALE_SHARE * rule.rate_per_s
         if not is_stale:
