--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -26,7 +26,9 @@
 # The same after an alert, which every host answers at once.
 SILENT_AFTER_ALERT_S = 0.4
 # Silence of a collector after which its sums count as cut off.
-COLLECTOR_SILENT_S = 2.2
+COLLECTOR_SILENT_S = 1.25
+# Time after the last report in which a host goes on collecting.
+COLLECTING_S = 2.2
 # Silence after which a host or a collector is no longer a part of the deployment. Cut-offs are
 # shorter; hosts that were removed stay in the directory.
 FORGET_S = 20.0
@@ -39,12 +41,12 @@
 # A longer pause between two updates of a collector means that the host was frozen.
 FROZEN_S = 1.5
 THAW_S = 0.3
-SUMS_INTERVAL_S = 1.0
+SUMS_INTERVAL_S = 0.5
 SCARCE_SUMS_INTERVAL_S = 0.1
 ALERT_INTERVAL_S = 1.0
 # Time in which a host that begins to collect takes the coverage from other collectors: until then
 # they do not know it, and send it nothing.
-ACQUAINTANCE_S = 0.3
+ACQUAINTANCE_S = 0.12
 # Part of the capacity below which collectors exchange sums often, and requests and part that a
 # collector may add up before it tells the others early.
 FREQUENT_SHARE = 0.5
@@ -175,7 +177,7 @@
 
     def is_collecting(self, now: float) -> bool:
         """Return whether hosts report to this one."""
-        return now - self._report_at < COLLECTOR_SILENT_S
+        return now - self._report_at < COLLECTING_S
 
     def record_report(self, report: QuotaReport, now: float) -> QuotaAnswer:
         """Add the counts of a host, and return the answer to it."""
@@ -231,7 +233,7 @@
             if known is None:
                 # Of a collector that is older than this acquaintance, what it added before is
                 # part of the credit already.
-                is_known = record.is_new or now - record.met_at > 2.0 * SUMS_INTERVAL_S
+                is_known = record.is_new or now - record.met_at > 4.0 * SUMS_INTERVAL_S
                 known = 0 if is_known else count
             record.counts[team] = count
             record.demands[team] = demand
@@ -250,6 +252,8 @@
 
     def _wake(self, now: float) -> None:
         """Forget what is out of date after a time without input, such as a frozen host."""
+        if now - self._input_at > FROZEN_S:
+            self._thawed_until = now + THAW_S
         if now - self._input_at > IDLE_RESET_S:
             self._fresh_until = now + FRESH_S
             self._collectors.clear()
@@ -341,9 +345,10 @@
         is_frozen = self._updated_at > self._collecting_since and (
             now - self._updated_at > FROZEN_S
         )
-        if is_frozen or now < self._thawed_until:
+        if is_frozen:
+            self._thawed_until = now + THAW_S
+        if now < self._thawed_until:
             # After a freeze, what arrived meanwhile is read first; nobody seems to be heard before.
-            self._thawed_until = now + THAW_S if is_frozen else self._thawed_until
             self._updated_at = now
             return
         heard = 0
--- a/amaranthbend/core/quotas.py
+++ b/amaranthbend/core/quotas.py
@@ -26,7 +26,7 @@
 # first alert on.
 BURST_FACTOR = 1.25
 # Time in which credit above or below 0 is used up or regained while it is scarce.
-BALANCE_S = 0.5
+BALANCE_S = 1.0
 REPORT_INTERVAL_S = 1.0
 # Part by which intervals vary, so that the reports of hosts that started together spread out.
 REPORT_SPREAD = 0.25
@@ -36,16 +36,16 @@
 MIN_REPORT_INTERVAL_S = 0.1
 # A report without an answer for this long is sent again. Round trips take
 # 3 ms; the rest is for busy hosts.
-ANSWER_TIMEOUT_S = 0.12
+ANSWER_TIMEOUT_S = 0.07
 # Time without an answer after which a host uses its share only: one repetition.
-STALE_WAIT_S = 0.15
+STALE_WAIT_S = 0.1
 # Age of the last answer from which a host uses its share only: one report and one repetition.
 STALE_AGE_S = 1.4
 # Requests of a team that a host may count before it reports them early: a number, a multiple of
 # those that are usual in the time since the last report, and a part of the host's share of the
 # credit.
 EARLY_REPORT_COUNT = 2
-EARLY_REPORT_FACTOR = 1.5
+EARLY_REPORT_FACTOR = 1.0
 EARLY_REPORT_SHARE = 0.25
 # Part of its share that a host uses without answers: demand may have moved since the last one.
 STALE_SHARE = 0.8
