--- a/amaranthbend/core/quota_node.py
+++ b/amaranthbend/core/quota_node.py
@@ -18,7 +18,7 @@
 
 QuotaMessage = QuotaReport | QuotaAnswer | CollectorSums
 
-UPDATE_INTERVAL_S = 0.5
+UPDATE_INTERVAL_S = 0.25
 # First hosts of the own data centre that get all sums. While hosts are added, some know others as
 # the first ones; with four, the collectors of both views nearly always know each other.
 UPDATED_HOSTS = 4
--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -24,9 +24,9 @@
 # Silence after which a host counts as cut off: one report and its repetitions.
 SILENT_S = 1.7
 # The same after an alert, which every host answers at once.
-SILENT_AFTER_ALERT_S = 0.4
+SILENT_AFTER_ALERT_S = 0.3
 # Silence of a collector after which its sums count as cut off.
-COLLECTOR_SILENT_S = 1.25
+COLLECTOR_SILENT_S = 1.05
 # Time after the last report in which a host goes on collecting.
 COLLECTING_S = 2.2
 # Silence after which a host or a collector is no longer a part of the deployment. Cut-offs are
--- a/amaranthbend/core/quotas.py
+++ b/amaranthbend/core/quotas.py
@@ -47,8 +47,13 @@
 EARLY_REPORT_COUNT = 2
 EARLY_REPORT_FACTOR = 1.0
 EARLY_REPORT_SHARE = 0.25
-# Part of its share that a host uses without answers: demand may have moved since the last one.
-STALE_SHARE = 0.8
+# Part of its share that a host uses without answers, and the part while demand is above a multiple
+# of the usual one and this rate besides. Hosts that are cut off may see more of a team's demand than
+# their number suggests, while the others use the part of the quota that their number allows.
+STALE_SHARE = 0.9
+BURST_STALE_SHARE = 0.4
+BURST_DEMAND_FACTOR = 2.5
+BURST_DEMAND_PER_S = 1.0
 # Shares follow the demand by this part, the rest is divided equally, for teams new to a host.
 DEMAND_WEIGHT = 0.8
 # Smallest demand of a team, as a part of its rate, by which shares are computed.
@@ -89,6 +94,7 @@
         "fleet_demand",
         "demand_share",
         "usual_demand",
+        "answered_usual",
         "_demand",
         "_demand_at",
         "tokens",
@@ -107,6 +113,7 @@
         self.fleet_demand = 0.0
         self.demand_share = 0.0
         self.usual_demand = 0.0
+        self.answered_usual = 0.0
         self._demand = 0.0
         self._demand_at = now
         self.tokens = 0.0
@@ -247,7 +254,7 @@
             # The others reserve a part of the capacity for hosts that they do not hear.
             state.tokens = share * (START_SHARE * level if is_stale else max(0.0, level))
             state.tokens_at = now
-        rate = STALE_SHARE * rule.rate_per_s
+        rate = self._choose_stale_share(state, now) * rule.rate_per_s
         if not is_stale:
             rate = max(0.0, rule.rate_per_s * self._coverage + level / BALANCE_S)
         capacity = max(1.0, share * rule.capacity * START_SHARE)
@@ -263,6 +270,11 @@
         state.tokens = min(0.0, state.tokens)
         return self._random.random() < chance
 
+    def _choose_stale_share(self, state: _TeamState, now: float) -> float:
+        """Return which part of its share the host uses without answers."""
+        usual = BURST_DEMAND_FACTOR * state.answered_usual + BURST_DEMAND_PER_S
+        return BURST_STALE_SHARE if state.measure_demand(now) > usual else STALE_SHARE
+
     def _is_stale(self, state: _TeamState, now: float) -> bool:
         """Return whether answers are too old, or are missing while much is unconfirmed."""
         if self._answered_at is None:
@@ -386,6 +398,7 @@
             state.fleet_demand = credit.demand_per_s
             demand = state.measure_demand(now)
             least = MIN_DEMAND_SHARE * state.rule.rate_per_s
+            state.answered_usual = state.usual_demand
             state.demand_share = demand / max(demand, credit.demand_per_s, least)
 
     def _advance_report(self, report_at: float) -> None:
