--- a/amaranthbend/core/quota_node.py
+++ b/amaranthbend/core/quota_node.py
@@ -19,6 +19,8 @@
 QuotaMessage = QuotaReport | QuotaAnswer | CollectorSums
 
 UPDATE_INTERVAL_S = 0.25
+# Interval in which hosts that do not collect get sums, in case they have to.
+UPDATE_OTHERS_INTERVAL_S = 0.9
 # First hosts of the own data centre that get all sums. While hosts are added, some know others as
 # the first ones; with four, the collectors of both views nearly always know each other.
 UPDATED_HOSTS = 4
@@ -79,6 +81,7 @@
         self._other_collectors: tuple[str, ...] = ()
         self._met_collectors: dict[str, float] = {}
         self._unanswered = 0
+        self._updates_at = now
         self._update_at = now
         self._step_at = now
         self._thawed_at = now - THAW_S
@@ -200,10 +203,16 @@
         )
 
     def _list_collectors(self, now: float) -> list[str]:
-        """Return the addresses of the collectors that get the sums of this host."""
+        """Return the addresses that get the sums of this host.
+
+        Collectors get all of them. Hosts that would have to collect next get some.
+        """
         for address, met_at in list(self._met_collectors.items()):
             if now - met_at > MET_COLLECTOR_S:
                 del self._met_collectors[address]
+        if self._met_collectors and now < self._updates_at and not self.sums.is_early:
+            return [address for address in self._met_collectors if address != self._address]
+        self._updates_at = now + UPDATE_OTHERS_INTERVAL_S
         first = self._order[:UPDATED_HOSTS]
         own = [self._addresses[host] for host in first]
         addresses = dict.fromkeys((*own, *self._other_collectors, *self._met_collectors))
--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -22,13 +22,16 @@
 ]
 
 # Silence after which a host counts as cut off: one report and its repetitions.
-SILENT_S = 1.7
+SILENT_S = 2.1
 # The same after an alert, which every host answers at once.
 SILENT_AFTER_ALERT_S = 0.3
+# Part of the hosts that has to fall silent for credit to be reserved for what they have admitted
+# meanwhile. Fewer are hosts that restart, or lost datagrams.
+RESERVE_FROM_SHARE = 0.06
 # Silence of a collector after which its sums count as cut off.
 COLLECTOR_SILENT_S = 1.05
 # Time after the last report in which a host goes on collecting.
-COLLECTING_S = 2.2
+COLLECTING_S = 2.6
 # Silence after which a host or a collector is no longer a part of the deployment. Cut-offs are
 # shorter; hosts that were removed stay in the directory.
 FORGET_S = 20.0
@@ -143,11 +146,11 @@
         self._alerted: dict[int, float] = {}
         # Requests by team that were added since the last message that named the team.
         self._unsent: dict[int, int] = {}
-        self._is_early = False
+        self.is_early = False
         self._updated_at = -FORGET_S
         self._thawed_until = now
         self._heard = 0
-        self._uncovered = 0
+        self._reserved_hosts = 0
         self._known = 1
         self._expected = 0
         self._expected_until = now
@@ -393,25 +396,26 @@
             coverages = [
                 record.coverage
                 for record in self._collectors.values()
-                if now - record.heard_at < COLLECTOR_SILENT_S
+                if now - record.heard_at < SILENT_S
             ]
             if coverages:
                 uncovered = min(uncovered, round((1.0 - min(coverages)) * known))
-        newly_uncovered = uncovered - self._uncovered
+        reserved_hosts = uncovered if uncovered > RESERVE_FROM_SHARE * known else 0
+        newly_reserved = max(0, reserved_hosts - self._reserved_hosts)
+        self._reserved_hosts = reserved_hosts
         for credit in self._credits.values():
             credit.refill(now, self.coverage)
-            if newly_uncovered > 0:
+            if newly_reserved:
                 rule = credit.rule
                 reserved = START_SHARE * rule.capacity + rule.rate_per_s * SILENT_S
-                credit.consume(reserved * newly_uncovered / known)
-        self._uncovered = uncovered
+                credit.consume(reserved * newly_reserved / known)
         self._known = max(1, known)
         self.coverage = 1.0 if known == 0 else (known - uncovered) / known
 
     def get_next_sums_time(self) -> float:
         """Return the time at which the next sums should be sent."""
         due_at = self._sums_at + SUMS_INTERVAL_S
-        if self._is_early:
+        if self.is_early:
             due_at = min(due_at, self._scarce_sums_at + SCARCE_SUMS_INTERVAL_S)
         return due_at
 
@@ -422,7 +426,7 @@
     def _note_unsent(self, team: int, count: int) -> None:
         """Send sums early if the credit is scarce, or much of it was used since the last ones."""
         self._unsent[team] = self._unsent.get(team, 0) + count
-        self._is_early = self._is_early or self._is_urgent(team)
+        self.is_early = self.is_early or self._is_urgent(team)
 
     def _is_urgent(self, team: int) -> bool:
         credit, unsent = self._credits.get(team), self._unsent.get(team, 0)
@@ -442,7 +446,7 @@
             teams = [team for team in self._credits if team in self._counts]
         else:
             teams = [team for team in self._unsent if self._is_urgent(team)]
-        self._is_early = False
+        self.is_early = False
         for team in teams:
             self._unsent.pop(team, None)
         messages: list[CollectorSums] = []
--- a/amaranthbend/core/quotas.py
+++ b/amaranthbend/core/quotas.py
@@ -27,7 +27,7 @@
 BURST_FACTOR = 1.25
 # Time in which credit above or below 0 is used up or regained while it is scarce.
 BALANCE_S = 1.0
-REPORT_INTERVAL_S = 1.0
+REPORT_INTERVAL_S = 1.3
 # Part by which intervals vary, so that the reports of hosts that started together spread out.
 REPORT_SPREAD = 0.25
 SCARCE_REPORT_INTERVAL_S = 0.25
@@ -37,10 +37,13 @@
 # A report without an answer for this long is sent again. Round trips take
 # 3 ms; the rest is for busy hosts.
 ANSWER_TIMEOUT_S = 0.07
+# Reports follow each other more slowly once no collector has answered for this time.
+LOST_AFTER_S = 1.0
+LOST_INTERVAL_S = 0.3
 # Time without an answer after which a host uses its share only: one repetition.
 STALE_WAIT_S = 0.1
 # Age of the last answer from which a host uses its share only: one report and one repetition.
-STALE_AGE_S = 1.4
+STALE_AGE_S = 1.8
 # Requests of a team that a host may count before it reports them early: a number, a multiple of
 # those that are usual in the time since the last report, and a part of the host's share of the
 # credit.
@@ -343,7 +346,8 @@
         if self._waiting_since is None:
             self._waiting_since = now
         self._last_report_at = now
-        self.next_report_at = now + ANSWER_TIMEOUT_S
+        is_lost = now - self._waiting_since > LOST_AFTER_S
+        self.next_report_at = now + (LOST_INTERVAL_S if is_lost else ANSWER_TIMEOUT_S)
         return reports
 
     def apply_answer(self, answer: QuotaAnswer, now: float) -> bool:
