--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -229,8 +229,13 @@
         silent_s = now - record.heard_at
         record.sequence = sums.sequence
         record.data_centre = sums.data_centre
+        record.coverage = sums.coverage
+        record.heard_at = now
+        # A host that does not collect gets sums late, and takes the credit of those that hear the
+        # most. So does a new collector, if that is lower.
         is_collecting = self.is_collecting(now)
-        is_older = sums.age_s > now - self._started_at
+        is_best = sums.coverage >= self._find_best_coverage(now)
+        is_fresh = now < self._fresh_until and sums.age_s > now - self._started_at
         for team, count, demand, level in sums.sums:
             known = record.counts.get(team)
             if known is None:
@@ -240,19 +245,28 @@
                 known = 0 if is_known else count
             record.counts[team] = count
             record.demands[team] = demand
-            if count != known:
+            if count != known and is_collecting:
                 self._consume(team, count - known, silent_s, record.heard, now)
             credit = self._credits.get(team)
             if credit is None:
                 continue
-            if not is_collecting or (now < self._fresh_until and is_older):
-                credit.refill(now, self.coverage)
-                credit.level = min(credit.level, level)
-        record.coverage = sums.coverage
-        record.heard_at = now
+            if is_best and (is_fresh or not is_collecting):
+                known_level = credit.refill(now, self.coverage)
+                credit.level = min(known_level, level) if is_collecting else level
         record.heard = sums.heard
         record.known = sums.known
 
+    def _find_best_coverage(self, now: float) -> float:
+        """Return the highest coverage that a collector has stated recently, 0 without any."""
+        return max(
+            (
+                record.coverage
+                for record in self._collectors.values()
+                if now - record.heard_at < SILENT_S
+            ),
+            default=0.0,
+        )
+
     def _wake(self, now: float) -> None:
         """Forget what is out of date after a time without input, such as a frozen host."""
         if now - self._input_at > FROZEN_S:
@@ -393,13 +407,9 @@
     def _set_coverage(self, known: int, uncovered: int, now: float) -> None:
         """Let credit accrue for the hosts that are heard, and reserve some for those just lost."""
         if now < self._collecting_since + ACQUAINTANCE_S:
-            coverages = [
-                record.coverage
-                for record in self._collectors.values()
-                if now - record.heard_at < SILENT_S
-            ]
-            if coverages:
-                uncovered = min(uncovered, round((1.0 - min(coverages)) * known))
+            coverage = self._find_best_coverage(now)
+            if coverage:
+                uncovered = min(uncovered, round((1.0 - coverage) * known))
         reserved_hosts = uncovered if uncovered > RESERVE_FROM_SHARE * known else 0
         newly_reserved = max(0, reserved_hosts - self._reserved_hosts)
         self._reserved_hosts = reserved_hosts
