--- a/amaranthbend/core/quota_credit.py
+++ b/amaranthbend/core/quota_credit.py
@@ -12,6 +12,10 @@
 # Part of the permitted excess by which the capacity of the credit exceeds the burst, so that a team
 # below its limit is not refused because hosts know the totals late. The rest is for late counts.
 CAPACITY_SHARE = 0.25
+# A longer gap between two refills means that the host was frozen; the counts of that time are read
+# within the second time.
+GAP_S = 1.0
+SPARE_S = 0.3
 # A team whose rate in this time is within the slack needs no alerts: what it sends until the next
 # reports, at several times its usual rate, is within the slack too.
 ALERT_RATE_PERIOD_S = 8.0
@@ -103,22 +107,34 @@
         Present time.
     """
 
-    __slots__ = ("rule", "level", "_updated_at")
+    __slots__ = ("rule", "level", "_updated_at", "_spare", "_spare_until")
 
     def __init__(self, rule: QuotaRule, level: float, now: float) -> None:
         self.rule = rule
         self.level = level
         self._updated_at = now
+        self._spare = 0.0
+        self._spare_until = now
 
     def refill(self, now: float, coverage: float = 1.0) -> float:
         """Add what has accrued, in proportion to the coverage, and return the level."""
         elapsed_s = max(0.0, now - self._updated_at)
         self._updated_at = now
         accrued = self.rule.rate_per_s * coverage * elapsed_s
-        self.level = min(self.rule.capacity, self.level + accrued)
+        level = self.level + accrued
+        self.level = min(self.rule.capacity, level)
+        if elapsed_s > GAP_S:
+            # The host was frozen. The requests of that time are counted next, all at once, and use
+            # what would not have been lost if they had been counted in time.
+            self._spare = level - self.level
+            self._spare_until = now + SPARE_S
         return self.level
 
     def consume(self, count: float) -> None:
         """Subtract admitted requests; a negative number is a refund."""
+        if self._spare and count > 0:
+            used = min(count, self._spare) if self._updated_at < self._spare_until else 0.0
+            self._spare = self._spare - used if used else 0.0
+            count -= used
         lowest = -MAX_DEBT_S * self.rule.rate_per_s
         self.level = min(self.rule.capacity, max(lowest, self.level - count))
--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -28,6 +28,8 @@
 # Part of the hosts that has to fall silent for credit to be reserved for what they have admitted
 # meanwhile. Fewer are hosts that restart, or lost datagrams.
 RESERVE_FROM_SHARE = 0.06
+# Time for which the rate is reserved then: the longest until they are missed.
+RESERVED_S = 2.0
 # Silence of a collector after which its sums count as cut off.
 COLLECTOR_SILENT_S = 1.05
 # Time after the last report in which a host goes on collecting.
@@ -417,7 +419,7 @@
             credit.refill(now, self.coverage)
             if newly_reserved:
                 rule = credit.rule
-                reserved = START_SHARE * rule.capacity + rule.rate_per_s * SILENT_S
+                reserved = START_SHARE * rule.capacity + rule.rate_per_s * RESERVED_S
                 credit.consume(reserved * newly_reserved / known)
         self._known = max(1, known)
         self.coverage = 1.0 if known == 0 else (known - uncovered) / known
