--- a/amaranthbend/core/quota_credit.py
+++ b/amaranthbend/core/quota_credit.py
@@ -19,9 +19,9 @@
 # A team whose rate in this time is within the slack needs no alerts: what it sends until the next
 # reports, at several times its usual rate, is within the slack too.
 ALERT_RATE_PERIOD_S = 8.0
-# Part of the capacity, and requests missing from it, at which a burst is taken to have begun. A team
-# at its usual rate seldom lacks so many, whatever its rate: the sum of arrivals above the rate does
-# not grow with it. The part that grows with the rate is what hosts report late.
+# Part of the capacity, and requests missing from it, at which a burst is taken to have begun. A
+# team at its usual rate seldom lacks so many, whatever its rate: the sum of arrivals above the rate
+# does not grow with it. The part that grows with the rate is what hosts report late.
 ALERT_SHARE = 0.5
 ALERT_DEFICIT = 10.0
 ALERT_DEFICIT_S = 0.3
--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -354,9 +354,7 @@
             if not concerned or now - record.heard_at > SILENT_S:
                 continue
             record.alerted_at = now
-            alerts[host] = QuotaAnswer(
-                0, record.incarnation, self._known, self.coverage, concerned
-            )
+            alerts[host] = QuotaAnswer(0, record.incarnation, self._known, self.coverage, concerned)
         return alerts
 
     def update(self, now: float) -> None:
--- a/amaranthbend/core/quotas.py
+++ b/amaranthbend/core/quotas.py
@@ -51,8 +51,8 @@
 EARLY_REPORT_FACTOR = 1.0
 EARLY_REPORT_SHARE = 0.25
 # Part of its share that a host uses without answers, and the part while demand is above a multiple
-# of the usual one and this rate besides. Hosts that are cut off may see more of a team's demand than
-# their number suggests, while the others use the part of the quota that their number allows.
+# of the usual one and this rate besides. Hosts that are cut off may see more of a team's demand
+# than their number suggests, while the others use the part of the quota that their number allows.
 STALE_SHARE = 0.9
 BURST_STALE_SHARE = 0.4
 BURST_DEMAND_FACTOR = 2.5
@@ -382,8 +382,7 @@
         self._coverage = answer.coverage
         self._set_credits(answer.credits, now)
         is_scarce = any(
-            credit.level < FREQUENT_SHARE * state.rule.capacity
-            and state.is_reported
+            credit.level < FREQUENT_SHARE * state.rule.capacity and state.is_reported
             for credit in answer.credits
             if (state := self._teams.get(credit.team)) is not None
         )
--- a/benchmarks/quotas.py
+++ b/benchmarks/quotas.py
@@ -14,6 +14,7 @@
 
 import fire
 
+from amaranthbend.core.collectors import order_hosts
 from amaranthbend.core.policy import TeamPolicy
 from amaranthbend.core.quota_credit import Credit, QuotaMargins, QuotaRule, make_rules
 from amaranthbend.core.quota_messages import compute_id
@@ -279,7 +280,8 @@
             used = 2 * count if is_peak else count
             host = self.random.choices(hosts[:used], weights[:used])[0]
             self.schedule(
-                at, lambda host=host: self._request(scheme, host, team, True)  # type: ignore[misc]
+                at,
+                lambda host=host: self._request(scheme, host, team, True),  # type: ignore[misc]
             )
 
     def _request(self, scheme: Scheme, host: Host, team: TeamPolicy, is_first: bool) -> None:
@@ -386,14 +388,10 @@
         model.schedule(listed_at, lambda: self._set_hosts(host, node))
 
     def _order(self, names: dict[str, str], host: Host) -> list[str]:
-        from amaranthbend.core.collectors import order_hosts
-
         return order_hosts(self._hide_first(names, host))
 
     def _hide_first(self, names: dict[str, str], host: Host) -> list[str]:
         """Return the hosts that a host knows: half of them miss the first one of two views."""
-        from amaranthbend.core.collectors import order_hosts
-
         known = list(names)
         if self._model.case.is_view_split and host.index % 2:
             known.remove(order_hosts(known)[0])
@@ -408,8 +406,6 @@
 
     def list_first(self) -> list[Host]:
         """Return the first collector of each data centre."""
-        from amaranthbend.core.collectors import order_hosts
-
         return [self._by_name[order_hosts(list(names))[0]] for names in self._centres.values()]
 
     def admit(self, host: Host, team: TeamPolicy, now: float) -> tuple[bool, float]:
@@ -657,7 +653,11 @@
 
 
 def main(
-    hosts: int = 139, seeds: int = 1, schemes: str = "", cases: str = "", rates: str = "2,16,160"
+    hosts: int = 139,
+    seeds: int = 3,
+    schemes: str = "",
+    cases: str = "",
+    rates: str = "2,4,8,16,32,80,160",
 ) -> None:
     """Print the figures of the cases as a Markdown table, each the worst of the seeds.
 
