--- a/amaranthbend/core/quotas.py
+++ b/amaranthbend/core/quotas.py
@@ -217,7 +217,8 @@
             return Admission(False, self._draw_retry_delay(state, level))
         state.count += 1
         unacked = state.count - state.acked
-        usual = EARLY_REPORT_FACTOR * state.usual_demand * (now - self._last_report_at)
+        elapsed_s = min(REPORT_INTERVAL_S, now - self._last_report_at)
+        usual = EARLY_REPORT_FACTOR * state.usual_demand * elapsed_s
         if unacked >= max(EARLY_REPORT_COUNT + usual, EARLY_REPORT_SHARE * share * level):
             self._advance_report(now)
         elif state.is_scarce:
