--- a/amaranthbend/core/quota_credit.py
+++ b/amaranthbend/core/quota_credit.py
@@ -130,6 +130,11 @@
             self._spare_until = now + SPARE_S
         return self.level
 
+    def lower(self, level: float) -> None:
+        """Lower the credit to a level, and forget what a freeze has left over."""
+        self.level = min(self.level, level)
+        self._spare = 0.0
+
     def consume(self, count: float) -> None:
         """Subtract admitted requests; a negative number is a refund."""
         if self._spare and count > 0:
--- a/amaranthbend/core/quota_node.py
+++ b/amaranthbend/core/quota_node.py
@@ -151,8 +151,10 @@
         if isinstance(message, QuotaReport):
             self._reporting_addresses[message.host] = address
             answer = self.sums.record_report(message, now)
-            outgoing = [Outgoing(answer, address)] if now - self._thawed_at >= THAW_S else []
-            return outgoing + self._make_alerts(now)
+            alerts = self._make_alerts(now)
+            if now - self._thawed_at < THAW_S:
+                return alerts
+            return [Outgoing(answer, address), *alerts]
         if isinstance(message, CollectorSums):
             self.sums.record_sums(message, now)
             if address not in self._met_collectors and self.sums.is_collecting(now):
--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -50,8 +50,8 @@
 SCARCE_SUMS_INTERVAL_S = 0.1
 ALERT_INTERVAL_S = 1.0
 # Time in which a host that begins to collect takes the coverage from other collectors: until then
-# they do not know it, and send it nothing.
-ACQUAINTANCE_S = 0.12
+# they do not know it, and send it few sums.
+ACQUAINTANCE_S = 0.1
 # Part of the capacity below which collectors exchange sums often, and requests and part that a
 # collector may add up before it tells the others early.
 FREQUENT_SHARE = 0.5
@@ -278,7 +278,7 @@
             self._collectors.clear()
             for credit in self._credits.values():
                 credit.refill(now, self.coverage)
-                credit.level = min(credit.level, START_SHARE * credit.rule.capacity)
+                credit.lower(START_SHARE * credit.rule.capacity)
         self._input_at = now
 
     def _consume(self, team: int, count: int, silent_s: float, hosts: int, now: float) -> None:
