--- a/amaranthbend/core/quota_credit.py
+++ b/amaranthbend/core/quota_credit.py
@@ -11,7 +11,7 @@
 
 # Part of the permitted excess by which the capacity of the credit exceeds the burst, so that a team
 # below its limit is not refused because hosts know the totals late. The rest is for late counts.
-CAPACITY_SHARE = 0.25
+CAPACITY_SHARE = 0.2
 # A longer gap between two refills means that the host was frozen; the counts of that time are read
 # within the second time.
 GAP_S = 1.0
--- a/amaranthbend/core/quotas.py
+++ b/amaranthbend/core/quotas.py
@@ -49,6 +49,9 @@
 # credit.
 EARLY_REPORT_COUNT = 2
 EARLY_REPORT_FACTOR = 1.0
+# Usual demand of a team below which each of its requests is reported at once: callers keep their
+# connections, so that requests at a new host are retries or the begin of a burst.
+NEW_TEAM_PER_S = 0.05
 EARLY_REPORT_SHARE = 0.25
 # Part of its share that a host uses without answers, and the part while demand is above a multiple
 # of the usual one and this rate besides. Hosts that are cut off may see more of a team's demand
@@ -219,7 +222,9 @@
         unacked = state.count - state.acked
         elapsed_s = min(REPORT_INTERVAL_S, now - self._last_report_at)
         usual = EARLY_REPORT_FACTOR * state.usual_demand * elapsed_s
-        if unacked >= max(EARLY_REPORT_COUNT + usual, EARLY_REPORT_SHARE * share * level):
+        is_new = state.usual_demand < NEW_TEAM_PER_S
+        early = max(EARLY_REPORT_COUNT + usual, EARLY_REPORT_SHARE * share * level)
+        if is_new or unacked >= early:
             self._advance_report(now)
         elif state.is_scarce:
             self._advance_report(now + SCARCE_REPORT_INTERVAL_S)
