--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -15,6 +15,7 @@
 
 from .quota_credit import AMPLE_SHARE, START_SHARE, Credit, QuotaRule
 from .quota_messages import CollectorSums, QuotaAnswer, QuotaReport, TeamCredit, TeamSum
+from .quota_records import CollectorRecord, HostRecord
 
 __all__ = [
     "FORGET_S",
@@ -38,11 +39,12 @@
 # shorter; hosts that were removed stay in the directory.
 FORGET_S = 20.0
 # A collector without any input for this long knows nothing about the present credit.
-IDLE_RESET_S = 3.0
+IDLE_RESET_S = 6.0
 # Time in which a new collector takes the credit that others know, if it is lower.
 FRESH_S = 2.0
-# A collector that is met for the first time adds its whole sum if it started within this time.
-NEW_COLLECTOR_AGE_S = 5.0
+# Time after the start of a process in which it expects no hosts that it has not heard: after a
+# restart of all hosts they report one after the other.
+WARM_UP_S = 5.0
 # A longer pause between two updates of a collector means that the host was frozen.
 FROZEN_S = 1.5
 THAW_S = 0.3
@@ -61,59 +63,6 @@
 MAX_SUMS = 48
 
 
-class _HostRecord:
-    """What a collector knows of a host that reports to it."""
-
-    __slots__ = (
-        "incarnation",
-        "earlier_incarnation",
-        "heard_at",
-        "alerted_at",
-        "counts",
-        "demands",
-    )
-
-    def __init__(self, incarnation: int, earlier_incarnation: int, now: float) -> None:
-        self.incarnation = incarnation
-        self.earlier_incarnation = earlier_incarnation
-        self.heard_at = now
-        self.alerted_at = -FORGET_S
-        # Number of the report and count, by team.
-        self.counts: dict[int, tuple[int, int]] = {}
-        self.demands: dict[int, float] = {}
-
-
-class _CollectorRecord:
-    """What a collector knows of another one."""
-
-    __slots__ = (
-        "incarnation",
-        "sequence",
-        "data_centre",
-        "heard",
-        "known",
-        "heard_at",
-        "counts",
-        "demands",
-        "is_new",
-        "met_at",
-        "coverage",
-    )
-
-    def __init__(self, sums: CollectorSums, now: float) -> None:
-        self.incarnation = sums.incarnation
-        self.sequence = -1
-        self.data_centre = sums.data_centre
-        self.heard = 0
-        self.known = 0
-        self.heard_at = now
-        self.counts: dict[int, int] = {}
-        self.demands: dict[int, float] = {}
-        self.is_new = sums.age_s < NEW_COLLECTOR_AGE_S
-        self.met_at = now
-        self.coverage = 1.0
-
-
 class QuotaSums:
     """Adds up the counts of hosts and of other collectors.
 
@@ -133,8 +82,8 @@
         self._data_centre = data_centre
         self._started_at = now
         self._credits: dict[int, Credit] = {}
-        self._hosts: dict[int, _HostRecord] = {}
-        self._collectors: dict[int, _CollectorRecord] = {}
+        self._hosts: dict[int, HostRecord] = {}
+        self._collectors: dict[int, CollectorRecord] = {}
         self._counts: dict[int, int] = {}
         self._demands: dict[int, float] = {}
         self._sequence = 0
@@ -199,7 +148,7 @@
             earlier = 0 if record is None else record.incarnation
             if record is not None:
                 self._drop_demands(record)
-            record = self._hosts[report.host] = _HostRecord(report.incarnation, earlier, now)
+            record = self._hosts[report.host] = HostRecord(report.incarnation, earlier, now)
         record.heard_at = now
         for team, count, unacked, demand in report.counts:
             known_sequence, known = record.counts.get(team, (-1, 0))
@@ -225,7 +174,7 @@
         self._wake(now)
         record = self._collectors.get(sums.collector)
         if record is None or record.incarnation != sums.incarnation:
-            record = self._collectors[sums.collector] = _CollectorRecord(sums, now)
+            record = self._collectors[sums.collector] = CollectorRecord(sums, now)
         if sums.sequence <= record.sequence:
             return
         silent_s = now - record.heard_at
@@ -294,7 +243,7 @@
             charged = max(0.0, charged - reserved * hosts / max(1, self._known))
         credit.consume(charged)
 
-    def _drop_demands(self, record: _HostRecord) -> None:
+    def _drop_demands(self, record: HostRecord) -> None:
         for team, demand in record.demands.items():
             self._demands[team] = self._demands.get(team, 0.0) - demand
         record.demands.clear()
@@ -400,7 +349,7 @@
         covered = sum(
             min(count, known_by_centre[centre]) for centre, count in heard_by_centre.items()
         )
-        if now < self._expected_until:
+        if now < self._expected_until and now > self._started_at + WARM_UP_S:
             known = max(known, self._expected)
         self._set_coverage(known, known - covered, now)
 
--- a/amaranthbend/core/quotas.py
+++ b/amaranthbend/core/quotas.py
@@ -106,6 +106,8 @@
         "tokens",
         "tokens_at",
         "is_scarce",
+        "refused",
+        "refused_at",
         "is_reported",
         "acked_sequence",
     )
@@ -125,6 +127,8 @@
         self.tokens = 0.0
         self.tokens_at = now
         self.is_scarce = False
+        self.refused = 0.0
+        self.refused_at = now
         self.is_reported = False
         self.acked_sequence = 0
 
@@ -217,7 +221,7 @@
         level = self._estimate_level(state, now)
         if not self._may_spend(state, share, level, now):
             self._advance_report(now + SCARCE_REPORT_INTERVAL_S)
-            return Admission(False, self._draw_retry_delay(state, level))
+            return Admission(False, self._draw_retry_delay(state, level, now))
         state.count += 1
         unacked = state.count - state.acked
         elapsed_s = min(REPORT_INTERVAL_S, now - self._last_report_at)
@@ -317,12 +321,18 @@
         level += max(0.0, rate - min(rate, state.fleet_demand)) * age_s
         return min(rule.capacity, level) - (state.count - state.acked)
 
-    def _draw_retry_delay(self, state: _TeamState, level: float) -> float:
-        """Return when credit returns, spread over the time in which refused callers fit in."""
+    def _draw_retry_delay(self, state: _TeamState, level: float, now: float) -> float:
+        """Return when credit returns, spread over the time in which refused callers fit in.
+
+        That time follows from the demand at all hosts, or from the callers refused here if they are
+        more: many at once would otherwise come back together, each at another host.
+        """
         rate = state.rule.rate_per_s
+        state.refused = max(0.0, state.refused - rate * (now - state.refused_at)) + 1.0
+        state.refused_at = now
         returns_after_s = max(0.0, -level) / rate
         excess = state.fleet_demand / rate - 1.0
-        spread_s = min(MAX_SPREAD_S, max(MIN_SPREAD_S, 1.0 / rate, excess))
+        spread_s = min(MAX_SPREAD_S, max(MIN_SPREAD_S, excess, state.refused / rate))
         return returns_after_s + self._random.uniform(0.1, 1.0) * spread_s
 
     def make_reports(self, now: float) -> list[QuotaReport]:
