--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -23,7 +23,7 @@
 ]
 
 # Silence after which a host counts as cut off: one report and its repetitions.
-SILENT_S = 2.1
+SILENT_S = 2.5
 # The same after an alert, which every host answers at once.
 SILENT_AFTER_ALERT_S = 0.3
 # Part of the hosts that has to fall silent for credit to be reserved for what they have admitted
@@ -34,7 +34,7 @@
 # Silence of a collector after which its sums count as cut off.
 COLLECTOR_SILENT_S = 1.05
 # Time after the last report in which a host goes on collecting.
-COLLECTING_S = 2.6
+COLLECTING_S = 3.0
 # Silence after which a host or a collector is no longer a part of the deployment. Cut-offs are
 # shorter; hosts that were removed stay in the directory.
 FORGET_S = 20.0
@@ -58,7 +58,7 @@
 # collector may add up before it tells the others early.
 FREQUENT_SHARE = 0.5
 EARLY_SUMS_COUNT = 5
-EARLY_SUMS_SHARE = 0.2
+EARLY_SUMS_SHARE = 0.3
 # Teams in one message, so that it fits into a datagram that is not fragmented.
 MAX_SUMS = 48
 
--- a/amaranthbend/core/quotas.py
+++ b/amaranthbend/core/quotas.py
@@ -27,7 +27,7 @@
 BURST_FACTOR = 1.25
 # Time in which credit above or below 0 is used up or regained while it is scarce.
 BALANCE_S = 1.0
-REPORT_INTERVAL_S = 1.3
+REPORT_INTERVAL_S = 1.6
 # Part by which intervals vary, so that the reports of hosts that started together spread out.
 REPORT_SPREAD = 0.25
 SCARCE_REPORT_INTERVAL_S = 0.25
@@ -43,7 +43,7 @@
 # Time without an answer after which a host uses its share only: one repetition.
 STALE_WAIT_S = 0.1
 # Age of the last answer from which a host uses its share only: one report and one repetition.
-STALE_AGE_S = 1.8
+STALE_AGE_S = 2.1
 # Requests of a team that a host may count before it reports them early: a number, a multiple of
 # those that are usual in the time since the last report, and a part of the host's share of the
 # credit.
@@ -51,7 +51,7 @@
 EARLY_REPORT_FACTOR = 1.0
 # Usual demand of a team below which each of its requests is reported at once: callers keep their
 # connections, so that requests at a new host are retries or the begin of a burst.
-NEW_TEAM_PER_S = 0.05
+NEW_TEAM_PER_S = 0.02
 EARLY_REPORT_SHARE = 0.25
 # Part of its share that a host uses without answers, and the part while demand is above a multiple
 # of the usual one and this rate besides. Hosts that are cut off may see more of a team's demand
