--- a/amaranthbend/controllers/quota_exchange.py
+++ b/amaranthbend/controllers/quota_exchange.py
@@ -168,6 +168,10 @@
         try:
             await asyncio.Event().wait()
         finally:
+            # The last counts of a process that stops.
+            now = time.monotonic()
+            self.node.ledger.next_report_at = now
+            self._send(self.node.step(now))
             self._is_open = False
             if self._timer is not None:
                 self._timer.cancel()
--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -152,7 +152,7 @@
         record.heard_at = now
         for team, count, unacked, demand in report.counts:
             known_sequence, known = record.counts.get(team, (-1, 0))
-            if known_sequence >= report.sequence:
+            if known_sequence >= report.sequence or team not in self._credits:
                 continue
             # Counts up to the confirmed report are in the sum of some collector already.
             base = known if known_sequence > report.acked else count - unacked
--- a/benchmarks/quota_model.py
+++ b/benchmarks/quota_model.py
@@ -54,6 +54,9 @@
         Time from the start of the burst at which all first collectors end for good.
     is_view_split : bool
         Whether half of the hosts take other hosts for the first collectors.
+    grow_at_s : float or None
+        Time from the start of the burst at which three quarters more hosts start. Those that run
+        already do not know them.
     """
 
     name: str
@@ -65,6 +68,7 @@
     freeze_at_s: float | None = None
     kill_at_s: float | None = None
     is_view_split: bool = False
+    grow_at_s: float | None = None
 
 
 class QuotaFigures(NamedTuple):
@@ -193,6 +197,9 @@
             Hosts that freeze or end where the case says so.
         """
         for host in self.hosts:
+            if self.is_late(host):
+                host.is_up = False
+                continue
             scheme.start_host(host, 0.0)
         self._plan_faults(scheme, collectors)
         for team in self.teams:
@@ -212,6 +219,9 @@
             self.schedule(BURST_AT_S + case.cut_at_s + CUT_OFF_S, lambda: _set_cut(cut, False))
         if case.restart_at_s is not None:
             self.schedule(BURST_AT_S + case.restart_at_s, lambda: self._restart_all(scheme))
+        if case.grow_at_s is not None:
+            late = [host for host in self.hosts if self.is_late(host)]
+            self.schedule(BURST_AT_S + case.grow_at_s, lambda: self._start(scheme, late))
         if case.freeze_at_s is not None:
             self.schedule(BURST_AT_S + case.freeze_at_s, lambda: self._freeze(collectors))
         if case.kill_at_s is not None:
@@ -223,8 +233,15 @@
 
     def _restart_all(self, scheme: Scheme) -> None:
         _stop(self.hosts)
-        for host in self.hosts:
-            starts_at = self.now + RESTART_S + self.random.uniform(0.0, RESTART_SPREAD_S)
+        self.schedule(self.now + RESTART_S, lambda: self._start(scheme, self.hosts))
+
+    def is_late(self, host: Host) -> bool:
+        """Return whether a host starts when hosts are added."""
+        return self.case.grow_at_s is not None and host.index % 7 >= 4
+
+    def _start(self, scheme: Scheme, hosts: list[Host]) -> None:
+        for host in hosts:
+            starts_at = self.now + self.random.uniform(0.0, RESTART_SPREAD_S)
 
             def start(host: Host = host) -> None:
                 host.is_up = True
--- a/benchmarks/quota_schemes.py
+++ b/benchmarks/quota_schemes.py
@@ -52,7 +52,9 @@
         return order_hosts(self._hide_first(names, host))
 
     def _hide_first(self, names: dict[str, str], host: Host) -> list[str]:
-        """Return the hosts that a host knows: half of them miss the first one of two views."""
+        """Return the hosts that a host knows: not all, with two views or while hosts are added."""
+        if not self._model.is_late(host):
+            names = {name: name for name in names if not self._model.is_late(self._by_name[name])}
         known = list(names)
         if self._model.case.is_view_split and host.index % 2:
             known.remove(order_hosts(known)[0])
--- a/benchmarks/quotas.py
+++ b/benchmarks/quotas.py
@@ -30,6 +30,7 @@
     Case("collectors freeze", freeze_at_s=0.5),
     Case("collectors end", kill_at_s=0.5),
     Case("two views", is_view_split=True),
+    Case("hosts are added", grow_at_s=-1.0),
 )
 
 
