--- a/amaranthbend/core/quotas.py
+++ b/amaranthbend/core/quotas.py
@@ -62,6 +62,8 @@
 BURST_DEMAND_PER_S = 1.0
 # Shares follow the demand by this part, the rest is divided equally, for teams new to a host.
 DEMAND_WEIGHT = 0.8
+# Least number of requests that a host may save up from its share.
+MIN_SHARE_CAPACITY = 2.0
 # Smallest demand of a team, as a part of its rate, by which shares are computed.
 MIN_DEMAND_SHARE = 0.5
 DEMAND_PERIOD_S = 1.5
@@ -99,10 +101,12 @@
         "level_at",
         "fleet_demand",
         "demand_share",
+        "usual_share",
         "usual_demand",
         "answered_usual",
         "_demand",
         "_demand_at",
+        "_demand_age_s",
         "tokens",
         "tokens_at",
         "is_scarce",
@@ -120,10 +124,12 @@
         self.level_at = now
         self.fleet_demand = 0.0
         self.demand_share = 0.0
+        self.usual_share = 0.0
         self.usual_demand = 0.0
         self.answered_usual = 0.0
         self._demand = 0.0
         self._demand_at = now
+        self._demand_age_s = 0.0
         self.tokens = 0.0
         self.tokens_at = now
         self.is_scarce = False
@@ -135,7 +141,9 @@
     def measure_demand(self, now: float, arrivals: int = 0) -> float:
         """Add arrivals, and return the requests per second of the last seconds."""
         elapsed_s = max(0.0, now - self._demand_at)
-        weight = min(1.0, elapsed_s / USUAL_PERIOD_S)
+        # A plain mean until the period is over.
+        self._demand_age_s += elapsed_s
+        weight = elapsed_s / max(elapsed_s, min(USUAL_PERIOD_S, self._demand_age_s), 1e-9)
         self.usual_demand += weight * (self._demand - self.usual_demand)
         self._demand *= math.exp(-elapsed_s / DEMAND_PERIOD_S)
         self._demand_at = now
@@ -217,7 +225,7 @@
         if state is None:
             return ADMITTED
         state.measure_demand(now, 1)
-        share = self._get_share(state)
+        share = self._get_share(state.demand_share)
         level = self._estimate_level(state, now)
         if not self._may_spend(state, share, level, now):
             self._advance_report(now + SCARCE_REPORT_INTERVAL_S)
@@ -246,7 +254,7 @@
         return {
             "credit": round(self._estimate_level(state, now), 1),
             "demand": round(state.fleet_demand, 1),
-            "share": round(self._get_share(state), 4),
+            "share": round(self._get_share(state.demand_share), 4),
             "coverage": round(self._coverage, 3),
             "age_ms": int(self.get_silence(now) * 1000),
         }
@@ -254,6 +262,8 @@
     def _may_spend(self, state: _TeamState, share: float, level: float, now: float) -> bool:
         """Return whether the credit, or the host's share of it, covers one more request."""
         is_stale = self._is_stale(state, now)
+        if is_stale:
+            share = self._get_share(state.usual_share)
         rule = state.rule
         scarce_level = max(1.0, SCARCE_SHARE * rule.capacity)
         if state.fleet_demand > BURST_FACTOR * rule.rate_per_s:
@@ -270,7 +280,7 @@
         rate = self._choose_stale_share(state, now) * rule.rate_per_s
         if not is_stale:
             rate = max(0.0, rule.rate_per_s * self._coverage + level / BALANCE_S)
-        capacity = max(1.0, share * rule.capacity * START_SHARE)
+        capacity = max(MIN_SHARE_CAPACITY, share * rule.capacity * START_SHARE)
         accrued = share * rate * max(0.0, now - state.tokens_at)
         state.tokens = min(capacity, state.tokens + accrued)
         state.tokens_at = now
@@ -301,13 +311,13 @@
             and state.count - state.acked >= EARLY_REPORT_COUNT
         )
 
-    def _get_share(self, state: _TeamState) -> float:
+    def _get_share(self, demand_share: float) -> float:
         """Return the part of the team's credit that this host may use by itself.
 
         It follows the demand as of the last answer: without answers, a burst here must not seem to
         be a larger part of the demand at all hosts.
         """
-        return DEMAND_WEIGHT * state.demand_share + (1.0 - DEMAND_WEIGHT) / self._hosts
+        return DEMAND_WEIGHT * demand_share + (1.0 - DEMAND_WEIGHT) / self._hosts
 
     def _estimate_level(self, state: _TeamState, now: float) -> float:
         """Return the credit of a team by the last answer and the counts since then."""
@@ -419,6 +429,7 @@
             least = MIN_DEMAND_SHARE * state.rule.rate_per_s
             state.answered_usual = state.usual_demand
             state.demand_share = demand / max(demand, credit.demand_per_s, least)
+            state.usual_share = min(1.0, state.usual_demand / max(credit.demand_per_s, least))
 
     def _advance_report(self, report_at: float) -> None:
         """Bring the next report forward; one that waits for its answer keeps its time."""
