--- a/amaranthbend/adapters/quota_link.py
+++ b/amaranthbend/adapters/quota_link.py
@@ -34,7 +34,7 @@
 ANSWER_HEAD = struct.Struct("!IQIf")
 CREDIT = struct.Struct("!Qff")
 SUMS_HEAD = struct.Struct("!QQIQfIIf")
-SUM = struct.Struct("!Qqff")
+SUM = struct.Struct("!Qqffq")
 
 
 def encode_message(message: QuotaMessage) -> bytes:
--- a/amaranthbend/core/quota_credit.py
+++ b/amaranthbend/core/quota_credit.py
@@ -12,6 +12,9 @@
 # Part of the permitted excess by which the capacity of the credit exceeds the burst, so that a team
 # below its limit is not refused because hosts know the totals late. The rest is for late counts.
 CAPACITY_SHARE = 0.2
+# Time for which credit that was withheld for hosts that were cut off pays for their requests, once
+# all are heard again.
+WITHHELD_S = 3.0
 # A longer gap between two refills means that the host was frozen; the counts of that time are read
 # within the second time.
 GAP_S = 1.0
@@ -107,7 +110,15 @@
         Present time.
     """
 
-    __slots__ = ("rule", "level", "_updated_at", "_spare", "_spare_until")
+    __slots__ = (
+        "rule",
+        "level",
+        "_updated_at",
+        "_spare",
+        "_spare_until",
+        "_withheld",
+        "_withheld_at",
+    )
 
     def __init__(self, rule: QuotaRule, level: float, now: float) -> None:
         self.rule = rule
@@ -115,12 +126,19 @@
         self._updated_at = now
         self._spare = 0.0
         self._spare_until = now
+        self._withheld = 0.0
+        self._withheld_at = now
 
     def refill(self, now: float, coverage: float = 1.0) -> float:
         """Add what has accrued, in proportion to the coverage, and return the level."""
         elapsed_s = max(0.0, now - self._updated_at)
         self._updated_at = now
         accrued = self.rule.rate_per_s * coverage * elapsed_s
+        if coverage < 1.0:
+            self._withheld += self.rule.rate_per_s * (1.0 - coverage) * elapsed_s
+            self._withheld_at = now
+        elif now > self._withheld_at + WITHHELD_S:
+            self._withheld = 0.0
         level = self.level + accrued
         self.level = min(self.rule.capacity, level)
         if elapsed_s > GAP_S:
@@ -130,6 +148,12 @@
             self._spare_until = now + SPARE_S
         return self.level
 
+    def consume_late(self, count: float) -> None:
+        """Subtract requests of hosts that were cut off, first from what was withheld for them."""
+        used = max(0.0, min(count, self._withheld))
+        self._withheld -= used
+        self.consume(count - used)
+
     def lower(self, level: float) -> None:
         """Lower the credit to a level, and forget what a freeze has left over."""
         self.level = min(self.level, level)
--- a/amaranthbend/core/quota_messages.py
+++ b/amaranthbend/core/quota_messages.py
@@ -111,12 +111,15 @@
         Requests per second at the hosts that report to it, refused ones included.
     level : float
         Credit of the team at all hosts, as the collector knows it.
+    late : int
+        Part of `total` that hosts have reported after they had been cut off.
     """
 
     team: int
     total: int
     demand_per_s: float
     level: float
+    late: int = 0
 
 
 class CollectorSums(NamedTuple):
--- a/amaranthbend/core/quota_node.py
+++ b/amaranthbend/core/quota_node.py
@@ -198,10 +198,12 @@
         A host that is cut off from all others, and is not one of the first, knows no sums at all.
         It uses its share without answers, until the others must be taken for removed.
         """
-        return (
-            self._host in self._order[:COLLECTORS_PER_DATA_CENTRE]
-            or self.sums.is_collecting(now)
-            or self.ledger.get_silence(now) > FORGET_S
+        if self.ledger.get_silence(now) > FORGET_S:
+            return True
+        if self.sums.is_alone:
+            return False
+        return self._host in self._order[:COLLECTORS_PER_DATA_CENTRE] or self.sums.is_collecting(
+            now
         )
 
     def _list_collectors(self, now: float) -> list[str]:
--- a/amaranthbend/core/quota_records.py
+++ b/amaranthbend/core/quota_records.py
@@ -47,6 +47,7 @@
         "is_new",
         "met_at",
         "coverage",
+        "late_until",
     )
 
     def __init__(self, sums: CollectorSums, now: float) -> None:
@@ -56,7 +57,9 @@
         self.heard = 0
         self.known = 0
         self.heard_at = now
-        self.counts: dict[int, int] = {}
+        # Sums and late sums by team.
+        self.counts: dict[int, tuple[int, int]] = {}
+        self.late_until = -math.inf
         self.demands: dict[int, float] = {}
         self.is_new = sums.age_s < NEW_COLLECTOR_AGE_S
         self.met_at = now
--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -45,6 +45,10 @@
 # Time after the start of a process in which it expects no hosts that it has not heard: after a
 # restart of all hosts they report one after the other.
 WARM_UP_S = 5.0
+# Time for which the sums of a collector that was cut off are late ones.
+LATE_SUMS_S = 1.0
+# A collector that hears more hosts by this part knows the credit better.
+BETTER_COVERAGE = 0.1
 # A longer pause between two updates of a collector means that the host was frozen.
 FROZEN_S = 1.5
 THAW_S = 0.3
@@ -85,6 +89,7 @@
         self._hosts: dict[int, HostRecord] = {}
         self._collectors: dict[int, CollectorRecord] = {}
         self._counts: dict[int, int] = {}
+        self._late: dict[int, int] = {}
         self._demands: dict[int, float] = {}
         self._sequence = 0
         self._input_at = now
@@ -121,6 +126,11 @@
             kept[team] = credit
         self._credits = kept
 
+    @property
+    def is_alone(self) -> bool:
+        """Whether this host hears no other one, although there are others."""
+        return self._known > 1 and self.coverage * self._known < 1.5
+
     def expect_hosts(self, hosts: int, now: float) -> None:
         """Set the number of hosts that another collector has stated.
 
@@ -163,7 +173,9 @@
             record.demands[team] = demand
             if count != base:
                 self._counts[team] = self._counts.get(team, 0) + count - base
-                self._consume(team, count - base, report.waited_s, 1, now)
+                late = count - base if report.waited_s > SILENT_S else 0
+                self._late[team] = self._late.get(team, 0) + late
+                self._consume(team, count - base, late, now)
                 self._note_unsent(team, count - base)
         return self._make_answer(report, now)
 
@@ -177,7 +189,8 @@
             record = self._collectors[sums.collector] = CollectorRecord(sums, now)
         if sums.sequence <= record.sequence:
             return
-        silent_s = now - record.heard_at
+        if now - record.heard_at > SILENT_S:
+            record.late_until = now + LATE_SUMS_S
         record.sequence = sums.sequence
         record.data_centre = sums.data_centre
         record.coverage = sums.coverage
@@ -187,23 +200,29 @@
         is_collecting = self.is_collecting(now)
         is_best = sums.coverage >= self._find_best_coverage(now)
         is_fresh = now < self._fresh_until and sums.age_s > now - self._started_at
-        for team, count, demand, level in sums.sums:
+        # Nor does a host that was cut off know what the others have admitted.
+        takes_over = not is_collecting or sums.coverage > self.coverage + BETTER_COVERAGE
+        for team, count, demand, level, late in sums.sums:
             known = record.counts.get(team)
             if known is None:
                 # Of a collector that is older than this acquaintance, what it added before is
                 # part of the credit already.
                 is_known = record.is_new or now - record.met_at > 4.0 * SUMS_INTERVAL_S
-                known = 0 if is_known else count
-            record.counts[team] = count
+                known = (0, 0) if is_known else (count, late)
+            record.counts[team] = count, late
             record.demands[team] = demand
-            if count != known and is_collecting:
-                self._consume(team, count - known, silent_s, record.heard, now)
             credit = self._credits.get(team)
             if credit is None:
                 continue
-            if is_best and (is_fresh or not is_collecting):
-                known_level = credit.refill(now, self.coverage)
-                credit.level = min(known_level, level) if is_collecting else level
+            if takes_over:
+                credit.refill(now, self.coverage)
+                credit.level = level if is_best else credit.level
+                continue
+            added = count - known[0]
+            added_late = added if now < record.late_until else late - known[1]
+            self._consume(team, added, added_late, now)
+            if is_best and is_fresh:
+                credit.level = min(credit.level, level)
         record.heard = sums.heard
         record.known = sums.known
 
@@ -230,18 +249,14 @@
                 credit.lower(START_SHARE * credit.rule.capacity)
         self._input_at = now
 
-    def _consume(self, team: int, count: int, silent_s: float, hosts: int, now: float) -> None:
-        """Subtract requests from the credit, less what was reserved for hosts that were silent."""
+    def _consume(self, team: int, count: int, late: int, now: float) -> None:
+        """Subtract requests from the credit; credit was withheld for the late ones."""
         credit = self._credits.get(team)
-        if credit is None:
+        if credit is None or not count:
             return
         credit.refill(now, self.coverage)
-        charged = float(count)
-        if silent_s > SILENT_S and count > 0:
-            rule = credit.rule
-            reserved = START_SHARE * rule.capacity + rule.rate_per_s * silent_s
-            charged = max(0.0, charged - reserved * hosts / max(1, self._known))
-        credit.consume(charged)
+        credit.consume(count - late)
+        credit.consume_late(late)
 
     def _drop_demands(self, record: HostRecord) -> None:
         for team, demand in record.demands.items():
@@ -360,7 +375,8 @@
             if coverage:
                 uncovered = min(uncovered, round((1.0 - coverage) * known))
         reserved_hosts = uncovered if uncovered > RESERVE_FROM_SHARE * known else 0
-        newly_reserved = max(0, reserved_hosts - self._reserved_hosts)
+        # Hosts that are heard again, as they have found another collector, return their part.
+        newly_reserved = reserved_hosts - self._reserved_hosts
         self._reserved_hosts = reserved_hosts
         for credit in self._credits.values():
             credit.refill(now, self.coverage)
@@ -432,4 +448,5 @@
             self._counts.get(team, 0),
             max(0.0, self._demands.get(team, 0.0)),
             self._credits[team].refill(now, self.coverage),
+            self._late.get(team, 0),
         )
