--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -47,8 +47,8 @@
 WARM_UP_S = 5.0
 # Time for which the sums of a collector that was cut off are late ones.
 LATE_SUMS_S = 1.0
-# A collector that hears more hosts by this part knows the credit better.
-BETTER_COVERAGE = 0.1
+# A collector that hears a smaller part of the hosts takes the credit of one that hears more.
+MINORITY_COVERAGE = 0.4
 # A longer pause between two updates of a collector means that the host was frozen.
 FROZEN_S = 1.5
 THAW_S = 0.3
@@ -200,8 +200,11 @@
         is_collecting = self.is_collecting(now)
         is_best = sums.coverage >= self._find_best_coverage(now)
         is_fresh = now < self._fresh_until and sums.age_s > now - self._started_at
-        # Nor does a host that was cut off know what the others have admitted.
-        takes_over = not is_collecting or sums.coverage > self.coverage + BETTER_COVERAGE
+        # Nor does a collector that was cut off know what the others have admitted.
+        is_minority = self.coverage < min(MINORITY_COVERAGE, sums.coverage)
+        if is_minority:
+            self._reserved_hosts = round((1.0 - sums.coverage) * self._known)
+        takes_over = is_minority or not is_collecting
         for team, count, demand, level, late in sums.sums:
             known = record.counts.get(team)
             if known is None:
--- a/amaranthbend/core/quotas.py
+++ b/amaranthbend/core/quotas.py
@@ -57,9 +57,9 @@
 # of the usual one and this rate besides. Hosts that are cut off may see more of a team's demand
 # than their number suggests, while the others use the part of the quota that their number allows.
 STALE_SHARE = 0.9
-BURST_STALE_SHARE = 0.4
-BURST_DEMAND_FACTOR = 2.5
-BURST_DEMAND_PER_S = 1.0
+BURST_STALE_SHARE = 0.25
+BURST_DEMAND_FACTOR = 2.0
+BURST_DEMAND_PER_S = 0.7
 # Shares follow the demand by this part, the rest is divided equally, for teams new to a host.
 DEMAND_WEIGHT = 0.8
 # Least number of requests that a host may save up from its share.
