--- a/amaranthbend/core/quota_credit.py
+++ b/amaranthbend/core/quota_credit.py
@@ -71,6 +71,11 @@
     capacity: float
     alert_level: float = -math.inf
 
+    @property
+    def is_small(self) -> bool:
+        """Whether what the team sends until the next reports is within the slack."""
+        return self.alert_level == -math.inf
+
 
 def make_rules(teams: Iterable[TeamPolicy], margins: QuotaMargins) -> dict[int, QuotaRule]:
     """Return the limits of the teams that have one, by the identifier of the team."""
--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -64,7 +64,7 @@
 EARLY_SUMS_COUNT = 5
 EARLY_SUMS_SHARE = 0.3
 # Teams in one message, so that it fits into a datagram that is not fragmented.
-MAX_SUMS = 48
+MAX_SUMS = 42
 
 
 class QuotaSums:
@@ -408,7 +408,7 @@
 
     def _is_urgent(self, team: int) -> bool:
         credit, unsent = self._credits.get(team), self._unsent.get(team, 0)
-        if credit is None or not unsent:
+        if credit is None or not unsent or credit.rule.is_small:
             return False
         capacity = credit.rule.capacity
         if credit.level < FREQUENT_SHARE * capacity:
--- a/amaranthbend/core/quotas.py
+++ b/amaranthbend/core/quotas.py
@@ -228,7 +228,8 @@
         share = self._get_share(state.demand_share)
         level = self._estimate_level(state, now)
         if not self._may_spend(state, share, level, now):
-            self._advance_report(now + SCARCE_REPORT_INTERVAL_S)
+            if not state.rule.is_small:
+                self._advance_report(now + SCARCE_REPORT_INTERVAL_S)
             return Admission(False, self._draw_retry_delay(state, level, now))
         state.count += 1
         unacked = state.count - state.acked
@@ -236,6 +237,8 @@
         usual = EARLY_REPORT_FACTOR * state.usual_demand * elapsed_s
         is_new = state.usual_demand < NEW_TEAM_PER_S
         early = max(EARLY_REPORT_COUNT + usual, EARLY_REPORT_SHARE * share * level)
+        if state.rule.is_small:
+            return ADMITTED
         if is_new or unacked >= early:
             self._advance_report(now)
         elif state.is_scarce:
@@ -408,7 +411,9 @@
         self._coverage = answer.coverage
         self._set_credits(answer.credits, now)
         is_scarce = any(
-            credit.level < FREQUENT_SHARE * state.rule.capacity and state.is_reported
+            credit.level < FREQUENT_SHARE * state.rule.capacity
+            and state.is_reported
+            and not state.rule.is_small
             for credit in answer.credits
             if (state := self._teams.get(credit.team)) is not None
         )
