--- a/amaranthbend/core/quota_credit.py
+++ b/amaranthbend/core/quota_credit.py
@@ -123,6 +123,8 @@
         "_spare_until",
         "_withheld",
         "_withheld_at",
+        "_reserve",
+        "_reserved",
     )
 
     def __init__(self, rule: QuotaRule, level: float, now: float) -> None:
@@ -133,6 +135,9 @@
         self._spare_until = now
         self._withheld = 0.0
         self._withheld_at = now
+        # What should be reserved, and what could be before the greatest debt was reached.
+        self._reserve = 0.0
+        self._reserved = 0.0
 
     def refill(self, now: float, coverage: float = 1.0) -> float:
         """Add what has accrued, in proportion to the coverage, and return the level."""
@@ -153,6 +158,24 @@
             self._spare_until = now + SPARE_S
         return self.level
 
+    def reserve(self, count: float) -> None:
+        """Set aside credit for hosts that have fallen silent, or return what is set aside."""
+        change = count - self._reserve
+        before = self.level
+        if change > 0:
+            self.consume(change)
+            self._reserved += before - self.level
+        elif change < 0:
+            returned = self._reserved * (-change / self._reserve)
+            self._reserved -= returned
+            self.consume(-returned)
+        self._reserve = count
+
+    def take_over(self, level: float, reserve: float) -> None:
+        """Replace the credit by that of a collector that has reserved so much."""
+        self.level = level
+        self._reserve = self._reserved = reserve
+
     def consume_late(self, count: float) -> None:
         """Subtract requests of hosts that were cut off, first from what was withheld for them."""
         used = max(0.0, min(count, self._withheld))
--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -106,7 +106,6 @@
         self._updated_at = -FORGET_S
         self._thawed_until = now
         self._heard = 0
-        self._reserved_hosts = 0
         self._known = 1
         self._expected = 0
         self._expected_until = now
@@ -202,8 +201,6 @@
         is_fresh = now < self._fresh_until and sums.age_s > now - self._started_at
         # Nor does a collector that was cut off know what the others have admitted.
         is_minority = self.coverage < min(MINORITY_COVERAGE, sums.coverage)
-        if is_minority:
-            self._reserved_hosts = round((1.0 - sums.coverage) * self._known)
         takes_over = is_minority or not is_collecting
         for team, count, demand, level, late in sums.sums:
             known = record.counts.get(team)
@@ -219,7 +216,10 @@
                 continue
             if takes_over:
                 credit.refill(now, self.coverage)
-                credit.level = level if is_best else credit.level
+                if is_best:
+                    missing = 1.0 - sums.coverage
+                    reserved_share = missing if missing > RESERVE_FROM_SHARE else 0.0
+                    credit.take_over(level, _compute_reserve(credit.rule) * reserved_share)
                 continue
             added = count - known[0]
             added_late = added if now < record.late_until else late - known[1]
@@ -379,14 +379,10 @@
                 uncovered = min(uncovered, round((1.0 - coverage) * known))
         reserved_hosts = uncovered if uncovered > RESERVE_FROM_SHARE * known else 0
         # Hosts that are heard again, as they have found another collector, return their part.
-        newly_reserved = reserved_hosts - self._reserved_hosts
-        self._reserved_hosts = reserved_hosts
+        reserved_share = reserved_hosts / max(1, known)
         for credit in self._credits.values():
             credit.refill(now, self.coverage)
-            if newly_reserved:
-                rule = credit.rule
-                reserved = START_SHARE * rule.capacity + rule.rate_per_s * RESERVED_S
-                credit.consume(reserved * newly_reserved / known)
+            credit.reserve(_compute_reserve(credit.rule) * reserved_share)
         self._known = max(1, known)
         self.coverage = 1.0 if known == 0 else (known - uncovered) / known
 
@@ -453,3 +449,8 @@
             self._credits[team].refill(now, self.coverage),
             self._late.get(team, 0),
         )
+
+
+def _compute_reserve(rule: QuotaRule) -> float:
+    """Return what all hosts together may admit until it is noticed that they are cut off."""
+    return START_SHARE * rule.capacity + rule.rate_per_s * RESERVED_S
