--- a/amaranthbend/core/quota_credit.py
+++ b/amaranthbend/core/quota_credit.py
@@ -7,7 +7,15 @@
 from .policy import TeamPolicy
 from .quota_messages import compute_id
 
-__all__ = ["AMPLE_SHARE", "START_SHARE", "Credit", "QuotaMargins", "QuotaRule", "make_rules"]
+__all__ = [
+    "AMPLE_SHARE",
+    "BURST_FACTOR",
+    "START_SHARE",
+    "Credit",
+    "QuotaMargins",
+    "QuotaRule",
+    "make_rules",
+]
 
 # Part of the permitted excess by which the capacity of the credit exceeds the burst, so that a team
 # below its limit is not refused because hosts know the totals late. The rest is for late counts.
@@ -22,6 +30,9 @@
 # A team whose rate in this time is within the slack needs no alerts: what it sends until the next
 # reports, at several times its usual rate, is within the slack too.
 ALERT_RATE_PERIOD_S = 8.0
+# Demand over the rate of the quota from which a team is bursting, and credit is scarce from the
+# first alert on.
+BURST_FACTOR = 1.25
 # Part of the capacity, and requests missing from it, at which a burst is taken to have begun. A
 # team at its usual rate seldom lacks so many, whatever its rate: the sum of arrivals above the rate
 # does not grow with it. The part that grows with the rate is what hosts report late.
--- a/amaranthbend/core/quota_records.py
+++ b/amaranthbend/core/quota_records.py
@@ -1,11 +1,14 @@
 """What a collector of team counts knows of the hosts that report to it, and of other collectors."""
 
 import math
+from collections.abc import Iterable
 
 from .quota_messages import CollectorSums
 
-__all__ = ["CollectorRecord", "HostRecord"]
+__all__ = ["COLLECTOR_SILENT_S", "CollectorRecord", "HostRecord", "count_hosts"]
 
+# Silence of a collector after which its sums count as cut off.
+COLLECTOR_SILENT_S = 1.05
 # A collector that is met for the first time adds its whole sum if it started within this time.
 NEW_COLLECTOR_AGE_S = 5.0
 
@@ -64,3 +67,33 @@
         self.is_new = sums.age_s < NEW_COLLECTOR_AGE_S
         self.met_at = now
         self.coverage = 1.0
+
+
+def count_hosts(
+    data_centre: int,
+    own_known: int,
+    own_heard: int,
+    collectors: Iterable[CollectorRecord],
+    now: float,
+) -> tuple[int, int]:
+    """Return how many hosts are known, and how many of them are heard, also by other collectors.
+
+    Parameters
+    ----------
+    data_centre : int
+        Identifier of the collector's data centre.
+    own_known, own_heard : int
+        Hosts that have reported to this collector, and those that do at present.
+    collectors : iterable of CollectorRecord
+        The other collectors. Two of a data centre may both know a host.
+    now : float
+        Present time.
+    """
+    known = {data_centre: own_known}
+    heard = {data_centre: own_heard}
+    for other in collectors:
+        centre = other.data_centre
+        known[centre] = max(known.get(centre, 0), other.known)
+        if now - other.heard_at < COLLECTOR_SILENT_S:
+            heard[centre] = heard.get(centre, 0) + other.heard
+    return sum(known.values()), sum(min(count, known[centre]) for centre, count in heard.items())
--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -13,9 +13,9 @@
 to the hosts that are heard (the coverage).
 """
 
-from .quota_credit import AMPLE_SHARE, START_SHARE, Credit, QuotaRule
+from .quota_credit import AMPLE_SHARE, BURST_FACTOR, START_SHARE, Credit, QuotaRule
 from .quota_messages import CollectorSums, QuotaAnswer, QuotaReport, TeamCredit, TeamSum
-from .quota_records import CollectorRecord, HostRecord
+from .quota_records import COLLECTOR_SILENT_S, CollectorRecord, HostRecord, count_hosts
 
 __all__ = [
     "FORGET_S",
@@ -31,8 +31,6 @@
 RESERVE_FROM_SHARE = 0.06
 # Time for which the rate is reserved then: the longest until they are missed.
 RESERVED_S = 2.0
-# Silence of a collector after which its sums count as cut off.
-COLLECTOR_SILENT_S = 1.05
 # Time after the last report in which a host goes on collecting.
 COLLECTING_S = 3.0
 # Silence after which a host or a collector is no longer a part of the deployment. Cut-offs are
@@ -311,17 +309,27 @@
         return tuple(alerts)
 
     def make_alerts(self, now: float) -> dict[int, QuotaAnswer]:
-        """Return messages for the hosts with requests of teams whose credit has become scarce."""
+        """Return messages for the hosts with requests of teams whose credit has become scarce.
+
+        While a team bursts, the other hosts get one too: its next requests may arrive there.
+        """
         scarce = self._take_scarce(now)
         if not scarce:
             return {}
         alerts: dict[int, QuotaAnswer] = {}
+        bursting = [
+            credit
+            for credit in scarce
+            if credit.demand_per_s > BURST_FACTOR * self._credits[credit.team].rule.rate_per_s
+        ]
         for host, record in self._hosts.items():
-            concerned = tuple(credit for credit in scarce if record.demands.get(credit.team))
-            if not concerned or now - record.heard_at > SILENT_S:
+            is_concerned = any(record.demands.get(credit.team) for credit in scarce)
+            named = tuple(scarce if is_concerned else bursting)
+            if not named or now - record.heard_at > SILENT_S:
                 continue
-            record.alerted_at = now
-            alerts[host] = QuotaAnswer(0, record.incarnation, self._known, self.coverage, concerned)
+            if is_concerned:
+                record.alerted_at = now
+            alerts[host] = QuotaAnswer(0, record.incarnation, self._known, self.coverage, named)
         return alerts
 
     def update(self, now: float) -> None:
@@ -352,20 +360,11 @@
             heard += 1
         self._heard = heard
         self._updated_at = now
-        known_by_centre = {self._data_centre: len(self._hosts)}
-        heard_by_centre = {self._data_centre: heard}
         for name, other in list(self._collectors.items()):
-            silent_s = now - other.heard_at
-            if silent_s > FORGET_S:
+            if now - other.heard_at > FORGET_S:
                 del self._collectors[name]
-                continue
-            centre = other.data_centre
-            known_by_centre[centre] = max(known_by_centre.get(centre, 0), other.known)
-            if silent_s < COLLECTOR_SILENT_S:
-                heard_by_centre[centre] = heard_by_centre.get(centre, 0) + other.heard
-        known = sum(known_by_centre.values())
-        covered = sum(
-            min(count, known_by_centre[centre]) for centre, count in heard_by_centre.items()
+        known, covered = count_hosts(
+            self._data_centre, len(self._hosts), heard, self._collectors.values(), now
         )
         if now < self._expected_until and now > self._started_at + WARM_UP_S:
             known = max(known, self._expected)
--- a/amaranthbend/core/quotas.py
+++ b/amaranthbend/core/quotas.py
@@ -15,16 +15,13 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from .quota_credit import AMPLE_SHARE, START_SHARE, QuotaRule
+from .quota_credit import AMPLE_SHARE, BURST_FACTOR, START_SHARE, QuotaRule
 from .quota_messages import QuotaAnswer, QuotaReport, TeamCount, TeamCredit
 
 __all__ = ["ADMITTED", "Admission", "QuotaLedger"]
 
 # Below this part of the capacity a host admits its share of the credit only.
 SCARCE_SHARE = 0.35
-# Demand over the rate of the quota from which a team is bursting, and credit is scarce from the
-# first alert on.
-BURST_FACTOR = 1.25
 # Time in which credit above or below 0 is used up or regained while it is scarce.
 BALANCE_S = 1.0
 REPORT_INTERVAL_S = 1.6
@@ -389,9 +386,13 @@
             return False
         if answer.sequence == 0:
             self._set_credits(answer.credits, now)
-            self.next_report_at = min(
-                self.next_report_at, now + self._random.uniform(0.0, MIN_REPORT_INTERVAL_S)
-            )
+            if any(
+                state.is_reported
+                for credit in answer.credits
+                if (state := self._teams.get(credit.team)) is not None
+            ):
+                delay_s = self._random.uniform(0.0, MIN_REPORT_INTERVAL_S)
+                self.next_report_at = min(self.next_report_at, now + delay_s)
             return True
         counts = self._unanswered.pop(answer.sequence, None)
         if counts is None:
