--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -1,26 +1,22 @@
 """Sums of the counts that hosts report, kept by the collectors.
 
 Load pattern: as in `core/quotas.py`. Each host reports to the first host of its data centre that
-answers, its collector. Collectors add up what they are told, and tell each other their sums. Each
-request is thus in the sum of one collector, and the total over all of them is the deployment's.
+answers, its collector. Collectors add up the reports, and tell each other their sums. Each request
+is in the sum of one collector.
 
 Nobody is appointed: any host that receives reports is a collector, and two in one data centre do
 no harm, as each adds its own part. Counts are cumulative, so that lost, repeated and reordered
 datagrams change nothing once the next one arrives. A host that changes its collector tells how much
 of its count no collector has confirmed, and the new one adds that part only.
 
-Hosts that fall silent may be cut off and still admit their share. So credit accrues in proportion
-to the hosts that are heard (the coverage).
+Hosts that fall silent may still admit their share, so credit accrues by the part that is heard.
 """
 
 from .quota_credit import AMPLE_SHARE, BURST_FACTOR, START_SHARE, Credit, QuotaRule
 from .quota_messages import CollectorSums, QuotaAnswer, QuotaReport, TeamCredit, TeamSum
 from .quota_records import COLLECTOR_SILENT_S, CollectorRecord, HostRecord, count_hosts
 
-__all__ = [
-    "FORGET_S",
-    "QuotaSums",
-]
+__all__ = ["FORGET_S", "QuotaSums"]
 
 # Silence after which a host counts as cut off: one report and its repetitions.
 SILENT_S = 2.5
--- a/amaranthbend/core/quotas.py
+++ b/amaranthbend/core/quotas.py
@@ -184,11 +184,6 @@
         """Whether a report has no answer yet."""
         return self._waiting_since is not None
 
-    @property
-    def has_rules(self) -> bool:
-        """Whether a team has a limit."""
-        return bool(self._teams)
-
     def set_rules(self, rules: dict[int, QuotaRule], now: float) -> None:
         """Replace the limits; the counts of a team whose limit changes are kept."""
         start_share = 1.0 if self._teams else START_SHARE
