--- a/amaranthbend/adapters/caller.py
+++ b/amaranthbend/adapters/caller.py
@@ -92,8 +92,6 @@
     team: TeamPolicy | None = None
     # Whether the deployment has teams, so that the field with the team is set for upstreams.
     has_team_fields = False
-    # Whether the request was counted against the quota of its team.
-    has_quota_credit = False
     claim: object = None
     dispatch: object = None
 
--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -305,9 +305,9 @@
         return tuple(alerts)
 
     def make_alerts(self, now: float) -> dict[int, QuotaAnswer]:
-        """Return messages for the hosts with requests of teams whose credit has become scarce.
+        """Return messages about scarce credit for hosts with requests of the team.
 
-        While a team bursts, the other hosts get one too: its next requests may arrive there.
+        While it bursts, all hosts get one: its next requests may arrive there.
         """
         scarce = self._take_scarce(now)
         if not scarce:
@@ -359,9 +359,8 @@
         for name, other in list(self._collectors.items()):
             if now - other.heard_at > FORGET_S:
                 del self._collectors[name]
-        known, covered = count_hosts(
-            self._data_centre, len(self._hosts), heard, self._collectors.values(), now
-        )
+        others = self._collectors.values()
+        known, covered = count_hosts(self._data_centre, len(self._hosts), heard, others, now)
         if now < self._expected_until and now > self._started_at + WARM_UP_S:
             known = max(known, self._expected)
         self._set_coverage(known, known - covered, now)
--- a/amaranthbend/filters/quota.py
+++ b/amaranthbend/filters/quota.py
@@ -1,6 +1,7 @@
 """Limits the requests of teams over all hosts."""
 
 from typing import Protocol
+from weakref import WeakSet
 
 from ..adapters.caller import CallerRequest
 from ..core.outcomes import Outcome, OutcomeReason
@@ -33,6 +34,8 @@
 
     def __init__(self, source: QuotaSource | None) -> None:
         self._source = source
+        # Requests that were counted and have not ended.
+        self._counted: WeakSet[CallerRequest] = WeakSet()
 
     def run(self, request: CallerRequest, now: float) -> LocalResponse | None:
         """Count a request whose body is complete or streamed, or refuse it."""
@@ -41,7 +44,7 @@
         admission = self._source.admit(request.team.name, now)
         if not admission.is_admitted:
             return make_refusal(OutcomeReason.QUOTA_EXCEEDED, admission.retry_after_s)
-        request.has_quota_credit = True
+        self._counted.add(request)
         return None
 
     def abandon(self, request: CallerRequest, now: float) -> None:
@@ -49,8 +52,8 @@
 
     def end(self, request: CallerRequest, outcome: Outcome) -> None:
         """Refund a request that is known not to have run."""
-        if self._source is None or not request.has_quota_credit:
+        if self._source is None or request not in self._counted:
             return
-        request.has_quota_credit = False
+        self._counted.discard(request)
         if outcome is Outcome.NOT_RUN and request.team is not None:
             self._source.refund(request.team.name)
