--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -101,6 +101,7 @@
     file.write_text(SETTINGS)
     settings = load_node_settings(str(file))
     assert (settings.data_centre, settings.data_centres) == ("huye", 2)
+    assert settings.data_centre_names == ("huye", "nyanza")
     assert settings.store_address == "127.0.0.1:8169"
     assert (settings.grace_s, settings.apply_s, settings.drain_s) == (6.0, 2.5, 2.0)
     assert (settings.retry_ratio, settings.retry_slack, settings.probes_per_s) == (0.2, 56.0, 60.0)
