--- a/amaranthbend/core/policy.py
+++ b/amaranthbend/core/policy.py
@@ -289,8 +289,8 @@
     teams : tuple of TeamPolicy
         Teams whose keys callers need on routes that are not public; empty if callers need none.
     is_prioritized : bool
-        Whether some routes or teams have the highest priority of the platform, so that requests
-        are ordered and wait when there is too little room.
+        Whether teams or non-idempotent routes have the highest priority of the platform, so that
+        requests are ordered and wait when there is too little room.
     caller_limits : CallerLimits
         Times that callers have for a head and between two requests.
     """
--- a/amaranthbend/core/prioritizing_dispatcher.py
+++ b/amaranthbend/core/prioritizing_dispatcher.py
@@ -309,7 +309,9 @@
                 self._postpone_hedge(record, now)
                 return actions
         if waiting is None:
-            return super()._decide_round(record, probe_round, now)
+            # Another round that was decided at the same time may have found room for this request.
+            is_stale = self.is_prioritized and record.running and not probe_round.is_hedge
+            return [] if is_stale else super()._decide_round(record, probe_round, now)
         actions = []
         while self._waiting.get(request_id) is not None:
             load = self._choose_candidate(probe_round, now)
--- a/amaranthbend/platform/documents.py
+++ b/amaranthbend/platform/documents.py
@@ -108,7 +108,7 @@
         services,
         tuple(routes),
         teams=_decode_teams(reader, document),
-        is_prioritized=_has_highest_rank(document),
+        is_prioritized=_has_ranked_callers(document),
         caller_limits=caller_limits,
     )
     return DecodedConfiguration(version, policy, tuple(reader.faults))
@@ -230,17 +230,20 @@
     return get_non_negative_int(document, "priority") if "priority" in document else None
 
 
-def _has_highest_rank(document: dict[str, Any]) -> bool:
-    """Return whether a route or tenant has the highest rank of the platform, stated explicitly."""
+def _has_ranked_callers(document: dict[str, Any]) -> bool:
+    """Return whether a tenant or an `unsafe` route has the highest rank, stated explicitly.
+
+    Routes that may be repeated do not count: all deployments have some of the highest rank that
+    only test which configuration is in force.
+    """
     ranked = list(_get_tenants(document))
     for listener in _get_list(document, "listeners"):
         rules = listener.get("rules")
-        ranked += rules if isinstance(rules, list) else []
+        for rule in rules if isinstance(rules, list) else []:
+            if isinstance(rule, dict) and not IDEMPOTENCE_BY_KIND.get(str(rule.get("kind")), True):
+                ranked.append(rule)
     return any(
-        isinstance(entry, dict)
-        and type(entry.get("priority")) is int
-        and entry["priority"] == HIGHEST_RANK
-        for entry in ranked
+        type(entry.get("priority")) is int and entry["priority"] == HIGHEST_RANK for entry in ranked
     )
 
 
