--- a/tests/test_prioritizing.py
+++ b/tests/test_prioritizing.py
@@ -75,6 +75,15 @@
     assert get_send(dispatcher.report("u1", make_report(), 0.06)).request_id == 1
 
 
+def test_rounds_that_end_together_send_each_request_once() -> None:
+    """Guards against a non-idempotent request that runs twice: both rounds had found room for it."""
+    dispatcher = make_prioritizing(upstreams=1)
+    dispatcher.submit(make_call(1, priority=-1, idempotent=False), 0.0)
+    dispatcher.submit(make_call(2, priority=0, idempotent=False), 0.0)
+    sends = dispatcher.report("u0", make_report(), 0.005)
+    assert [send.request_id for send in sends if isinstance(send, Send)] == [2, 1]
+
+
 def test_new_request_does_not_overtake_a_held_one() -> None:
     """Guards against a later request that finds the room for which an equal one waits."""
     dispatcher = make_prioritizing()
@@ -342,6 +351,8 @@
         for action in actions:
             if isinstance(action, Send):
                 assert action.request_id not in self.ended
+                if not self.requests[action.request_id].idempotent:
+                    assert all(action.request_id != key[0] for key in self.running)
                 self.check_order(action)
                 self.unsent.discard(action.request_id)
                 self.tried[action.request_id].add(action.upstream)
