--- a/amaranthbend/controllers/watch_handlers.py
+++ b/amaranthbend/controllers/watch_handlers.py
@@ -75,7 +75,7 @@
             retries=retries,
             request_probes=RequestProbePolicy(probes_per_s_per_upstream=settings.probes_per_s),
             retry_after_s=RETRY_AFTER_S,
-            is_prioritized=policy.is_prioritized,
+            is_prioritized=policy.is_prioritized and settings.orders_requests,
         )
     return policy._replace(services=services, entry_hosts_max=shares)
 
--- a/amaranthbend/core/prioritizing_dispatcher.py
+++ b/amaranthbend/core/prioritizing_dispatcher.py
@@ -48,7 +48,7 @@
 EXPECTED_WAIT_SHARE = 0.5
 # A request of the least urgent rank leaves the queues of the upstreams to others while it can wait
 # for this many mean durations and still meet its latency goal.
-PATIENCE = 1.5
+WAIT_MARGIN = 1.5
 # Expected waits change little in this time, and a host may hold hundreds of requests.
 HOPELESS_CHECK_INTERVAL_S = 0.02
 # An upstream with a higher share of failures is offered no held request without a choice among
@@ -401,8 +401,8 @@
         goal_at = math.inf
         if info.latency_goal_s is not None:
             goal_at = record.began_at + info.latency_goal_s
-        is_patient = now + work.mean_s + PATIENCE * mean_s < goal_at
-        limit = self._ranks.compute_limit(get_rank(info), best, load.member.upstream, is_patient)
+        can_wait = now + work.mean_s + WAIT_MARGIN * mean_s < goal_at
+        limit = self._ranks.compute_limit(get_rank(info), best, load.member.upstream, can_wait)
         if self._estimate_outstanding(load, now) + 1.0 > limit:
             return False
         run_s = estimate_run_s(load, slots, work.usual_s, now)
--- a/amaranthbend/core/urgency.py
+++ b/amaranthbend/core/urgency.py
@@ -25,9 +25,9 @@
 RESERVED_SHARE = 0.6
 # Least difference between a rank and the next one, for ranks with few requests.
 MIN_STEP = 0.1
-# What patient requests of the least urgent rank may use at most beyond the best concurrency. They
+# What requests of the least urgent rank that can wait may use at most beyond the best concurrency. They
 # leave the queues to more urgent requests, which would otherwise wait there for long work.
-PATIENT_SHARE = 0.0
+WAITING_SHARE = 0.0
 # Weight of one request in the mean parts of the ranks, which thus cover the last 20 requests: some
 # seconds at a host with 3 requests a second.
 PART_WEIGHT = 0.05
@@ -126,26 +126,24 @@
         """Return the ranks, the least urgent one first."""
         return sorted(self._parts)
 
-    def compute_share(self, rank: Rank, is_patient: bool = False) -> float:
+    def compute_share(self, rank: Rank, can_wait: bool = False) -> float:
         """Return the requests beyond the best concurrency that a rank may cause, as a share.
 
         Parameters
         ----------
         rank : Rank
             Rank of the request; one that was not observed yet may use as much as the least urgent.
-        is_patient : bool
+        can_wait : bool
             Whether the request can wait, and leaves queues to others if its rank is the least
             urgent of several.
         """
         least = min(self._shares.values(), default=MOST_URGENT_SHARE)
         share = self._shares.get(rank, least)
-        if is_patient and len(self._shares) > 1 and share == least:
-            return min(PATIENT_SHARE, share)
+        if can_wait and len(self._shares) > 1 and share == least:
+            return min(WAITING_SHARE, share)
         return share
 
-    def compute_limit(
-        self, rank: Rank, best: int, upstream: str, is_patient: bool = False
-    ) -> float:
+    def compute_limit(self, rank: Rank, best: int, upstream: str, can_wait: bool = False) -> float:
         """Return how many requests an upstream may hold for one of this rank to be added.
 
         Upstreams have few slots, so that whole numbers would give several ranks the same limit.
@@ -160,10 +158,10 @@
             Best concurrency of the upstream.
         upstream : str
             The upstream.
-        is_patient : bool
+        can_wait : bool
             Whether the request can wait.
         """
-        return best * (1.0 + self.compute_share(rank, is_patient)) + _compute_part(upstream)
+        return best * (1.0 + self.compute_share(rank, can_wait)) + _compute_part(upstream)
 
     def compute_highest_limit(self, best: int, upstream: str) -> float:
         """Return how many requests an upstream may hold for one of any rank to be added."""
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -227,3 +227,32 @@
 def test_bearer_keys(value: str, key: str) -> None:
     """Guards against keys that are read from other schemes."""
     assert parse_bearer_key(value) == key
+
+
+@pytest.mark.parametrize(
+    ("kind", "rank", "team_rank", "is_prioritized"),
+    [
+        ("unsafe", 0, None, True),
+        ("upload", 0, None, True),
+        ("safe", 0, None, False),
+        ("unsafe", 1, None, False),
+        ("unsafe", None, None, False),
+        ("safe", 1, 0, True),
+        ("safe", 1, 1, False),
+    ],
+)
+def test_order_is_asked_for_by_ranks(
+    kind: str, rank: int | None, team_rank: int | None, is_prioritized: bool
+) -> None:
+    """Guards against ordered requests in deployments whose idle `safe` routes have rank 0."""
+    configuration = make_configuration()
+    rules = configuration["listeners"][0]["rules"]
+    for rule in rules:
+        rule["priority"] = 1
+    rules[0]["kind"] = kind
+    rules[0]["priority"] = rank
+    if rank is None:
+        del rules[0]["priority"]
+    if team_rank is not None:
+        configuration["tenants"] = [{"name": "north", "apiKeys": ["k"], "priority": team_rank}]
+    assert decode_configuration(configuration).policy.is_prioritized is is_prioritized
