--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -25,16 +25,16 @@
     for rank in seen:
         table.observe(rank, 0.0)
     limits = [table.compute_limit(rank, best, upstream) for rank in sorted(set(seen))]
-    patient = [
+    waiting = [
         table.compute_limit(rank, best, upstream, can_wait=True) for rank in sorted(set(seen))
     ]
     assert all(low < high for low, high in zip(limits, limits[1:], strict=False))
-    assert all(low < high for low, high in zip(patient, limits[1:], strict=False))
-    assert all(low < high for low, high in zip(limits, patient[1:], strict=False))
-    assert all(low <= high for low, high in zip(patient, limits, strict=True))
+    assert all(low < high for low, high in zip(waiting, limits[1:], strict=False))
+    assert all(low < high for low, high in zip(limits, waiting[1:], strict=False))
+    assert all(low <= high for low, high in zip(waiting, limits, strict=True))
 
 
-def test_patient_requests_leave_queues_to_others() -> None:
+def test_requests_that_can_wait_leave_queues_to_others() -> None:
     """Guards against a burst of `stay-history` that fills the queues in which `night-audit` waits.
 
     Deployment N: 3 slots; `stay-history` has 3 s for 0.64 s of work.
