--- a/amaranthbend/core/urgency.py
+++ b/amaranthbend/core/urgency.py
@@ -25,8 +25,8 @@
 RESERVED_SHARE = 0.6
 # Least difference between a rank and the next one, for ranks with few requests.
 MIN_STEP = 0.1
-# What requests of the least urgent rank that can wait may use at most beyond the best concurrency. They
-# leave the queues to more urgent requests, which would otherwise wait there for long work.
+# What requests of the least urgent rank may use at most beyond the best concurrency while they can
+# wait. They leave the queues to more urgent requests, which would otherwise wait for long work.
 WAITING_SHARE = 0.0
 # Weight of one request in the mean parts of the ranks, which thus cover the last 20 requests: some
 # seconds at a host with 3 requests a second.
