Bound the time that a watch spends on peers that are gone

Cause: RelayedStore.watch_objects asks all preceding hosts in turn, 0.3 s each if packets are dropped and 0.8 s if connections open and stay silent, and reads the store only when all of them are skipped. A failed peer is skipped for 5 s, so with enough of them the first is due again before the last has failed. With fewer the search still delays each change by its length.

Change: after 0.3 s of failing peers a watch reads the store once without waiting, and the next watch goes on with the search. The skip time of a peer doubles with each further failure, up to 120 s (HostFailures), so that the calls to removed hosts and to the store in their place become rare. The counter peers.searches_interrupted shows it.

--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -37,6 +37,9 @@
 # a price. Hosts that read changes from a peer get them without this delay, so that it and one more
 # call have to fit into the 2 s in which changes must be in force.
 STORE_BATCH_DELAY_S = 0.9
+# Time in which a watch looks for a peer that responds. Then it reads the store once and goes on
+# looking, so that changes are in force in time however many peers are gone.
+PEER_SEARCH_S = 0.3
 # Timers may fire early by up to this time.
 TIMER_MARGIN_S = 0.002
 MS_PER_S = 1000
@@ -234,6 +237,7 @@
         await self._wait_for_hosts()
         selector = self._selector
         unconfirmed_peers = 0
+        search_ends_at = self._clock() + PEER_SEARCH_S
         while (peer := selector.select_peer(self._clock())) is not None:
             self._counters.incr(f"peers.calls.{kind}")
             asked_at = self._clock()
@@ -244,6 +248,7 @@
             now = self._clock()
             if isinstance(relayed, Ok):
                 self._record_source(peer.name)
+                selector.record_answer(peer.name)
                 selector.record_confirmed_changes()
                 changes, age_s = relayed.ok_value
                 arrived_at = self._pauses.find_arrival_time(asked_at, now)
@@ -261,7 +266,11 @@
                 log_event("peer_failed", peer=peer.name, kind=kind, detail=error.detail)
             if error.kind is not StoreErrorKind.UNCONFIRMED:
                 selector.record_failure(peer.name, now)
-                continue
+                if now < search_ends_at:
+                    continue
+                self._counters.incr("peers.searches_interrupted")
+                wait_s = 0.0
+                break
             selector.record_unconfirmed_peer(peer.name, now)
             unconfirmed_peers += 1
             if awaits_store and not selector.may_call_store(now):
--- a/amaranthbend/core/change_relay.py
+++ b/amaranthbend/core/change_relay.py
@@ -23,6 +23,7 @@
 
 from result import Err, Ok, Result
 
+from .host_failures import HostFailures
 from .watching import ObjectEvent, StoreChanges, StoredObject, StoreError, StoreErrorKind
 
 __all__ = ["ChangeLog", "HostEntry", "PeerChanges", "PeerSelector", "compute_max_confirmation_age"]
@@ -34,6 +35,8 @@
 # Time for which a peer is skipped after a failed call. Longer than a brief pause of its machine,
 # so that it has checked the store again before it is used.
 FAILED_PEER_SKIP_S = 5.0
+# Longest such time, for a peer that has failed again and again.
+MAX_FAILED_PEER_SKIP_S = 120.0
 # Time for which a peer is skipped that waits for the store itself, so that others are asked next:
 # one of them may have reached the store earlier.
 WAITING_PEER_SKIP_S = 1.0
@@ -109,9 +112,9 @@
         self._local_hosts = 1
         self.readers = READERS_PER_DATA_CENTRE
         self._draw = draw
-        self._skipped_until: dict[str, float] = {}
-        # Skipped peers that have lost the store, but respond.
-        self._unconfirmed_peers: set[str] = set()
+        self._failures = HostFailures(FAILED_PEER_SKIP_S, MAX_FAILED_PEER_SKIP_S)
+        # Peers that respond but have lost the store, and the time until which each is skipped.
+        self._unconfirmed_until: dict[str, float] = {}
         # Whether neither this host nor its peers reached the store when they tried last.
         self.is_store_lost = False
         self._store_turn_at = -math.inf
@@ -126,18 +129,31 @@
             host for host in local if _get_order_key(host.name) < self._order_key
         ]
         self._local_hosts = len(local)
+        names = {host.name for host in self._preceding_hosts}
+        self._failures.retain(names)
+        for name in self._unconfirmed_until.keys() - names:
+            del self._unconfirmed_until[name]
         self.readers = 1 if len(local) <= MAX_HOSTS_PER_READER else READERS_PER_DATA_CENTRE
 
     def record_failure(self, name: str, now: float) -> None:
         """Record a failed call to a peer, which is then skipped for a while."""
-        self._skipped_until[name] = now + FAILED_PEER_SKIP_S
-        self._unconfirmed_peers.discard(name)
+        self._failures.record_failure(name, now)
+        self._unconfirmed_until.pop(name, None)
+
+    def record_answer(self, name: str) -> None:
+        """Record that a peer responded with changes."""
+        self._failures.record_answer(name)
+        self._unconfirmed_until.pop(name, None)
+
+    def count_kept_hosts(self) -> int:
+        """Return for how many peers something is kept."""
+        return len(self._failures.names | self._unconfirmed_until.keys())
 
     def record_unconfirmed_peer(self, name: str, now: float) -> None:
         """Record that a peer responded without changes, because it has lost the store."""
         skip_s = WAITING_PEER_SKIP_S if self.is_store_lost else FAILED_PEER_SKIP_S
-        self._skipped_until[name] = now + skip_s
-        self._unconfirmed_peers.add(name)
+        self._failures.record_answer(name)
+        self._unconfirmed_until[name] = now + skip_s
 
     def record_store_failure(self, now: float) -> None:
         """Record that a call of this host to the store failed.
@@ -145,9 +161,7 @@
         Peers that had lost the store are asked again at once: the outage is not theirs alone.
         """
         if not self.is_store_lost:
-            for name in self._unconfirmed_peers:
-                self._skipped_until.pop(name, None)
-            self._unconfirmed_peers.clear()
+            self._unconfirmed_until.clear()
         self.is_store_lost = True
         self._store_turn_at = now + self._compute_store_turn() * (0.5 + 0.5 * self._draw())
 
@@ -190,7 +204,12 @@
 
     def _list_usable(self, hosts: Iterable[HostEntry], now: float) -> list[HostEntry]:
         """Return the hosts that are not skipped because of an earlier call."""
-        return [host for host in hosts if self._skipped_until.get(host.name, -math.inf) <= now]
+        return [
+            host
+            for host in hosts
+            if not self._failures.is_skipped(host.name, now)
+            and self._unconfirmed_until.get(host.name, -math.inf) <= now
+        ]
 
 
 def _get_order_key(name: str) -> tuple[int, str]:
