Keep one value for each object in the log of relayed changes

Cause: ChangeLog kept the last 64 batches of changes with their decoded values, whatever their size, on each host and outside the account of memory. A follower only ever gets the latest change of an object.

Change: the log holds the latest change of each object, in the order of the batches, and the names of up to 1,024 removed objects. It moved to a module of its own. Followers that lag behind get the same changes as before, and no longer lose history by the number of changes.

--- a/amaranthbend/adapters/change_relay.py
+++ b/amaranthbend/adapters/change_relay.py
@@ -13,7 +13,7 @@
 from tornado.iostream import UnsatisfiableReadError
 from tornado.web import Application, RequestHandler
 
-from ..core.change_relay import PeerChanges
+from ..core.change_log import PeerChanges
 from ..core.watching import ObjectEvent, StoreChanges, StoredObject, StoreError, StoreErrorKind
 from .http_client import make_http_client
 
--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -13,13 +13,8 @@
 from ..adapters.clock import read_clock
 from ..adapters.logs import log_event
 from ..adapters.metrics import Counters
-from ..core.change_relay import (
-    ChangeLog,
-    HostEntry,
-    PeerChanges,
-    PeerSelector,
-    compute_max_confirmation_age,
-)
+from ..core.change_log import ChangeLog, PeerChanges
+from ..core.change_relay import HostEntry, PeerSelector, compute_max_confirmation_age
 from ..core.pauses import PauseTracker
 from ..core.watch_checks import WatchCheck, choose_check, compute_check_age, compute_check_delay
 from ..core.watching import ObjectStore, StoreChanges, StoreError, StoreErrorKind
--- a/amaranthbend/core/change_relay.py
+++ b/amaranthbend/core/change_relay.py
@@ -17,16 +17,12 @@
 
 import math
 import random
-from collections import deque
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from result import Err, Ok, Result
-
 from .host_failures import HostFailures
-from .watching import ObjectEvent, StoreChanges, StoredObject, StoreError, StoreErrorKind
 
-__all__ = ["ChangeLog", "HostEntry", "PeerChanges", "PeerSelector", "compute_max_confirmation_age"]
+__all__ = ["HostEntry", "PeerSelector", "compute_max_confirmation_age"]
 
 # Readers of a data centre with more than `MAX_HOSTS_PER_READER` hosts. Two share the work of
 # relaying changes, and with a low rate of requests the price of the calls of two matters less.
@@ -54,10 +50,6 @@
 # share of the time in which changes must take effect. The rest is for the follower's own call.
 MAX_CONFIRMATION_AGE_SHARE = 0.9
 MIN_CONFIRMATION_AGE_S = 0.5
-# Batches of changes kept for followers that lag behind; at most one arrives every 0.5 s.
-MAX_BATCHES = 64
-
-NOT_CONFIRMED = StoreError(StoreErrorKind.UNAVAILABLE, "no recently confirmed changes")
 
 
 class HostEntry(NamedTuple):
@@ -78,13 +70,6 @@
     peer_address: str
 
 
-class PeerChanges(NamedTuple):
-    """Changes that a host relays, and the seconds since the store confirmed that none follow."""
-
-    changes: StoreChanges
-    age_s: float
-
-
 class PeerSelector:
     """Selects the peer that this host follows.
 
@@ -226,136 +211,3 @@
         Time in seconds in which changes must take effect.
     """
     return max(MIN_CONFIRMATION_AGE_S, MAX_CONFIRMATION_AGE_SHARE * apply_s)
-
-
-class ChangeLog:
-    """Recent changes of one kind of object, kept for the followers of this host.
-
-    Parameters
-    ----------
-    max_age_s : float
-        Age in seconds up to which a confirmation by the store allows relaying changes.
-    """
-
-    def __init__(self, max_age_s: float) -> None:
-        self.max_age_s = max_age_s
-        self._batches: deque[StoreChanges] = deque()
-        # Changes up to this revision are no longer in the log.
-        self._compacted_revision = 0
-        self._revision: int | None = None
-        # Existing objects by name, for the first lists of followers.
-        self._objects: dict[str, StoredObject] = {}
-        self.confirmed_at = -math.inf
-
-    def record_list(self, listed: StoreChanges, confirmed_at: float) -> None:
-        """Record a complete list of the objects.
-
-        Once the store has confirmed an earlier state, the differences from it are added as
-        changes, so that followers need no list of their own when the store has compacted its
-        history.
-
-        Parameters
-        ----------
-        listed : StoreChanges
-            All objects, and the revision of the list.
-        confirmed_at : float
-            Monotonic time in seconds of the store's last confirmation. A list from a replica
-            that may lag confirms nothing, so it comes with the time of an earlier confirmation,
-            or negative infinity.
-        """
-        if self._revision is None or self.is_unconfirmed:
-            self._batches.clear()
-            self._objects.clear()
-            self._compacted_revision = self._revision = listed.revision
-            self._update_objects(listed.events)
-            self.confirmed_at = confirmed_at
-            return
-        self.record_changes(self._find_difference(listed), confirmed_at)
-
-    def _find_difference(self, listed: StoreChanges) -> StoreChanges:
-        names = {event.object.name for event in listed.events}
-        events = [
-            ObjectEvent(StoredObject(name, listed.revision, None), True)
-            for name in self._objects
-            if name not in names
-        ]
-        events += [event for event in listed.events if self._is_newer(event.object)]
-        return StoreChanges(events, listed.revision)
-
-    def _is_newer(self, stored: StoredObject) -> bool:
-        known = self._objects.get(stored.name)
-        return known is None or stored.revision > known.revision
-
-    def _update_objects(self, events: Iterable[ObjectEvent]) -> None:
-        for event in events:
-            if event.is_removal:
-                self._objects.pop(event.object.name, None)
-            elif self._is_newer(event.object):
-                self._objects[event.object.name] = event.object
-
-    def record_changes(self, changes: StoreChanges, confirmed_at: float) -> None:
-        """Append further changes, and record when the store confirmed that there are no more."""
-        if self._revision is None:
-            return
-        if changes.events and changes.revision > self._revision:
-            self._batches.append(changes)
-            self._update_objects(changes.events)
-        self._revision = max(self._revision, changes.revision)
-        self.confirm(confirmed_at)
-        if len(self._batches) > MAX_BATCHES:
-            self._compacted_revision = self._batches.popleft().revision
-
-    def confirm(self, confirmed_at: float) -> None:
-        """Record that the store had no further changes at a given time."""
-        self.confirmed_at = max(self.confirmed_at, confirmed_at)
-
-    def reaches(self, revision: int) -> bool:
-        """Return whether all changes up to a revision are known."""
-        return self._revision is not None and self._revision >= revision
-
-    @property
-    def has_list(self) -> bool:
-        """Whether a list has been recorded."""
-        return self._revision is not None
-
-    @property
-    def is_unconfirmed(self) -> bool:
-        """Whether the store has not yet confirmed any state."""
-        return self.confirmed_at == -math.inf
-
-    def get_expiry_time(self) -> float:
-        """Return the time until which changes may be relayed without another confirmation."""
-        return self.confirmed_at + self.max_age_s
-
-    def get_changes(self, after: int, now: float) -> Result[PeerChanges, StoreError]:
-        """Return the latest change of each object that changed after a revision.
-
-        A batch that extends beyond the revision is returned whole, so some changes may be older.
-        Applying these again changes nothing, since each is still the latest of its object.
-        """
-        if self._revision is None or now > self.get_expiry_time():
-            return Err(NOT_CONFIRMED)
-        if after < self._compacted_revision:
-            return Err(
-                StoreError(
-                    StoreErrorKind.HISTORY_LOST,
-                    f"no longer has the changes up to revision {self._compacted_revision}",
-                )
-            )
-        # A follower that lags behind needs only the newest configuration, which can be large.
-        latest: dict[str, ObjectEvent] = {}
-        for batch in self._batches:
-            if batch.revision <= after:
-                continue
-            for event in batch.events:
-                latest.pop(event.object.name, None)
-                latest[event.object.name] = event
-        changes = StoreChanges(list(latest.values()), max(after, self._revision))
-        return Ok(PeerChanges(changes, now - self.confirmed_at))
-
-    def get_list(self, now: float) -> Result[PeerChanges, StoreError]:
-        """Return all objects, for a follower that has just started."""
-        if self._revision is None or now > self.get_expiry_time():
-            return Err(NOT_CONFIRMED)
-        events = [ObjectEvent(stored, False) for stored in self._objects.values()]
-        return Ok(PeerChanges(StoreChanges(events, self._revision), now - self.confirmed_at))
--- a/amaranthbend/core/watch_checks.py
+++ b/amaranthbend/core/watch_checks.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 from enum import Enum, auto
 
-from .change_relay import ChangeLog
+from .change_log import ChangeLog
 
 __all__ = ["WatchCheck", "choose_check", "compute_check_age", "compute_check_delay"]
 
