Refuse responses whose head breaks the grammar or stops

Causes, in what reads the lines that libcurl passes on: names were checked for surrounding blanks only, values and reason phrases not at all, and bytes such as VT were stripped as blanks; lines of interim responses and trailers were dropped unread; a status line within a head restarted it; and libcurl passes on the part of a line after which a connection closes, so that a lone CR counted as the empty line. A status of 000 was refused already.

A malformed line ends the call and its connection. A line without its end is not used.

--- a/amaranthbend/adapters/calls.py
+++ b/amaranthbend/adapters/calls.py
@@ -13,7 +13,8 @@
 from tornado.curl_httpclient import CurlError
 
 from ..core.outcomes import OutcomeReason
-from .headers import STATUS_WITHOUT_BODY, ResponseHead, decode_response_head
+from .head_grammar import parse_field_line, strip_line_end
+from .headers import STATUS_WITHOUT_BODY, ResponseHead, decode_response_head, is_interim_head
 
 __all__ = [
     "ResponseHandler",
@@ -248,42 +249,52 @@
 
         Returns whether to continue. After False libcurl closes the connection.
         """
-        if self._head is not None:
-            # Trailer fields are not forwarded.
+        if not line.endswith(b"\n"):
+            # The connection closed within the line, which libcurl passes on all the same.
             return True
-        if line.startswith(b"HTTP/") and self._header_lines:
-            self._header_lines.clear()
+        text = strip_line_end(line)
+        if self._head is not None:
+            return not text or self._receive_trailer(text)
         self._head_bytes += len(line)
         if self._head_bytes > MAX_HEAD_BYTES:
-            self._head_error = f"the head is larger than {MAX_HEAD_BYTES} bytes"
             self._header_lines.clear()
-            return False
-        text = line.rstrip(b"\r\n")
+            return self._reject_head(f"the head is larger than {MAX_HEAD_BYTES} bytes")
         if text:
             self._header_lines.append(text)
             return True
-        if (
-            self._header_lines
-            and self._header_lines[0][9:10] == b"1"
-            and self._header_lines[0][9:12] != b"101"
-        ):
-            # Interim response (1xx); the final response follows.
-            self._header_lines.clear()
-            return True
         return self._finish_head()
 
+    def _receive_trailer(self, text: bytes) -> bool:
+        """Check a trailer field, which is not forwarded."""
+        try:
+            parse_field_line(text)
+        except ValueError as error:
+            return self._reject_head(f"trailer: {error}")
+        return True
+
     def _finish_head(self) -> bool:
+        """Decode the head, and return whether to continue after it."""
         try:
+            if is_interim_head(self._header_lines):
+                self._header_lines.clear()
+                return True
             head = decode_response_head(self._header_lines)
         except (ValueError, IndexError) as error:
-            self._head_error = str(error)
-            return True
+            return self._reject_head(str(error))
         head = head._replace(on_reused_connection=self.uses_reused_connection())
         self._head = self._pending_head = head
         self.last_progress = time.monotonic()
         self._client.schedule_flush(self)
         return self._response_handler is None or self._response_handler.is_own_response(head)
 
+    def _reject_head(self, problem: str) -> bool:
+        """Record that the response is malformed; the result makes libcurl close the connection.
+
+        Nothing tells what follows a malformed head on its connection.
+        """
+        self._head_error = problem
+        return False
+
     def receive_body(self, chunk: bytes) -> int:
         """Buffer a part of the response body; return the result of libcurl's write callback."""
         if self._response_handler is None or self._head_error or self._head is None:
--- a/amaranthbend/adapters/headers.py
+++ b/amaranthbend/adapters/headers.py
@@ -5,12 +5,15 @@
 
 from tornado.httputil import HTTPHeaders
 
+from .head_grammar import parse_field_line, parse_status_line
+
 __all__ = [
     "HEAD_ALLOWANCE_BYTES",
     "ResponseHead",
     "decode_response_head",
     "encode_header_lines",
     "estimate_head_bytes",
+    "is_interim_head",
     "list_connection_options",
 ]
 
@@ -38,6 +41,8 @@
 )
 STATUS_WITHOUT_BODY = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
+# The connection speaks another protocol after it, although no request asks for that.
+SWITCHING_PROTOCOLS = 101
 
 # Memory of a header field beside its text: the strings, the list and two dictionary entries in
 # tornado's `HTTPHeaders`, and its line for the upstream. A head of 16 KB with fields of 7 bytes
@@ -113,15 +118,14 @@
     ValueError
         If the head is malformed or its framing is ambiguous.
     """
-    version, status, reason = _split_status_line(lines[0])
+    version, status, reason = parse_status_line(lines[0])
+    if status < FIRST_FINAL_STATUS:
+        raise ValueError(f"status {status} is not a final status")
     fields: list[tuple[bytes, bytes]] = []
     interpreted: dict[bytes, list[str]] = {}
     for line in lines[1:]:
-        name, separator, value = line.partition(b":")
-        if not separator or not name or name != name.strip():
-            raise ValueError(f"malformed header line {line!r}")
+        name, value = parse_field_line(line)
         key = name.lower()
-        value = value.strip()
         if key in INTERPRETED_FIELDS:
             interpreted.setdefault(key, []).append(value.decode("latin1"))
         if key not in DROPPED_RESPONSE_FIELDS:
@@ -141,15 +145,25 @@
     return ResponseHead(status, reason, tuple(fields), length, chunked, report, not_run)
 
 
-def _split_status_line(line: bytes) -> tuple[bytes, int, bytes]:
-    version, _, rest = line.partition(b" ")
-    code, _, reason = rest.partition(b" ")
-    if version not in (b"HTTP/1.1", b"HTTP/1.0") or len(code) != 3 or not code.isdigit():
-        raise ValueError(f"malformed status line {line!r}")
-    status = int(code)
-    if status < FIRST_FINAL_STATUS:
-        raise ValueError(f"status {status} is not a final status")
-    return version, status, reason.strip()
+def is_interim_head(lines: Sequence[bytes]) -> bool:
+    """Return whether the head is that of an interim response, which a final one follows.
+
+    Parameters
+    ----------
+    lines : sequence of bytes
+        Status line and header lines of one response, as received.
+
+    Raises
+    ------
+    ValueError
+        If the status line, or a line of an interim response, is malformed.
+    """
+    status = parse_status_line(lines[0]).status
+    if status >= FIRST_FINAL_STATUS or status == SWITCHING_PROTOCOLS:
+        return False
+    for line in lines[1:]:
+        parse_field_line(line)
+    return True
 
 
 def _parse_content_length(values: Sequence[str]) -> int | None:
