--- a/amaranthbend/adapters/http_client.py
+++ b/amaranthbend/adapters/http_client.py
@@ -11,7 +11,7 @@
 
 
 def make_http_client(max_clients: int = DEFAULT_MAX_CLIENTS) -> SimpleAsyncHTTPClient:
-    """Return a client that limits the size of responses.
+    """Return a client that limits the size of responses, and follows no redirects.
 
     A response whose header exceeds the client's limit makes `fetch` raise
     `tornado.iostream.UnsatisfiableReadError`.
@@ -22,5 +22,9 @@
         Maximum number of concurrent calls.
     """
     return SimpleAsyncHTTPClient(
-        force_instance=True, max_clients=max_clients, max_buffer_size=MAX_RESPONSE_BYTES
+        force_instance=True,
+        max_clients=max_clients,
+        max_buffer_size=MAX_RESPONSE_BYTES,
+        # Neither the platform nor other hosts redirect calls; a faulty one could send them anywhere.
+        defaults={"follow_redirects": False},
     )
