Search for a collector of counts once through the hosts that are gone

With 24 or more collectors of a data centre gone, a host never reported to one that runs, as the first of them was due again (after 5 s) before the last had failed. It admitted its share of each quota without answers for good.

Collectors also send their sums to the first hosts that answer them, so that two collectors behind four hosts that are gone know each other. A failure counts unless its call started before the last failure, which also holds for peers.

--- a/amaranthbend/adapters/http_client.py
+++ b/amaranthbend/adapters/http_client.py
@@ -25,6 +25,6 @@
         force_instance=True,
         max_clients=max_clients,
         max_buffer_size=MAX_RESPONSE_BYTES,
-        # Neither the platform nor other hosts redirect calls; a faulty one could send them anywhere.
+        # The platform and other hosts redirect no calls; a faulty one could send them anywhere.
         defaults={"follow_redirects": False},
     )
--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -260,7 +260,7 @@
             if not awaits_store:
                 log_event("peer_failed", peer=peer.name, kind=kind, detail=error.detail)
             if error.kind is not StoreErrorKind.UNCONFIRMED:
-                selector.record_failure(peer.name, now)
+                selector.record_failure(peer.name, asked_at, now)
                 if now < search_ends_at:
                     continue
                 self._counters.incr("peers.searches_interrupted")
--- a/amaranthbend/core/change_relay.py
+++ b/amaranthbend/core/change_relay.py
@@ -120,9 +120,9 @@
             del self._unconfirmed_until[name]
         self.readers = 1 if len(local) <= MAX_HOSTS_PER_READER else READERS_PER_DATA_CENTRE
 
-    def record_failure(self, name: str, now: float) -> None:
-        """Record a failed call to a peer, which is then skipped for a while."""
-        self._failures.record_failure(name, now)
+    def record_failure(self, name: str, started_at: float, now: float) -> None:
+        """Record a call to a peer that started and failed; the peer is then skipped for a while."""
+        self._failures.record_failure(name, started_at, now)
         self._unconfirmed_until.pop(name, None)
 
     def record_answer(self, name: str) -> None:
--- a/amaranthbend/core/host_failures.py
+++ b/amaranthbend/core/host_failures.py
@@ -12,8 +12,12 @@
 
 
 class _Failure(NamedTuple):
+    failed_at: float
     skip_s: float
-    skipped_until: float
+
+    @property
+    def skipped_until(self) -> float:
+        return self.failed_at + self.skip_s
 
 
 class HostFailures:
@@ -37,19 +41,26 @@
         """Names of the hosts whose last call failed."""
         return set(self._failures)
 
-    def record_failure(self, name: str, now: float) -> None:
+    def record_failure(self, name: str, started_at: float, now: float) -> None:
         """Record a failed call to a host.
 
         Calls that ran at the same time fail together and count once.
+
+        Parameters
+        ----------
+        name : str
+            Name of the host.
+        started_at : float
+            Time in seconds at which the call started.
+        now : float
+            Present time in seconds.
         """
         failure = self._failures.get(name)
         if failure is None:
-            skip_s = self._first_skip_s
-        elif now < failure.skipped_until:
-            return
-        else:
+            self._failures[name] = _Failure(now, self._first_skip_s)
+        elif started_at >= failure.failed_at:
             skip_s = min(self._max_skip_s, 2 * failure.skip_s)
-        self._failures[name] = _Failure(skip_s, now + skip_s)
+            self._failures[name] = _Failure(now, skip_s)
 
     def record_answer(self, name: str) -> None:
         """Record that a host answered, so that it is used again at once."""
--- a/amaranthbend/core/quota_node.py
+++ b/amaranthbend/core/quota_node.py
@@ -217,7 +217,9 @@
         if self._met_collectors and now < self._updates_at and not self.sums.is_early:
             return [address for address in self._met_collectors if address != self._address]
         self._updates_at = now + UPDATE_OTHERS_INTERVAL_S
+        # Also the first that answer: where the first ones are gone, these collect in their place.
         first = self._order[:UPDATED_HOSTS]
+        first += self._selector.list_answering(self._order, UPDATED_HOSTS)
         own = [self._addresses[host] for host in first]
         addresses = dict.fromkeys((*own, *self._other_collectors, *self._met_collectors))
         addresses.pop(self._address, None)
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -86,7 +86,7 @@
     selector = make_selector("host-40")
     first = selector.select_peer(0.0)
     assert first is not None
-    selector.record_failure(first.name, 0.0)
+    selector.record_failure(first.name, 0.0, 0.0)
     second = selector.select_peer(0.0)
     assert second is not None
     assert second.name != first.name
@@ -181,7 +181,7 @@
     for host in HOSTS:
         selector = make_selector(host.name)
         for name in failed:
-            selector.record_failure(name, 0.0)
+            selector.record_failure(name, 0.0, 0.0)
         chosen = selector.select_peer(1.0)
         if chosen is None:
             readers += 1
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -117,7 +117,7 @@
         relayed = RelayedStore(store, selector, Counters(), store.read_clock)
         relayed.set_hosts([HostEntry(f"host-{n}", "huye", f"{ADDRESS}:1") for n in (1, 2)])
         await relayed.list_objects(KIND)
-        selector.record_failure("host-1", store.now)
+        selector.record_failure("host-1", store.now, store.now)
         await relayed.watch_objects(KIND, 1, 10.0)
         store.is_silent = True
         watch = asyncio.ensure_future(relayed.watch_objects(KIND, 1, 10.0))
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -86,27 +86,27 @@
         now = 0.1 * step
         if not failures.is_skipped("host-1", now):
             calls += 1
-            failures.record_failure("host-1", now)
+            failures.record_failure("host-1", now, now)
     assert calls == 3 + (600 - 35) // MAX_SKIP_S + 1
 
 
 def test_calls_that_fail_together_count_once() -> None:
     """Guards against a long skip after one pause of a peer that the watch of each kind has seen."""
     failures = HostFailures(FIRST_SKIP_S, MAX_SKIP_S)
-    for moment in (0.0, 0.1, 0.2):
-        failures.record_failure("host-1", moment)
-    assert failures.is_skipped("host-1", FIRST_SKIP_S - 0.01)
-    assert not failures.is_skipped("host-1", FIRST_SKIP_S)
+    for started_at, now in ((0.0, 0.3), (0.1, 0.4), (0.2, 0.5)):
+        failures.record_failure("host-1", started_at, now)
+    assert failures.is_skipped("host-1", 0.3 + FIRST_SKIP_S - 0.01)
+    assert not failures.is_skipped("host-1", 0.3 + FIRST_SKIP_S)
 
 
 def test_answer_of_a_host_ends_its_failures() -> None:
     """Guards against a host that is skipped for minutes because it was away long ago."""
     failures = HostFailures(FIRST_SKIP_S, MAX_SKIP_S)
     for moment in (0.0, 10.0, 30.0):
-        failures.record_failure("host-1", moment)
+        failures.record_failure("host-1", moment, moment)
     failures.record_answer("host-1")
     assert not failures.is_skipped("host-1", 30.0)
-    failures.record_failure("host-1", 100.0)
+    failures.record_failure("host-1", 100.0, 100.0)
     assert not failures.is_skipped("host-1", 100.0 + FIRST_SKIP_S)
 
 
@@ -114,7 +114,7 @@
     """Guards against memory for each host that ever was."""
     failures = HostFailures(FIRST_SKIP_S, MAX_SKIP_S)
     for number in range(100):
-        failures.record_failure(f"host-{number}", 0.0)
+        failures.record_failure(f"host-{number}", 0.0, 0.0)
     failures.retain({"host-7"})
     assert failures.names == {"host-7"}
 
@@ -125,8 +125,8 @@
     for number in range(1, 9):
         entry = HostEntry(f"host-{number}", "huye", f"{ADDRESS}:1")
         selector.set_hosts([entry])
-        selector.record_failure(entry.name, 0.0)
+        selector.record_failure(entry.name, 0.0, 0.0)
         selector.record_unconfirmed_peer(entry.name, 0.0)
-        selector.record_failure(entry.name, 10.0)
+        selector.record_failure(entry.name, 10.0, 10.0)
     selector.set_hosts([])
     assert selector.count_kept_hosts() == 0
