--- a/amaranthbend/core/watching.py
+++ b/amaranthbend/core/watching.py
@@ -30,6 +30,7 @@
     UNAVAILABLE = "unavailable"
     HISTORY_LOST = "history_lost"
     CONFLICT = "conflict"
+    NOT_FOUND = "not_found"
     # A peer responds, but the store has not confirmed its changes recently.
     UNCONFIRMED = "unconfirmed"
     MALFORMED = "malformed"
--- a/amaranthbend/platform/store.py
+++ b/amaranthbend/platform/store.py
@@ -1,4 +1,4 @@
-"""Client of the platform's metadata store: lists and watches objects of one kind."""
+"""Client of the platform's metadata store: lists, watches and writes objects of one kind."""
 
 import json
 from http import HTTPStatus
@@ -34,7 +34,7 @@
 
 
 class StoreClient:
-    """Creates, lists and watches objects of the store.
+    """Creates, replaces, removes, lists and watches objects of the store.
 
     Each call opens its own connection, since a persistent connection can stop delivering data
     without being closed.
@@ -52,12 +52,34 @@
     async def create_object(self, kind: str, name: str, value: Any) -> Result[bool, StoreError]:
         """Create an object; return False if it already exists."""
         document = {"metadata": {"name": name}, "specification": value}
-        result = await self._call(kind, {}, CALL_TIMEOUT_S, json.dumps(document))
+        body = json.dumps(document)
+        result = await self._call(kind, {}, CALL_TIMEOUT_S, method="POST", body=body)
         if isinstance(result, Ok):
             return Ok(True)
         error = result.err_value
         return Ok(False) if error.kind is StoreErrorKind.CONFLICT else Err(error)
 
+    async def replace_object(self, kind: str, name: str, value: Any) -> Result[None, StoreError]:
+        """Replace the value of an object; the error is NOT_FOUND if it does not exist."""
+        document = {"metadata": {"name": name}, "specification": value}
+        body = json.dumps(document)
+        result = await self._call(kind, {}, CALL_TIMEOUT_S, name=name, method="PUT", body=body)
+        return result.map(lambda _page: None)
+
+    async def remove_object(self, kind: str, name: str, revision: int) -> Result[None, StoreError]:
+        """Remove an object; the error is CONFLICT if it has another revision.
+
+        Parameters
+        ----------
+        kind, name : str
+            Kind and name of the object.
+        revision : int
+            Revision of its last change, as listed.
+        """
+        query = {"revision": str(revision)}
+        result = await self._call(kind, query, CALL_TIMEOUT_S, name=name, method="DELETE")
+        return result.map(lambda _page: None)
+
     async def list_objects(
         self, kind: str, *, may_lag: bool = False
     ) -> Result[StoreChanges, StoreError]:
@@ -149,14 +171,22 @@
             return Err(StoreError(StoreErrorKind.MALFORMED, f"watch of {kind}: {error!r}"))
 
     async def _call(
-        self, kind: str, query: dict[str, str], timeout_s: float, body: str | None = None
+        self,
+        kind: str,
+        query: dict[str, str],
+        timeout_s: float,
+        *,
+        name: str = "",
+        method: str = "GET",
+        body: str | None = None,
     ) -> Result[dict[str, Any], StoreError]:
-        url = self._base + quote(kind, safe="")
+        path = "/".join(quote(part, safe="") for part in (kind, name) if part)
+        url = self._base + path
         if query:
             url += "?" + urlencode(query)
         request = HTTPRequest(
             url,
-            method="GET" if body is None else "POST",
+            method=method,
             headers=None if body is None else {"Content-Type": "application/json"},
             body=body,
             connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
@@ -171,8 +201,10 @@
                 error_kind = StoreErrorKind.HISTORY_LOST
             if error.code == HTTPStatus.CONFLICT:
                 error_kind = StoreErrorKind.CONFLICT
-            return Err(StoreError(error_kind, f"{kind}: {error.code} {error.message}"))
+            if error.code == HTTPStatus.NOT_FOUND:
+                error_kind = StoreErrorKind.NOT_FOUND
+            return Err(StoreError(error_kind, f"{path}: {error.code} {error.message}"))
         except OSError as error:
-            return Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{kind}: {error!r}"))
+            return Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{path}: {error!r}"))
         except (UnsatisfiableReadError, KeyError, TypeError, ValueError, RecursionError) as error:
-            return Err(StoreError(StoreErrorKind.MALFORMED, f"{kind}: {error!r}"))
+            return Err(StoreError(StoreErrorKind.MALFORMED, f"{path}: {error!r}"))
--- a/standins/store.py
+++ b/standins/store.py
@@ -238,8 +238,13 @@
         await self.take_write(kind, name, document["specification"])
 
     async def delete(self, kind: str, name: str) -> None:
-        if self.state.objects.read(kind, name) is None:
+        found = self.state.objects.read(kind, name)
+        if found is None:
             raise tornado.web.HTTPError(404)
+        expected = self.get_query_argument("revision", "")
+        if expected and int(expected) != found.revision:
+            self.answer(describe(found), 409)
+            return
         await self.take_write(kind, name, None)
 
 
