Draw a new number for each renewal of a host's entry

A count of renewals began at the same value in each process, so that a process that often restarts could renew its entry without changing it.

--- a/amaranthbend/controllers/host_directory.py
+++ b/amaranthbend/controllers/host_directory.py
@@ -36,8 +36,9 @@
 # long after they are gone, so that their number errs on the safe side: the parts into which it
 # divides budgets are too small rather than too large.
 MIN_LIST_INTERVAL_S = 10.0
-# Field of an entry with the number of its renewals by the running process.
-RENEWALS_FIELD = "renewals"
+# Field of an entry with a number that each renewal draws again.
+RENEWAL_FIELD = "renewal"
+RENEWAL_BITS = 32
 # Removals after one list; each is a call to the store.
 MAX_REMOVALS_PER_LIST = 8
 # Limit for all hosts together: a list grows, and costs more, with the number of hosts.
@@ -89,7 +90,6 @@
         self._is_first_start = is_first_start
         self._hosts: list[HostEntry] = []
         self._expiry = HostExpiry(2 * MIN_LIST_INTERVAL_S)
-        self._renewals = 0
         self._renew_at = time.monotonic() + RENEWAL_INTERVAL_S * random.uniform(0.5, 1.0)
 
     @property
@@ -135,7 +135,7 @@
             "data_centre": self._host.data_centre,
             "peer_address": self._host.peer_address,
             # The store gives an entry a new revision only if its value changes.
-            RENEWALS_FIELD: self._renewals,
+            RENEWAL_FIELD: random.getrandbits(RENEWAL_BITS),
         }
 
     async def maintain(self, now: float) -> None:
@@ -156,7 +156,6 @@
             await self._remove_expired()
 
     async def _renew(self, now: float) -> None:
-        self._renewals += 1
         renewed = await self._store.replace_object(self._kind, self._host.name, self._make_entry())
         if isinstance(renewed, Err):
             # The next list is followed by another attempt.
@@ -184,7 +183,7 @@
             return False
         objects = [event.object for event in listed.ok_value.events]
         # Hosts of an earlier version do not renew their entries, which lack the field.
-        renewed = [stored for stored in objects if RENEWALS_FIELD in _get_fields(stored)]
+        renewed = [stored for stored in objects if RENEWAL_FIELD in _get_fields(stored)]
         self._expiry.record_list(
             {stored.name: stored.revision for stored in renewed}, time.monotonic()
         )
--- a/tests/test_host_expiry.py
+++ b/tests/test_host_expiry.py
@@ -118,8 +118,11 @@
             expiry.record_list({"host-1": own.revision, "host-2": 1}, 1e6 + step * MAX_GAP_S)
             await directory.maintain(float(step))
         assert store.objects.read(KIND, "host-2") is None
-        own = store.objects.read(KIND, "host-1")
-        assert own is not None
+        renewed = store.objects.read(KIND, "host-1")
+        assert renewed is not None
+        # The last renewal has changed the entry.
+        assert renewed.revision > own.revision
+        own = renewed
         assert own.value["peer_address"] == f"{ADDRESS}:2"
 
     run_directory(check)
@@ -129,7 +132,7 @@
     """Guards against the removal of a host that has come back, by a list that is older."""
 
     async def check(store: StoreState, directory: HostDirectory) -> None:
-        store.put(KIND, "host-2", {"renewals": 7})
+        store.put(KIND, "host-2", {"renewal": 7})
         removed = await directory._store.remove_object(KIND, "host-2", 1)
         assert isinstance(removed, Err)
         assert removed.err_value.kind is StoreErrorKind.CONFLICT
