Keep nothing for each name that was ever used

- idle libcurl handles by method, which callers choose (up to 256 each);
- upstreams and rates of removed services in the budget of probes, which also allowed probes for upstreams that are gone;
- hosts that were ever listed, in the limits on cold upstreams; they count for 60 s after they are missing from the directory now;
- parts of cold upstreams, revisions of lifted evacuations (64 are kept), times of log lines and alerts of removed teams, addresses of hosts that no longer report, histograms of removed services.

--- a/amaranthbend/adapters/metrics_page.py
+++ b/amaranthbend/adapters/metrics_page.py
@@ -1,7 +1,7 @@
 """Counters and latency histograms in the Prometheus text exposition format."""
 
 from bisect import bisect_left
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from itertools import accumulate
 from typing import TYPE_CHECKING
 
@@ -69,6 +69,12 @@
             histogram = self._latencies[key] = _LatencyHistogram()
         histogram.observe(duration_s)
 
+    def retain_services(self, services: Collection[str]) -> None:
+        """Forget the histograms of all services but the given ones, and of no service."""
+        for key in list(self._latencies):
+            if key[0] and key[0] not in services:
+                del self._latencies[key]
+
     def collect(self) -> "Iterable[Metric]":
         """Yield the current values; called by prometheus_client."""
         from prometheus_client.core import (
--- a/amaranthbend/adapters/upstream.py
+++ b/amaranthbend/adapters/upstream.py
@@ -24,6 +24,8 @@
 MAX_CONNECTION_IDLE_S = 20
 # Maximum number of idle handles of each kind, so that the memory used in a traffic peak is freed.
 MAX_IDLE_HANDLES_PER_KIND = 256
+# Methods whose handles are reused. Callers choose the method, and there is no end of others.
+REUSED_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 # An idle handle keeps the body of its last request only up to this size.
 MAX_IDLE_HANDLE_BODY_BYTES = 1024
 # Receive buffer of a connection to an upstream. Bytes that wait in it while a caller does not read
@@ -172,7 +174,7 @@
             body = "held"
         requires_new_connection = not request.may_reuse_connection and self.prevents_resend
         kind = (request.method, body, requires_new_connection)
-        idle = self._idle.setdefault(kind, [])
+        idle = self._idle.get(kind)
         handle = idle.pop() if idle else _Handle(kind)
         call = UpstreamCall(self, request, response_handler, handle.curl)
         handle.prepare(call)
@@ -198,8 +200,9 @@
         del self._active[handle.curl]
         self._multi.remove_handle(handle.curl)
         handle.release()
-        idle = self._idle[handle.kind]
-        if len(idle) < MAX_IDLE_HANDLES_PER_KIND:
+        method, _, _ = handle.kind
+        idle = self._idle.setdefault(handle.kind, []) if method in REUSED_METHODS else None
+        if idle is not None and len(idle) < MAX_IDLE_HANDLES_PER_KIND:
             idle.append(handle)
         else:
             handle.curl.close()
--- a/amaranthbend/controllers/quota_exchange.py
+++ b/amaranthbend/controllers/quota_exchange.py
@@ -122,6 +122,9 @@
         self._team_ids = {
             team.name: compute_id(team.name) for team in policy.teams if team.rate_per_s > 0
         }
+        self._logged_at = {
+            event: at for event, at in self._logged_at.items() if event in ("", *self._team_ids)
+        }
         self.node.set_rules(make_rules(policy.teams, self._margins), now)
         if self._team_ids:
             self._enabled.set()
--- a/amaranthbend/core/cold_limits.py
+++ b/amaranthbend/core/cold_limits.py
@@ -36,6 +36,8 @@
 # Window in which a host stays within its part. The bound holds in each second of arrivals at the
 # upstream, and requests sent further apart may arrive closer to each other.
 WINDOW_S = 1.1
+# Time for which a host counts that is no longer listed: many times the lag of a replica.
+MISSING_HOST_RETENTION_S = 60.0
 # Largest size of the token bucket of one host.
 MAX_BURST = 3.0
 # Keeps rounded sums below whole requests.
@@ -139,8 +141,10 @@
         self._quiet_until = started_at + WINDOW_S
         self._overshoot = 1.0
         self._slack = 0.0
-        # Hosts of the data centre that were ever listed; empty until the first list.
+        # Hosts of the data centre; empty until the first list.
         self._hosts: set[str] = set()
+        # Since when hosts that were listed before are missing.
+        self._missing_since: dict[str, float] = {}
         # Part of this host by upstream, None where it is not in the set.
         self._parts: dict[tuple[str, float], ColdPart | None] = {}
         self._buckets: dict[str, _Bucket] = {}
@@ -154,13 +158,26 @@
         self._slack = slack
         self._parts.clear()
 
-    def set_hosts(self, hosts: Iterable[str]) -> None:
-        """Add hosts of the data centre.
+    def set_hosts(self, hosts: Iterable[str], now: float) -> None:
+        """Replace the hosts of the data centre.
 
-        Hosts are kept: they are never removed from the directory, and a list of a replica that
-        lags may lack some.
+        A host that is missing counts for a while, as the list of a replica that lags may lack it.
+
+        Parameters
+        ----------
+        hosts : iterable of str
+            Names of the listed hosts.
+        now : float
+            Present time in seconds.
         """
-        self._hosts.update(hosts)
+        listed = set(hosts)
+        missing = self._hosts - listed
+        self._missing_since = {host: self._missing_since.get(host, now) for host in missing}
+        self._hosts = listed | {
+            host
+            for host, since in self._missing_since.items()
+            if now - since < MISSING_HOST_RETENTION_S
+        }
         self._parts.clear()
 
     def may_send(self, upstream: str, data_centre: str, rate_per_s: float, now: float) -> bool:
@@ -222,12 +239,15 @@
         return statistics
 
     def prune(self, now: float) -> None:
-        """Drop the buckets that are full again; they are made anew when needed."""
+        """Drop the buckets that are full again, and parts without one; both are made anew."""
         rates = [part.rate_per_s for part in self._parts.values() if part is not None]
         longest_refill_s = MAX_BURST / min(rates, default=MARGIN)
         for upstream, bucket in list(self._buckets.items()):
             if now - bucket.updated_at > longest_refill_s:
                 del self._buckets[upstream]
+        for key in list(self._parts):
+            if key[0] not in self._buckets:
+                del self._parts[key]
 
     def _get_part(self, upstream: str, rate_per_s: float) -> ColdPart | None:
         """Return the part of this host, None if it is not in the set of the upstream."""
--- a/amaranthbend/core/evacuations.py
+++ b/amaranthbend/core/evacuations.py
@@ -13,6 +13,9 @@
 
 __all__ = ["EvacuationChange", "Evacuations"]
 
+# Removed evacuations whose revisions are kept, in case an older change arrives late.
+MAX_REMOVED = 64
+
 
 class EvacuationChange(NamedTuple):
     """The beginning or the end of an evacuation.
@@ -39,7 +42,8 @@
     """Tracks the evacuation objects; the last known state holds until a newer one arrives."""
 
     def __init__(self) -> None:
-        # Revision of the latest known change of each object, also of those that were removed.
+        # Revision of the latest known change of each object, in the order of these changes; also of
+        # the last ones that were removed.
         self._revisions: dict[str, int] = {}
         # Time since which each evacuation is known.
         self._known_since: dict[str, float] = {}
@@ -74,7 +78,9 @@
         """Record the state of one object at a revision; an earlier one is ignored."""
         if revision < self._revisions.get(name, -1):
             return []
+        self._revisions.pop(name, None)
         self._revisions[name] = revision
+        self._forget_removed()
         if is_removal == (name not in self._known_since):
             return []
         if not is_removal:
@@ -82,3 +88,14 @@
             return [EvacuationChange(name, revision, False)]
         lasted_s = now - self._known_since.pop(name)
         return [EvacuationChange(name, revision, True, lasted_s)]
+
+    def _forget_removed(self) -> None:
+        """Keep the revisions of the evacuations in force, and of few others."""
+        excess = len(self._revisions) - len(self._known_since) - MAX_REMOVED
+        for name in list(self._revisions):
+            if excess <= 0:
+                return
+            if name in self._known_since:
+                continue
+            del self._revisions[name]
+            excess -= 1
--- a/amaranthbend/core/probe_rounds.py
+++ b/amaranthbend/core/probe_rounds.py
@@ -140,6 +140,11 @@
         """Set the number of upstreams of a service."""
         self._upstreams[service] = count
 
+    def remove_service(self, service: str) -> None:
+        """Forget a service that no longer exists; its upstreams allow no probes to others."""
+        self._upstreams.pop(service, None)
+        self._requests_per_s.pop(service, None)
+
     def record_send(self) -> None:
         """Record that a request was sent.
 
--- a/amaranthbend/core/quota_node.py
+++ b/amaranthbend/core/quota_node.py
@@ -136,6 +136,8 @@
         if now >= self._update_at:
             self._update_at = now + UPDATE_INTERVAL_S
             self.sums.update(now)
+            for host in self._reporting_addresses.keys() - self.sums.host_ids:
+                del self._reporting_addresses[host]
         if now >= self.sums.get_next_sums_time():
             addresses = self._list_collectors(now)
             outgoing += [
--- a/amaranthbend/core/quota_sums.py
+++ b/amaranthbend/core/quota_sums.py
@@ -12,6 +12,8 @@
 Hosts that fall silent may still admit their share, so credit accrues by the part that is heard.
 """
 
+from collections.abc import Set
+
 from .quota_credit import AMPLE_SHARE, BURST_FACTOR, START_SHARE, Credit, QuotaRule
 from .quota_messages import CollectorSums, QuotaAnswer, QuotaReport, TeamCredit, TeamSum
 from .quota_records import (
@@ -124,6 +126,16 @@
             credit.level = min(credit.level, rule.capacity)
             kept[team] = credit
         self._credits = kept
+        # The counts are kept, as other collectors compare them with those that they know.
+        self._alerted = {team: at for team, at in self._alerted.items() if team in kept}
+        for demands in (self._demands, *(record.demands for record in self._hosts.values())):
+            for team in demands.keys() - kept.keys():
+                del demands[team]
+
+    @property
+    def host_ids(self) -> Set[int]:
+        """Identifiers of the hosts that have reported and are not forgotten."""
+        return self._hosts.keys()
 
     @property
     def is_alone(self) -> bool:
--- a/amaranthbend/filters/dispatch.py
+++ b/amaranthbend/filters/dispatch.py
@@ -87,6 +87,7 @@
         for name in list(self.services):
             if name not in policy.services:
                 del self.services[name]
+                self._request_probe_budget.remove_service(name)
         processes = policy.entry_hosts_max * self._settings.entry_processes
         probes_per_s_per_upstream = max(
             (
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -135,7 +135,7 @@
         self.shutdown_filter = ShutdownFilter()
         store = StoreClient(settings.store_address)
         self.quotas = make_quota_exchange(settings, store, self.counters)
-        page = MetricsPage(self.counters)
+        self._page = page = MetricsPage(self.counters)
         self.request_log = RequestLog(self.counters, page)
         self.chain = FilterChain(
             (
@@ -251,11 +251,12 @@
         if self.quotas is not None:
             self.quotas.set_policy(completed_policy, now)
         self.request_log.version = version
+        self._page.retain_services(completed_policy.services.keys())
 
     def update_hosts(self, hosts: list[HostEntry], now: float) -> None:
         """Replace the list of the hosts of the data centre."""
         self._store.set_hosts(hosts)
-        self.cold_limits.set_hosts(host.name for host in hosts)
+        self.cold_limits.set_hosts((host.name for host in hosts), now)
         if self.quotas is not None:
             self.quotas.set_hosts(hosts, self.host_directory.share_count, now)
         self.divide_budgets(now)
--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -88,7 +88,7 @@
         count, centres = self._case.settings.hosts, self._case.settings.data_centres
         limits = ColdLimits(f"host-{number}", f"dc{number % centres}", -COLD_S)
         limits.set_bound(OVERSHOOT, SLACK)
-        limits.set_hosts(f"host-{n}" for n in range(number % centres, count, centres))
+        limits.set_hosts((f"host-{n}" for n in range(number % centres, count, centres)), -COLD_S)
         dispatcher.set_cold_limits(limits)
         rate = self._case.rate if self._is_limited else 0.0
         dispatcher.set_policy(dispatcher.policy._replace(cold_rate_per_s=rate), 1, 0.0)
--- a/tests/test_cold_limits.py
+++ b/tests/test_cold_limits.py
@@ -21,6 +21,7 @@
     ASSUMED_COLD_S,
     DIFFERING_VIEWS,
     MAX_WARM_REPORT_AGE_S,
+    MISSING_HOST_RETENTION_S,
     ColdGate,
     ColdLimits,
     compute_part,
@@ -53,7 +54,7 @@
     """Return the limits of a host that knows the hosts of its data centre."""
     limits = ColdLimits(host, "huye", started_at)
     limits.set_bound(OVERSHOOT, SLACK)
-    limits.set_hosts(hosts)
+    limits.set_hosts(hosts, started_at)
     return limits
 
 
@@ -119,7 +120,7 @@
         for name in names:
             if learns_at[name] <= now:
                 learns_at[name] = math.inf
-                limits[name].set_hosts(late)
+                limits[name].set_hosts(late, now)
             if restarts_at[name] <= now:
                 restarts_at[name] = math.inf
                 limits[name] = make_limits(name, sorted(late), now)
@@ -129,6 +130,18 @@
     assert count_most(sent) <= BOUND
 
 
+def test_host_that_is_no_longer_listed_counts_for_a_while() -> None:
+    """Guards against parts that grow with a list that lacks hosts, and that shrink for good."""
+    limits = make_limits("host-0", name_hosts(20))
+    interval_s = limits.get_last_resort_interval_s("huye", RATE, 99.0)
+    limits.set_hosts(name_hosts(1), 0.0)
+    assert limits.get_last_resort_interval_s("huye", RATE, 99.0) == interval_s
+    limits.set_hosts(name_hosts(1), MISSING_HOST_RETENTION_S - 1.0)
+    assert limits.get_last_resort_interval_s("huye", RATE, 99.0) == interval_s
+    limits.set_hosts(name_hosts(1), MISSING_HOST_RETENTION_S)
+    assert limits.get_last_resort_interval_s("huye", RATE, 99.0) < interval_s
+
+
 def test_hosts_elsewhere_or_unknown_do_not_send() -> None:
     """Guards against hosts that use a part which the others do not count."""
     hosts = name_hosts(2)
