--- a/amaranthbend/core/membership.py
+++ b/amaranthbend/core/membership.py
@@ -5,7 +5,10 @@
 
 from .actions import Exclusion, Member, UpstreamState
 
-__all__ = ["MemberDeparture", "Membership"]
+__all__ = ["MAX_DEPARTURES", "MemberDeparture", "Membership"]
+
+# Departures kept of upstreams that are no longer members, in case an outdated list names them.
+MAX_DEPARTURES = 8192
 
 
 class MemberDeparture(NamedTuple):
@@ -87,7 +90,12 @@
         """Record that an incarnation leaves, and return whether that was unknown."""
         if self._departed.get(upstream, -1) >= incarnation:
             return False
+        # Inserted again, so that the latest departures come last.
+        self._departed.pop(upstream, None)
         self._departed[upstream] = incarnation
+        if len(self._departed) > MAX_DEPARTURES + len(self._members):
+            oldest = next(name for name in self._departed if name not in self._members)
+            del self._departed[oldest]
         return True
 
     def is_usable(self, upstream: str) -> bool:
--- a/tests/test_kept_state.py
+++ b/tests/test_kept_state.py
@@ -11,10 +11,12 @@
 
 from amaranthbend.adapters.metrics import MAX_DURATIONS_PER_TIMING
 from amaranthbend.adapters.metrics_page import LATENCY_BUCKETS
+from amaranthbend.core.actions import Member, UpstreamState
 from amaranthbend.core.caller_times import MAX_ENTRIES as MAX_CALLER_TIMES
 from amaranthbend.core.change_log import MAX_REMOVALS
 from amaranthbend.core.change_relay import HostEntry
 from amaranthbend.core.evacuations import MAX_REMOVED as MAX_REMOVED_EVACUATIONS
+from amaranthbend.core.membership import MAX_DEPARTURES, Membership
 from amaranthbend.core.quota_messages import QuotaReport
 from amaranthbend.core.quotas import MAX_UNANSWERED
 from amaranthbend.programs.node_process import NodeProcess
@@ -145,6 +147,18 @@
     process.cold_limits.prune(time.monotonic() + 60.0)
 
 
+def test_departures_of_upstreams_that_are_gone_are_limited() -> None:
+    """Guards against memory for each upstream that ever left, and a member that comes back."""
+    membership = Membership()
+    member = Member("u-first", "10.0.0.1:80", "huye", 1, UpstreamState.DRAINING)
+    membership.set_members([member])
+    for number in range(MAX_DEPARTURES + 100):
+        membership.record_departure(f"u-{number}", 1)
+    assert len(membership.list_departures()) == MAX_DEPARTURES + 1
+    assert not membership.is_usable("u-first")
+    assert not membership.record_departure(f"u-{MAX_DEPARTURES + 99}", 1)
+
+
 def test_nothing_is_kept_for_each_name_that_was_ever_used() -> None:
     """Guards against memory that grows with each change, until the process is killed.
 
