--- a/tests/test_exclusions.py
+++ b/tests/test_exclusions.py
@@ -50,7 +50,7 @@
     )
     dispatcher = ProbingDispatcher(policy, ProbePolicy(), "near", 1)
     limits = ColdLimits("host", "near", NOW - 60.0)
-    limits.set_hosts(["host"])
+    limits.set_hosts(["host"], 0.0)
     dispatcher.set_cold_limits(limits)
     dispatcher.set_members([Member(f"u{n}", f"u{n}", "near", 1) for n in range(4)], NOW - 10.0)
     for n in range(4):
@@ -135,7 +135,7 @@
     """Draw the upstreams of a service in any combination of states."""
     router = Router("near", 3, 1)
     limits = ColdLimits("host", "near", NOW - 60.0)
-    limits.set_hosts(["host"] if draw(st.booleans()) else ["other"])
+    limits.set_hosts(["host"] if draw(st.booleans()) else ["other"], 0.0)
     router.limit_cold(limits, "desk", 4.0)
     loads = []
     for number in range(draw(st.integers(1, 8))):
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -178,7 +178,7 @@
 def test_looking_at_a_cold_upstream_leaves_its_credit_as_it_is() -> None:
     """Guards against an explanation that writes the bucket of a cold upstream."""
     limits = ColdLimits("host", "near", NOW - 60.0)
-    limits.set_hosts(["host"])
+    limits.set_hosts(["host"], 0.0)
     router = Router("near", 3, 1)
     router.limit_cold(limits, "desk", 4.0)
     load = router.make_load(Member("u0", "", "near", 1))
