Follow a store that comes back from an older copy of itself

In a drill the store loses what it has acknowledged for some seconds, gives out its revisions again, and states a higher Store-Era. On the code before, whatever follows the store ordered by bare revisions: newer configurations were ignored until the revisions had caught up, and instances that had left got requests by their returned entries.

Change: one position in the store, era and revision, made in StoreClient and compared everywhere behind it, also between hosts. A return makes all kinds be listed again, from the peer where there is one, and nothing is relayed that was confirmed before. What is known and newer than the copy holds until it is written again (core/reconciliation.py): configurations by their version, entries of instances by their start and number of write; evacuations for 10 s.

--- a/amaranthbend/adapters/change_relay.py
+++ b/amaranthbend/adapters/change_relay.py
@@ -30,6 +30,9 @@
 # Field with the seconds since the store confirmed a relayed list. The body is the same for all
 # followers, so that the age in it is that of the first response only.
 CONFIRMATION_AGE_FIELD = "Confirmation-Age"
+# Field with the latest era of the store that a peer knows, in a refusal.
+ERA_FIELD = "Era"
+MAX_ERA_DIGITS = 18
 # Time for which a peer holds a request open. Short, so that a stopped peer is detected soon.
 PEER_LONG_POLL_S = 0.5
 # Time allowed after the long poll until the response starts: several round trips within a data
@@ -168,13 +171,20 @@
             return Ok(await call)
         except HTTPClientError as error:
             kind_of_error = ERROR_KINDS.get(error.code, StoreErrorKind.UNAVAILABLE)
-            return Err(StoreError(kind_of_error, f"{address}: {error.code} {error.message}"))
+            detail = f"{address}: {error.code} {error.message}"
+            return Err(StoreError(kind_of_error, detail, _read_era(error.response)))
         except OSError as error:
             return Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{address}: {error!r}"))
         except UnsatisfiableReadError as error:
             return Err(StoreError(StoreErrorKind.MALFORMED, f"{address}: {error}"))
 
 
+def _read_era(response: HTTPResponse | None) -> int:
+    """Return the era that a peer states in a refusal, 0 if it does not."""
+    text = "" if response is None else response.headers.get(ERA_FIELD, "")
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS else 0
+
+
 def _decode_response(address: str, response: HTTPResponse) -> Result[PeerChanges, StoreError]:
     """Return the changes in a peer's response, or why they cannot be decoded."""
     try:
@@ -195,8 +205,11 @@
         awaits_store = self.get_query_argument("awaits_store", "0") == "1"
         relayed = await self._source(kind, int(after), awaits_store)
         if isinstance(relayed, Err):
-            is_lost = relayed.err_value.kind is StoreErrorKind.HISTORY_LOST
+            error = relayed.err_value
+            is_lost = error.kind is StoreErrorKind.HISTORY_LOST
             self.set_status(HTTPStatus.GONE if is_lost else HTTPStatus.SERVICE_UNAVAILABLE)
+            if error.era:
+                self.set_header(ERA_FIELD, str(error.era))
             return
         self.set_header("Content-Type", "application/json")
         self.finish(encode_peer_changes(relayed.ok_value))
--- a/amaranthbend/controllers/first_lists.py
+++ b/amaranthbend/controllers/first_lists.py
@@ -8,6 +8,7 @@
 __all__ = [
     "FIRST_START_LIST_WAITS",
     "MAX_HOSTS_WAIT_S",
+    "NEW_ERA_LIST_WAITS",
     "RESTART_LIST_WAITS",
     "STORE_SOURCE",
     "FetchedList",
@@ -43,6 +44,9 @@
 # At the first start of the deployment nobody calls yet, and the peer itself has to list first.
 FIRST_START_LIST_WAITS = FirstListWaits(hosts_s=MAX_HOSTS_WAIT_S, peer_s=PEER_LONG_POLL_S)
 
+# When the store has come back from a copy, all hosts list at once, and the peer lists first.
+NEW_ERA_LIST_WAITS = FirstListWaits(hosts_s=0.25, peer_s=PEER_LONG_POLL_S)
+
 
 class FetchedList(NamedTuple):
     """All objects of a kind.
--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -4,7 +4,7 @@
 import contextlib
 import math
 from collections import Counter, defaultdict
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Any, Protocol
 
 from result import Err, Ok, Result
@@ -16,10 +16,13 @@
 from ..core.change_log import ChangeLog, PeerChanges
 from ..core.change_relay import HostEntry, PeerSelector, compute_max_confirmation_age
 from ..core.pauses import PauseTracker
+from ..core.positions import Eras, Position, get_era
+from ..core.reconciliation import REWRITE_S, Reconciler
 from ..core.watch_checks import WatchCheck, choose_check, compute_check_age, compute_check_delay
 from ..core.watching import ObjectStore, StoreChanges, StoreError, StoreErrorKind
 from .first_lists import (
     MAX_HOSTS_WAIT_S,
+    NEW_ERA_LIST_WAITS,
     RESTART_LIST_WAITS,
     STORE_SOURCE,
     FetchedList,
@@ -38,6 +41,7 @@
 # Timers may fire early by up to this time.
 TIMER_MARGIN_S = 0.002
 MS_PER_S = 1000
+MAX_LOGGED_NAMES = 20
 # Time in which changes must take effect, unless the settings say otherwise.
 DEFAULT_APPLY_S = 2.0
 
@@ -72,6 +76,10 @@
     current_kinds : collection of str
         Kinds of objects whose first list must not lag behind, as requests are served by it before
         the watch after it returns what it lacks.
+    eras : Eras or None
+        Eras of the store, shared with its client.
+    reconcilers : mapping of str to Reconciler
+        What to keep, by kind of object, when the store comes back from an older copy.
     """
 
     def __init__(
@@ -84,6 +92,8 @@
         *,
         apply_s: float = DEFAULT_APPLY_S,
         current_kinds: Collection[str] = (),
+        eras: Eras | None = None,
+        reconcilers: Mapping[str, Reconciler] | None = None,
     ) -> None:
         self._store = store
         self._current_kinds = frozenset(current_kinds)
@@ -104,16 +114,75 @@
         self._store_watches: Counter[str] = Counter()
         # Earliest time of the next watch of the store, by kind.
         self._next_watch_at: defaultdict[str, float] = defaultdict(lambda: -math.inf)
+        self._eras = eras or Eras()
+        self._eras.on_return = self._begin_era
+        self._reconcilers = reconcilers or {}
+        # Time of the last return of the store from a copy.
+        self._returned_at = -math.inf
+        # Called when the store has come back from a copy: all kinds have to be listed again.
+        self.on_new_era: Callable[[], None] | None = None
 
     def set_hosts(self, hosts: Iterable[HostEntry]) -> None:
         """Replace the known hosts of the data centre."""
         self._selector.set_hosts(hosts)
         self._hosts_known.set()
 
+    def _begin_era(self, before: int, era: int) -> None:
+        """Relay nothing that the store has confirmed before it came back from a copy of itself."""
+        self._counters.incr("store.returns")
+        self._returned_at = self._clock()
+        positions = {
+            kind: str(Position.from_number(log.revision))
+            for kind, log in self._change_logs.items()
+            if log.revision is not None
+        }
+        known = ",".join(f"{kind}@{position}" for kind, position in positions.items())
+        log_event("store_returned", before=before, era=era, known=known)
+        self._list_waits = NEW_ERA_LIST_WAITS
+        for change_log in self._change_logs.values():
+            change_log.begin_era(era)
+        self._wake_followers()
+        if self.on_new_era is not None:
+            self.on_new_era()
+
+    def _reconcile(self, kind: str, changes: StoreChanges, *, is_list: bool) -> StoreChanges:
+        """Return changes in which what is known replaces what an older copy has brought back."""
+        reconciler = self._reconcilers.get(kind)
+        if reconciler is None:
+            return changes
+        reconciled = reconciler.reconcile(changes, is_list=is_list)
+        if reconciled.events != changes.events:
+            stated = {event.object.name: event.object.value for event in changes.events}
+            kept = [
+                event.object.name
+                for event in reconciled.events
+                if not event.is_removal and stated.get(event.object.name) is not event.object.value
+            ]
+            used = {event.object.name for event in reconciled.events if not event.is_removal}
+            ignored = [name for name, value in stated.items() if value and name not in used]
+            self._counters.incr("store.reconciled")
+            log_event(
+                "store_reconciled",
+                kind=kind,
+                revision=changes.revision,
+                kept=",".join(kept[:MAX_LOGGED_NAMES]),
+                ignored=",".join(ignored[:MAX_LOGGED_NAMES]),
+            )
+        return reconciled
+
     def get_confirmation_age(self, kind: str) -> float:
         """Return the seconds since the store confirmed the known objects, infinite if never."""
         return self._clock() - self._change_logs[kind].confirmed_at
 
+    def get_certain_age(self, kind: str) -> float:
+        """Return the seconds since it was certain that the known objects are the newest.
+
+        Infinite while the store may still lack what it has lost in a return from a copy.
+        """
+        if self._clock() < self._returned_at + REWRITE_S:
+            return math.inf
+        return self.get_confirmation_age(kind)
+
     async def create_object(self, kind: str, name: str, value: Any) -> Result[bool, StoreError]:
         """Create an object, and return whether it did not exist before."""
         return await self._store.create_object(kind, name, value)
@@ -138,6 +207,9 @@
         if isinstance(fetched, Err):
             return fetched
         changes, confirmed_at, source = fetched.ok_value
+        if get_era(changes.revision) < self._eras.latest:
+            return Err(StoreError(StoreErrorKind.HISTORY_LOST, f"list of {kind}: new era"))
+        changes = self._reconcile(kind, changes, is_list=True)
         if is_first:
             log_event(
                 "first_list",
@@ -196,6 +268,10 @@
             )
             return fetched
         changes, age_s = fetched.ok_value
+        era = get_era(changes.revision)
+        if era < self._eras.latest:
+            return Err(StoreError(StoreErrorKind.UNCONFIRMED, f"list of the earlier era {era}"))
+        self._eras.note(era)
         arrived_at = self._pauses.find_arrival_time(asked_at, self._clock())
         return Ok(FetchedList(changes, arrived_at - age_s, peer.name))
 
@@ -241,11 +317,18 @@
                 peer.peer_address, kind, revision, awaits_store=awaits_store
             )
             now = self._clock()
+            if isinstance(relayed, Err) and relayed.err_value.era > self._eras.latest:
+                self._eras.note(relayed.err_value.era)
+                return Err(relayed.err_value._replace(kind=StoreErrorKind.HISTORY_LOST))
+            if get_era(revision) < self._eras.latest:
+                # The store has come back from a copy meanwhile.
+                return Err(StoreError(StoreErrorKind.HISTORY_LOST, f"{kind}: new era"))
             if isinstance(relayed, Ok):
                 self._record_source(peer.name)
                 selector.record_answer(peer.name)
                 selector.record_confirmed_changes()
                 changes, age_s = relayed.ok_value
+                changes = self._reconcile(kind, changes, is_list=False)
                 arrived_at = self._pauses.find_arrival_time(asked_at, now)
                 self._record_changes(kind, changes, arrived_at - age_s)
                 return Ok(changes)
@@ -300,12 +383,12 @@
         if isinstance(answer, Ok):
             now = self._clock()
             self._selector.record_confirmed_changes()
-            self._record_changes(
-                kind, answer.ok_value, self._pauses.find_arrival_time(asked_at, now)
-            )
-            if answer.ok_value.events:
+            changes = self._reconcile(kind, answer.ok_value, is_list=False)
+            self._record_changes(kind, changes, self._pauses.find_arrival_time(asked_at, now))
+            if changes.events:
                 self._next_watch_at[kind] = now + STORE_BATCH_DELAY_S
-        elif answer.err_value.kind is StoreErrorKind.UNAVAILABLE:
+            return Ok(changes)
+        if answer.err_value.kind is StoreErrorKind.UNAVAILABLE:
             self._selector.record_store_failure(self._clock())
         return answer
 
@@ -379,8 +462,9 @@
             self._pauses.record_activity(now)
             change_log = self._change_logs.get(kind)
             if change_log is None or not change_log.has_list:
+                detail = f"{kind} has not been listed yet"
                 answer: Result[PeerChanges, StoreError] = Err(
-                    StoreError(StoreErrorKind.UNAVAILABLE, f"{kind} has not been listed yet")
+                    StoreError(StoreErrorKind.UNAVAILABLE, detail, self._eras.latest)
                 )
                 if not awaits_store or now >= deadline:
                     return answer
--- a/amaranthbend/controllers/store_watch.py
+++ b/amaranthbend/controllers/store_watch.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import Any, Protocol
 
 from result import Err, Result
@@ -12,7 +12,7 @@
 from ..adapters.metrics import Counters
 from ..core.watching import ObjectStore, StoreChanges, StoreError, StoreErrorKind, WatchPlan
 
-__all__ = ["StoreWatch", "WatchHandler", "monitor_watches"]
+__all__ = ["StoreWatch", "WatchHandler", "begin_era", "monitor_watches"]
 
 # Time for which a watch call waits for changes. Longer waits need fewer calls. A connection that
 # was lost silently is detected earlier, by the checks.
@@ -120,6 +120,11 @@
             self._plan.record_abandoned_call()
             self._restart_requested.set_result(None)
 
+    def begin_era(self) -> None:
+        """List all objects again, since the store has come back from a copy of itself."""
+        self._plan.revision = None
+        self.restart()
+
     async def _call(self) -> float:
         """Make one call, and return the pause before the next one in seconds."""
         plan = self._plan
@@ -183,3 +188,9 @@
             for watch in watches:
                 watch.restart()
             break
+
+
+def begin_era(watches: Iterable[StoreWatch]) -> None:
+    """Let all watches list anew, since the store has come back from a copy of itself."""
+    for watch in watches:
+        watch.begin_era()
--- a/amaranthbend/controllers/watch_handlers.py
+++ b/amaranthbend/controllers/watch_handlers.py
@@ -16,6 +16,7 @@
     RetryPolicy,
     ServicePolicy,
 )
+from ..core.positions import get_era
 from ..core.registry import Listing, RegistryTimes, UpstreamRegistry
 from ..core.watching import StoreChanges
 from ..filters.dispatch import DispatchFilter
@@ -181,9 +182,15 @@
         self._registry = UpstreamRegistry(RegistryTimes(retention_s, OUTAGE_RETENTION_S))
         self._timer: asyncio.TimerHandle | None = None
         self.has_listed = False
+        # Era of the store in which the entries were last listed.
+        self._era = 0
 
     def replace_all(self, changes: StoreChanges, now: float) -> None:
         """Apply a list of all entries."""
+        era = get_era(changes.revision)
+        if self.has_listed and era > self._era:
+            self._registry.record_return(now)
+        self._era = era
         listings: list[Listing] = []
         for event in changes.events:
             listing = self._decode_entry(
@@ -311,6 +318,8 @@
             await asyncio.sleep(WAIT_POLL_INTERVAL_S)
         while True:
             await asyncio.sleep(EVACUATION_LOG_INTERVAL_S)
+            now = time.monotonic()
+            self._publish(self._evacuations.lift_lost(now), now)
             self.log_state()
 
     def stop_waiting(self, now: float) -> None:
--- a/amaranthbend/core/change_log.py
+++ b/amaranthbend/core/change_log.py
@@ -10,6 +10,7 @@
 
 from result import Err, Ok, Result
 
+from .positions import get_era
 from .watching import ObjectEvent, StoreChanges, StoredObject, StoreError, StoreErrorKind
 
 __all__ = ["ChangeLog", "PeerChanges"]
@@ -58,6 +59,16 @@
         # Names of removed objects, in the order of their removal.
         self._removed: dict[str, None] = {}
         self.confirmed_at = -math.inf
+        # What the store stated in earlier eras than this one is not recorded any more.
+        self._era = 0
+
+    def begin_era(self, era: int) -> None:
+        """Forget what the store has confirmed, as it has come back from a copy of itself.
+
+        Nothing is relayed until the next list.
+        """
+        self._era = era
+        self.confirmed_at = -math.inf
 
     def record_list(self, listed: StoreChanges, confirmed_at: float) -> None:
         """Record a complete list of the objects.
@@ -75,6 +86,9 @@
             that may lag confirms nothing, so it comes with the time of an earlier confirmation,
             or negative infinity.
         """
+        if get_era(listed.revision) < self._era:
+            return
+        self._era = get_era(listed.revision)
         if self._revision is None or self.is_unconfirmed:
             self._changes.clear()
             self._removed.clear()
@@ -122,7 +136,7 @@
 
     def record_changes(self, changes: StoreChanges, confirmed_at: float) -> None:
         """Append further changes, and record when the store confirmed that there are no more."""
-        if self._revision is None:
+        if self._revision is None or get_era(changes.revision) < self._era:
             return
         if changes.events and changes.revision > self._revision:
             self._record_events(changes)
@@ -137,10 +151,15 @@
         """Return whether all changes up to a revision are known."""
         return self._revision is not None and self._revision >= revision
 
+    @property
+    def revision(self) -> int | None:
+        """Position up to which changes are known, None before the first list."""
+        return self._revision
+
     @property
     def has_list(self) -> bool:
-        """Whether a list has been recorded."""
-        return self._revision is not None
+        """Whether a list of the present era of the store has been recorded."""
+        return self._revision is not None and get_era(self._revision) >= self._era
 
     @property
     def is_unconfirmed(self) -> bool:
@@ -160,11 +179,15 @@
         """
         if self._revision is None or now > self.get_expiry_time():
             return Err(NOT_CONFIRMED)
+        if get_era(after) > get_era(self._revision):
+            # The store has come back from a copy, which this host has not noticed yet.
+            return Err(NOT_CONFIRMED)
         if after < self._compacted_revision:
             return Err(
                 StoreError(
                     StoreErrorKind.HISTORY_LOST,
                     f"no longer has the changes up to revision {self._compacted_revision}",
+                    self._era,
                 )
             )
         events: list[ObjectEvent] = []
--- a/amaranthbend/core/evacuations.py
+++ b/amaranthbend/core/evacuations.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from .positions import get_era
+from .reconciliation import REWRITE_S
 from .watching import ObjectEvent, StoreChanges
 
 __all__ = ["EvacuationChange", "Evacuations"]
@@ -47,6 +49,9 @@
         self._revisions: dict[str, int] = {}
         # Time since which each evacuation is known.
         self._known_since: dict[str, float] = {}
+        # Evacuations that the store has lost, and the time until which they hold all the same.
+        self._lost_until: dict[str, float] = {}
+        self._era = 0
 
     @property
     def data_centres(self) -> frozenset[str]:
@@ -56,14 +61,29 @@
     def replace(self, listed: StoreChanges, now: float) -> list[EvacuationChange]:
         """Apply a list of all objects, and return what it changes.
 
-        An object that is missing from the list was removed, unless it is newer than the list.
+        An object that is missing from the list was removed, unless it is newer than the list. After
+        the store has come back from a copy that lacks it, it holds until the operator has had time
+        to write it again.
         """
         names = {event.object.name for event in listed.events}
+        has_returned = get_era(listed.revision) > self._era
+        self._era = get_era(listed.revision)
         changes: list[EvacuationChange] = []
         for name in sorted(self._known_since.keys() - names):
-            changes += self._record(name, listed.revision, True, now)
+            if has_returned:
+                self._lost_until[name] = now + REWRITE_S
+            elif name not in self._lost_until:
+                changes += self._record(name, listed.revision, True, now)
         return changes + self.apply(listed.events, now)
 
+    def lift_lost(self, now: float) -> list[EvacuationChange]:
+        """Lift the evacuations that the store has lost and nobody has written again in time."""
+        changes: list[EvacuationChange] = []
+        for name, until in list(self._lost_until.items()):
+            if now >= until:
+                changes += self._record(name, self._revisions[name], True, now)
+        return changes
+
     def apply(self, events: Iterable[ObjectEvent], now: float) -> list[EvacuationChange]:
         """Apply changes of objects, and return those that begin or end an evacuation."""
         changes: list[EvacuationChange] = []
@@ -78,6 +98,7 @@
         """Record the state of one object at a revision; an earlier one is ignored."""
         if revision < self._revisions.get(name, -1):
             return []
+        self._lost_until.pop(name, None)
         self._revisions.pop(name, None)
         self._revisions[name] = revision
         self._forget_removed()
--- a/amaranthbend/core/registry.py
+++ b/amaranthbend/core/registry.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from .actions import Member, UpstreamState
+from .positions import get_era
 
 __all__ = ["Listing", "RegistryTimes", "UpstreamRegistry"]
 
@@ -92,6 +93,10 @@
                     )
         self._is_reachable = is_reachable
 
+    def record_return(self, now: float) -> None:
+        """Record that the store has come back from an older copy, which may lack live upstreams."""
+        self._recovered_at = now
+
     def put(self, listing: Listing, now: float) -> bool:
         """Add or update an entry, and return whether that changed anything."""
         name = listing.member.upstream
@@ -101,7 +106,10 @@
                 known.usable_until = math.inf
                 return True
             return False
-        self._entries[name] = _Entry(listing, now + listing.cold_s)
+        entry = _Entry(listing, now + listing.cold_s)
+        if known is not None and _is_same_entry(known.listing, listing):
+            entry.cold_until = known.cold_until
+        self._entries[name] = entry
         return True
 
     def remove(self, names: Iterable[str], now: float) -> list[str]:
@@ -162,3 +170,9 @@
     def _drop_expired(self, now: float) -> None:
         for name in [name for name, entry in self._entries.items() if entry.usable_until <= now]:
             del self._entries[name]
+
+
+def _is_same_entry(known: Listing, listing: Listing) -> bool:
+    """Return whether a store that has come back from a copy states a known entry again."""
+    is_new_era = get_era(listing.revision) > get_era(known.revision)
+    return is_new_era and known._replace(revision=listing.revision) == listing
--- a/amaranthbend/core/watching.py
+++ b/amaranthbend/core/watching.py
@@ -37,14 +37,28 @@
 
 
 class StoreError(NamedTuple):
-    """Error of a failed call to the store."""
+    """Error of a failed call to the store.
+
+    Parameters
+    ----------
+    kind : StoreErrorKind
+        Why the call failed.
+    detail : str
+        Message for logs.
+    era : int
+        Latest era of the store that a peer has stated, 0 if it has not.
+    """
 
     kind: StoreErrorKind
     detail: str
+    era: int = 0
 
 
 class StoredObject(NamedTuple):
-    """An object: its name, the revision of its last change, and its value as written."""
+    """An object: its name, the position of its last change, and its value as written.
+
+    Revisions here and below are positions (`core/positions.py`), which also order the eras.
+    """
 
     name: str
     revision: int
--- a/amaranthbend/platform/documents.py
+++ b/amaranthbend/platform/documents.py
@@ -34,6 +34,8 @@
     "INSTANCES_KIND",
     "decode_configuration",
     "decode_listing",
+    "read_progress",
+    "read_version",
 ]
 
 T = TypeVar("T")
@@ -373,6 +375,29 @@
     return Listing(get_string(document, "service"), member, slots, cold_s, revision)
 
 
+def read_version(document: Any) -> int | None:
+    """Return the version of a stored configuration, None if it has none that can be used."""
+    if not isinstance(document, dict):
+        return None
+    try:
+        return get_non_negative_int(document, "version")
+    except ValueError:
+        return None
+
+
+def read_progress(document: Any) -> tuple[int, int] | None:
+    """Return the start of an instance and the number of the write in its entry, if both are there.
+
+    Both only rise: an instance counts its writes anew after it has started again.
+    """
+    if not isinstance(document, dict):
+        return None
+    try:
+        return get_non_negative_int(document, "born"), get_non_negative_int(document, "sequence")
+    except ValueError:
+        return None
+
+
 def _get_object(document: dict[str, Any], key: str) -> dict[str, Any]:
     value = document.get(key, {})
     if not isinstance(value, dict):
--- a/amaranthbend/platform/store_pages.py
+++ b/amaranthbend/platform/store_pages.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from ..adapters.logs import log_event
+from ..core.positions import Position
 from ..core.watching import ObjectEvent, StoredObject
 from .document_fields import get_non_negative_int, get_string
 
@@ -35,19 +36,19 @@
     return page
 
 
-def decode_objects(items: Iterable[Any]) -> list[StoredObject]:
-    """Return the objects of a list.
+def decode_objects(items: Iterable[Any], era: int = 0) -> list[StoredObject]:
+    """Return the objects of a list that was made in an era of the store.
 
     Raises
     ------
     KeyError, TypeError or ValueError
         If the store's own data of an object are missing, of another type or out of range.
     """
-    return [_decode_object(item) for item in items]
+    return [_decode_object(item, era) for item in items]
 
 
-def decode_events(events: Iterable[Any]) -> list[ObjectEvent]:
-    """Return the events of a watch.
+def decode_events(events: Iterable[Any], era: int = 0) -> list[ObjectEvent]:
+    """Return the events of a watch that was answered in an era of the store.
 
     Raises
     ------
@@ -55,15 +56,16 @@
         If the store's own data of an event are missing, of another type or out of range.
     """
     return [
-        ObjectEvent(_decode_object(event["object"]), event["deleted"] is True) for event in events
+        ObjectEvent(_decode_object(event["object"], era), event["deleted"] is True)
+        for event in events
     ]
 
 
-def _decode_object(document: Any) -> StoredObject:
+def _decode_object(document: Any, era: int) -> StoredObject:
     metadata = document["metadata"]
     stored = StoredObject(
         get_string(metadata, "name"),
-        get_non_negative_int(metadata, "revision"),
+        Position(era, get_non_negative_int(metadata, "revision")),
         document.get("specification"),
     )
     if not _is_nested_too_deep(stored.value):
--- a/amaranthbend/programs/node_process.py
+++ b/amaranthbend/programs/node_process.py
@@ -24,7 +24,7 @@
 from ..controllers.host_directory import HostDirectory
 from ..controllers.quota_exchange import make_quota_exchange
 from ..controllers.relayed_store import RelayedStore
-from ..controllers.store_watch import StoreWatch, monitor_watches
+from ..controllers.store_watch import StoreWatch, begin_era, monitor_watches
 from ..controllers.watch_handlers import (
     ConfigurationHandler,
     EvacuationHandler,
@@ -36,6 +36,8 @@
 from ..core.cold_limits import ColdLimits
 from ..core.connections import UPSTREAM_CONNECTIONS_PER_CALLER, compute_max_connections
 from ..core.policy import DeploymentPolicy
+from ..core.positions import Eras
+from ..core.reconciliation import InstanceReconciler, VersionReconciler
 from ..filters.chain import FilterChain
 from ..filters.dispatch import DispatchFilter
 from ..filters.idempotency import IdempotencyAndDeadlineFilter
@@ -54,6 +56,8 @@
     INSTANCES_KIND,
     decode_configuration,
     decode_listing,
+    read_progress,
+    read_version,
 )
 from ..platform.store import StoreClient
 from ..settings.node import NodeSettings
@@ -129,11 +133,12 @@
         self.route_filter = RouteFilter()
         self.identity_filter = IdentityFilter(
             self.counters,
-            lambda now: now - self._store.get_confirmation_age(CONFIGURATION_KIND),
+            lambda now: now - self._store.get_certain_age(CONFIGURATION_KIND),
             settings.apply_s,
         )
         self.shutdown_filter = ShutdownFilter()
-        store = StoreClient(settings.store_address)
+        eras = Eras()
+        store = StoreClient(settings.store_address, eras)
         self.quotas = make_quota_exchange(settings, store, self.counters)
         self._page = page = MetricsPage(self.counters)
         self.request_log = RequestLog(self.counters, page)
@@ -179,6 +184,11 @@
             apply_s=min(settings.apply_s, settings.drain_s),
             # A key or route that was withdrawn must not be served by the list of a lagging replica.
             current_kinds=(CONFIGURATION_KIND,),
+            eras=eras,
+            reconcilers={
+                CONFIGURATION_KIND: VersionReconciler(read_version),
+                INSTANCES_KIND: InstanceReconciler(read_progress),
+            },
         )
         self.evacuations: EvacuationHandler | None = None
         if settings.evacuation_s > 0:
@@ -331,6 +341,7 @@
             watches.append(
                 StoreWatch(self._store, EVACUATIONS_KIND, self.evacuations, self.counters)
             )
+        self._store.on_new_era = lambda: begin_era(watches)
         tasks = [asyncio.ensure_future(watch.run()) for watch in watches]
         if self.evacuations is not None:
             tasks.append(asyncio.ensure_future(self.evacuations.run(self._lacks_evacuations_only)))
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -124,6 +124,8 @@
         self.late_copies = 0
         self.resets_kept_connections = False
         self.born = 1
+        # Number of its writes of its entry.
+        self.sequence = 0
         # Ids of the requests that ran, in order, with their deadlines in milliseconds.
         self.ran: list[tuple[str, int]] = []
         # Times at which they began to run.
@@ -160,7 +162,8 @@
         return left_s if left_s > 0 else self.cold_s
 
     def describe(self, state: str = "ready") -> dict[str, Any]:
-        """Return the entry under which it registers."""
+        """Return the entry under which it registers, for another write of it."""
+        self.sequence += 1
         return {
             "service": self.service,
             "address": self.address,
@@ -169,7 +172,7 @@
             "slots": self.slots,
             "state": state,
             "coldRemaining": self.entry_cold,
-            "sequence": 1,
+            "sequence": self.sequence,
             "born": self.born,
         }
 
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -33,6 +33,24 @@
         self._latest[kind, name] = change
         return change
 
+    def go_back(self, at: float) -> None:
+        """Return to the state of an earlier time; later revisions are given out again."""
+        for kind, log in self._changes.items():
+            self._changes[kind] = [change for change in log if change.at <= at]
+        kept = [change for log in self._changes.values() for change in log]
+        self.revision = max((change.revision for change in kept), default=0)
+        self._latest = {
+            (kind, change.name): change for kind, log in self._changes.items() for change in log
+        }
+
+    def list_names(self) -> list[tuple[str, str]]:
+        """Return kinds and names of all objects, also of those that were removed."""
+        return list(self._latest)
+
+    def find_latest(self, kind: str, name: str) -> Change | None:
+        """Return the last change of an object, also its removal; None if there was none."""
+        return self._latest.get((kind, name))
+
     def read(self, kind: str, name: str, seen_at: float | None = None) -> Change | None:
         """Return the object, as of `seen_at` if given; None if it does not exist."""
         change = self._latest.get((kind, name))
--- a/standins/store.py
+++ b/standins/store.py
@@ -7,6 +7,8 @@
 - `delay_s`: delay of each answer;
 - `loses_writes`: writes take effect, but their connection is closed without an answer;
 - `replica_lag_s`: age of the state that a `serializable` call returns.
+
+`StoreState.return_from_copy` lets the store go back to an earlier state of itself, in a new era.
 """
 
 import asyncio
@@ -65,6 +67,8 @@
         self.changed = asyncio.Event()
         # Changes up to this revision are forgotten.
         self.compacted = 0
+        # Number of returns from a copy, stated in all responses.
+        self.era = 0
         self.calls = 0
         # Watches that began before this number was raised get no answer.
         self.silenced = 0
@@ -86,6 +90,13 @@
         self.objects.revision += 1
         self.notify()
 
+    def return_from_copy(self, age_s: float) -> None:
+        """Come back from a copy of some age: later writes are gone, and revisions go back."""
+        self.objects.go_back(time.monotonic() - age_s)
+        self.era += 1
+        self.compacted = min(self.compacted, self.objects.revision)
+        self.notify()
+
     def silence_watches(self) -> None:
         """Let the connections of the waiting watches go silent, without closing them."""
         self.silenced += 1
@@ -117,6 +128,15 @@
         if not isinstance(args[1], tornado.web.HTTPError):
             super().log_exception(*args)
 
+    def set_era(self) -> None:
+        """State the era, as in each response."""
+        self.set_header("Store-Era", str(self.state.era))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Send an error, whose headers start anew."""
+        self.set_era()
+        super().write_error(status_code, **kwargs)
+
     async def prepare(self) -> None:
         """Refuse, delay or hold a call as the faults demand."""
         self.state.calls += 1
@@ -142,6 +162,7 @@
         """Send JSON."""
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
+        self.set_era()
         self.finish(encode_document(document))
 
 
@@ -173,10 +194,14 @@
         """Answer as soon as there is a change after a revision."""
         until = time.monotonic() + min(wait_s, MAX_WAIT_S)
         silenced = self.state.silenced
+        era = self.state.era
         while True:
             await self.wait_while_silenced(silenced)
-            if revision < self.state.compacted:
+            if revision < self.state.compacted or revision > self.state.objects.revision:
                 raise tornado.web.HTTPError(410)
+            if era != self.state.era:
+                # The connection ends with the store that it was opened to.
+                self.cut()
             now = time.monotonic()
             seen_at = now - self.get_lag_s()
             changes = self.state.objects.list_changes(kind, seen_at, revision)
--- a/tests/test_kept_state.py
+++ b/tests/test_kept_state.py
@@ -19,6 +19,7 @@
 from amaranthbend.core.membership import MAX_DEPARTURES, Membership
 from amaranthbend.core.quota_messages import QuotaReport
 from amaranthbend.core.quotas import MAX_UNANSWERED
+from amaranthbend.core.reconciliation import MAX_REMOVED as MAX_REMOVED_INSTANCES
 from amaranthbend.programs.node_process import NodeProcess
 from amaranthbend.settings.node import NodeSettings
 from standins.instance import Instance
@@ -35,6 +36,7 @@
 LIMITED = {
     "._change_logs[]._changes": MAX_REMOVALS + ROUNDS,
     "._change_logs[]._removed": MAX_REMOVALS,
+    "._reconcilers[]": MAX_REMOVED_INSTANCES + ROUNDS,
     "._caller_times._most_s": MAX_CALLER_TIMES,
     "._counters._timings[]": MAX_DURATIONS_PER_TIMING,
     "._evacuations._revisions": MAX_REMOVED_EVACUATIONS + ROUNDS,
