--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,7 +13,7 @@
 
 from standins.hostile_callers import GROUPS
 
-from .plan import has_changes, make_changes, make_hostile_groups, make_plan
+from .plan import has_changes, make_changes, make_hostile_groups, make_plan, make_returns
 from .runs import run_seed
 
 FIRST_RANDOM_SEED = 1000
@@ -34,6 +34,7 @@
     seconds: float = 6.0,
     fresh: bool = False,
     teams: bool = False,
+    returns: bool = False,
 ) -> None:
     """Run seeds one after the other; exit with 1 if one broke a promise.
 
@@ -49,15 +50,19 @@
         Take random seeds in place of those.
     teams : bool
         Take only seeds with teams and changes.
+    returns : bool
+        Let the store also come back from older copies of itself.
     """
     # Ends the nodes too when the soak itself is stopped.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = 0
     for seed in itertools.islice(choose_seeds(first, fresh, teams), seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        violations, calls = asyncio.run(run_seed(seed, seconds, folder))
+        violations, calls = asyncio.run(run_seed(seed, seconds, folder, has_returns=returns))
         names = [fault.kind.value for fault in make_plan(seed, seconds)]
         names += [change.kind.value for change in make_changes(seed)]
+        if returns:
+            names += [f"return:{each.age_s:.1f}s" for each in make_returns(seed, seconds)]
         names += [g.name for g in make_hostile_groups(seed, seconds, sorted(GROUPS))]
         kinds = " ".join(names)
         verdict = "broken" if violations else "kept"
@@ -66,6 +71,7 @@
             print(f"  {violation}")
         if violations:
             again = f"python -m soak --seeds 1 --first {seed} --seconds {seconds}"
+            again += " --returns" if returns else ""
             print(f"  logs: {folder}; again: {again}")
         failed += bool(violations)
     print(f"{seeds} seeds, {failed} with a broken promise")
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -11,10 +11,12 @@
     "Fault",
     "FaultKind",
     "HostileGroup",
+    "StoreReturn",
     "has_changes",
     "make_changes",
     "make_hostile_groups",
     "make_plan",
+    "make_returns",
 ]
 
 # Faults of one run; with their lengths some of them overlap.
@@ -41,6 +43,12 @@
 EARLY_OUTAGE_AT_S = (0.2, LATEST_START_S)
 LATE_OUTAGE_AT_S = (7.0, 7.5)
 
+# Returns of the store from a copy, in the runs that have them.
+MOST_RETURNS = 3
+RETURN_AWAY_S = (0.05, 0.8)
+COPY_AGE_S = (0.3, 4.0)
+REWRITE_S = (0.1, 1.2)
+
 
 class FaultKind(StrEnum):
     """What strikes; the first word says whom."""
@@ -154,6 +162,27 @@
 )
 
 
+class StoreReturn(NamedTuple):
+    """A store that is away for a moment and comes back from an older copy of itself.
+
+    Parameters
+    ----------
+    at_s : float
+        Seconds from the start of traffic.
+    away_s : float
+        How long it is away, in seconds.
+    age_s : float
+        Age of the copy in seconds.
+    rewrite_s : float
+        Time after its return in which what was lost is written again, in seconds.
+    """
+
+    at_s: float
+    away_s: float
+    age_s: float
+    rewrite_s: float
+
+
 def has_changes(seed: int) -> bool:
     """Return whether a run has teams and changes."""
     return seed % CHANGE_CYCLE in CHANGE_SEEDS
@@ -179,6 +208,20 @@
     return changes
 
 
+def make_returns(seed: int, length_s: float) -> list[StoreReturn]:
+    """Return when the store goes back in a run that has such returns; drawn apart from the rest."""
+    draw = random.Random(f"returns-{seed}")
+    return [
+        StoreReturn(
+            draw.uniform(0.5, length_s),
+            draw.uniform(*RETURN_AWAY_S),
+            draw.uniform(*COPY_AGE_S),
+            draw.uniform(*REWRITE_S),
+        )
+        for _ in range(draw.randint(1, MOST_RETURNS))
+    ]
+
+
 def make_hostile_groups(seed: int, length_s: float, names: Sequence[str]) -> list[HostileGroup]:
     """Return the groups of callers outside the limits of a run, none for most seeds.
 
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -9,7 +9,7 @@
 from .changes import STEADY_KEY, Changes
 from .evidence import Evidence
 from .judge import find_violations
-from .plan import has_changes, make_changes, make_hostile_groups, make_plan
+from .plan import has_changes, make_changes, make_hostile_groups, make_plan, make_returns
 from .site import Site
 from .team_judge import find_team_violations
 from .team_traffic import TeamTraffic
@@ -22,8 +22,22 @@
 CALM_S = 1.5
 
 
-async def run_seed(seed: int, length_s: float, folder: Path) -> tuple[list[str], int]:
-    """Play the faults of a seed; return the broken promises and the number of calls."""
+async def run_seed(
+    seed: int, length_s: float, folder: Path, *, has_returns: bool = False
+) -> tuple[list[str], int]:
+    """Play the faults of a seed; return the broken promises and the number of calls.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the faults.
+    length_s : float
+        Time within which they begin, in seconds.
+    folder : Path
+        For settings and logs of the nodes.
+    has_returns : bool
+        Whether the store also comes back from older copies of itself.
+    """
     has_teams = has_changes(seed)
     site = Site(folder, has_teams=has_teams)
     traffic = Traffic(site.nodes, seed, STEADY_KEY if has_teams else "")
@@ -41,6 +55,9 @@
         groups = make_hostile_groups(seed, length_s, sorted(GROUPS))
         hostile = [asyncio.ensure_future(site.meet_group(group)) for group in groups]
         made = [asyncio.ensure_future(changes.make(change)) for change in make_changes(seed)]
+        if has_returns:
+            returns = make_returns(seed, length_s)
+            made += [asyncio.ensure_future(site.return_store(each)) for each in returns]
         for fault in make_plan(seed, length_s):
             await asyncio.sleep(max(0.0, started_at + fault.at_s - time.monotonic()))
             strikes.append(asyncio.ensure_future(site.strike(fault)))
--- a/soak/site.py
+++ b/soak/site.py
@@ -8,6 +8,7 @@
 from tornado.httpserver import HTTPServer
 
 from amaranthbend.adapters.addresses import split_address
+from amaranthbend.controllers.host_directory import HOSTS_KIND_PREFIX
 from standins.hostile_callers import Target, hold_group
 from standins.instance import ENDLESS_PARTS, Instance
 from standins.node_caller import DESK, make_configuration
@@ -16,7 +17,7 @@
 from standins.store import RawJson, StoreState, make_store_app
 
 from .evidence import Arrival, Period, Records
-from .plan import COLD_S, Fault, FaultKind, HostileGroup
+from .plan import COLD_S, Fault, FaultKind, HostileGroup, StoreReturn
 from .proxy import LinkState, Proxy
 from .team_judge import (
     APPLY_S,
@@ -183,6 +184,34 @@
         }
         await strikes[fault.kind.partition("_")[0]](fault)
 
+    async def return_store(self, planned: StoreReturn) -> None:
+        """Let the store come back from a copy, and write again what others wrote there since.
+
+        Whoever writes an object meanwhile need not write it again.
+        """
+        await asyncio.sleep(planned.at_s)
+        began_at = time.monotonic()
+        objects = self.store.objects
+        written = {
+            (kind, name): objects.read(kind, name)
+            for kind, name in objects.list_names()
+            if not kind.startswith(HOSTS_KIND_PREFIX)
+        }
+        self.store.faults.mode = "reset"
+        self.store.return_from_copy(planned.age_s)
+        returned_at = time.monotonic()
+        await asyncio.sleep(planned.away_s)
+        self.store.faults.mode = "none"
+        await asyncio.sleep(planned.rewrite_s)
+        for (kind, name), change in written.items():
+            latest = objects.find_latest(kind, name)
+            if latest is not None and latest.at > returned_at:
+                continue
+            value = None if change is None else change.value
+            if value != (None if latest is None else latest.value):
+                self.store.put(kind, name, value)
+        self.records.outages.append(Period("", began_at, time.monotonic()))
+
     async def meet_group(self, group: HostileGroup) -> None:
         """Let callers outside the limits meet a node for a time."""
         await asyncio.sleep(group.at_s)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -74,3 +74,19 @@
     violations, calls = asyncio.run(run_seed(seed, length_s, tmp_path))
     assert violations == []
     assert calls > 100
+
+
+# Seed and seconds of runs in which the store comes back from copies, with and without teams.
+RETURN_RUNS = ((1, 4.0), (2, 6.0), (3, 4.0))
+
+
+@pytest.mark.parametrize(("seed", "length_s"), RETURN_RUNS)
+def test_promises_hold_when_the_store_returns_from_copies(
+    tmp_path: Path, seed: int, length_s: float
+) -> None:
+    """Guards against withdrawn keys, departed instances and evacuations that a copy brings back."""
+    violations, calls = asyncio.run(run_seed(seed, length_s, tmp_path, has_returns=True))
+    assert violations == []
+    assert calls > 100
+    logs = "".join(file.read_text() for file in tmp_path.glob("*.log"))
+    assert "event=store_returned" in logs
