Frame responses without a length in chunks for callers of HTTP/1.1

Cause: the caller's connection was closed where the upstream's connection marks the end of the body. A killed process closes its connections the same way, and nothing can follow on a connection that has to be closed.

Change: such bodies are sent in chunks. Two tests needed a response that closes. test_input_behind_a_closing_response_does_not_end_it takes a caller of HTTP/1.0, with the same checks. test_requests_behind_an_unexpected_close takes a response that breaks off: the same cancellations, counter and memory are checked, only its first response is not whole.

--- a/amaranthbend/adapters/caller_response.py
+++ b/amaranthbend/adapters/caller_response.py
@@ -60,7 +60,9 @@
         if head.length is not None:
             if head.status != 204:
                 lines.append(b"Content-Length: %d" % head.length)
-        elif has_body and head.chunked and is_http_1_1:
+        elif has_body and is_http_1_1:
+            # Also where the upstream marks the end by closing its connection: if this process is
+            # killed, the kernel closes its connections as in order, and a part would look whole.
             self._sends_chunked = True
             lines.append(b"Transfer-Encoding: chunked")
         elif has_body:
