Take a response without the id of its request for nobody's, whatever its status

Cause: only successes had to carry the echoed id. Change: all responses but refusals have to; one without ends its connection and counts as malformed.

The stand-in of an instance can write any status now.

--- a/amaranthbend/platform/dialect.py
+++ b/amaranthbend/platform/dialect.py
@@ -56,8 +56,9 @@
     ) -> ResponseMetadata:
         """Return the load report, refusal or fault in the header of a response.
 
-        A late or duplicate response of another request can arrive on the connection. Only the
-        echoed attempt id shows to which request a response belongs.
+        A late or duplicate response of another request can arrive on the connection, or additional
+        bytes that are no response. Only the echoed attempt id shows to which request a response
+        belongs, whatever its status; only a refusal need not carry one.
         """
         fields = _get_fields(head)
         report = _parse_load(fields.get(LOAD_FIELD, b""), member.incarnation, member.state)
@@ -72,10 +73,10 @@
             return ResponseMetadata(
                 None if is_ambiguous else report, True, is_ambiguous=is_ambiguous
             )
-        is_signed = echoed_id is not None and bool(fields.get(SIGNATURE_FIELD))
         is_success = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
         if (
-            (is_success and not is_signed)
+            echoed_id is None
+            or (is_success and not fields.get(SIGNATURE_FIELD))
             or ENCODING_FIELD in fields
             or head.status in NOT_RUN_STATUSES
         ):
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -337,7 +337,7 @@
         fields: dict[str, str],
         length: int | None = None,
     ) -> None:
-        lines = [f"HTTP/1.1 {status} {REASONS[status]}"]
+        lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}"]
         lines += [f"{name}: {value}" for name, value in fields.items()]
         lines.append(f"Content-Length: {len(body) if length is None else length}")
         writer.write("\r\n".join(lines).encode("latin1") + b"\r\n\r\n" + body)
--- a/tests/test_node_responses.py
+++ b/tests/test_node_responses.py
@@ -111,6 +111,32 @@
     run_node(check, instances=1)
 
 
+@pytest.mark.parametrize("status", [200, 204, 302, 400, 404, 500, 504])
+@pytest.mark.parametrize("attempts", [1, 2])
+def test_response_without_the_id_of_its_request_is_nobody_s(status: int, attempts: int) -> None:
+    """Guards against additional bytes of an instance that a caller gets as its answer (MIXED).
+
+    They arrive on a kept connection, where the response to the next request is due. Seen in review
+    case 9: a 400, as of a server that takes left-over bytes for a request.
+    """
+
+    async def check(case: NodeCase) -> None:
+        case.store.put("config", "main", make_configuration(2, attempts=attempts))
+        await wait_until(lambda: case.process.configuration.version == 2)
+        case.instances[0].repeated_refusal = (status, {})
+        statuses = []
+        for number in range(12):
+            answer = await case.call("/safe/x", "GET", f"b{number}")
+            statuses.append(answer.status)
+            if answer.status == 200:
+                assert answer.fields["x-amaranthbend-attempt-id"] == f"b{number}"
+        # With one attempt, a request that met such bytes fails.
+        assert set(statuses) <= ({200} if attempts == 2 else {200, 502})
+        assert 200 in statuses
+
+    run_node(check, instances=1)
+
+
 def test_connection_with_a_late_response_is_not_used_again() -> None:
     """Guards against a connection on which each request gets the response to the one before.
 
