Normalise the prefixes of routes in the same way as paths

Cause: paths were decoded and their slashes merged before the comparison, prefixes were not.

Change: core/paths.py holds the one normal form, taken by RouteTable for prefixes and by requests. A prefix with dot segments, which no request can match, is a fault of the configuration and logged.

--- a/amaranthbend/core/route_table.py
+++ b/amaranthbend/core/route_table.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from .paths import normalise_path
 from .policy import DeploymentPolicy, RoutePolicy
 
 __all__ = ["RouteMatch", "RouteTable"]
@@ -18,7 +19,7 @@
     """Routes of a configuration.
 
     Routes for the request's `Host` take precedence over routes for all hosts; among these, the
-    route with the longest path prefix wins.
+    route with the longest path prefix wins. Prefixes are normalised in the same way as paths.
 
     Parameters
     ----------
@@ -27,9 +28,12 @@
     """
 
     def __init__(self, policy: DeploymentPolicy) -> None:
-        self._routes: dict[str, list[RoutePolicy]] = {}
-        for route in sorted(policy.routes, key=lambda route: len(route.path_prefix), reverse=True):
-            self._routes.setdefault(route.host, []).append(route)
+        # Normalised prefixes and routes by host, the longest prefixes first.
+        self._routes: dict[str, list[tuple[str, RoutePolicy]]] = {}
+        prefixes = [(normalise_path(route.path_prefix), route) for route in policy.routes]
+        known = [(prefix, route) for prefix, route in prefixes if prefix is not None]
+        for prefix, route in sorted(known, key=lambda entry: len(entry[0]), reverse=True):
+            self._routes.setdefault(route.host, []).append((prefix, route))
 
     def find(self, host: str, path: str, method: str) -> RouteMatch:
         """Return the route of a request.
@@ -46,8 +50,8 @@
         name = host.rpartition(":")[0] or host
         candidates = self._routes.get(name.lower(), []) + self._routes.get("", [])
         allowed: set[str] = set()
-        for route in candidates:
-            if not path.startswith(route.path_prefix):
+        for prefix, route in candidates:
+            if not path.startswith(prefix):
                 continue
             if not route.methods or method in route.methods:
                 return RouteMatch(route)
@@ -58,7 +62,7 @@
         """Return the path prefixes of the routes for a host, in alphabetical order."""
         name = host.rpartition(":")[0] or host
         candidates = self._routes.get(name.lower(), []) + self._routes.get("", [])
-        return sorted({route.path_prefix for route in candidates})
+        return sorted({route.path_prefix for _prefix, route in candidates})
 
     def list_hosts(self) -> list[str]:
         """Return the host names of the routes, in alphabetical order."""
--- a/amaranthbend/filters/explanation.py
+++ b/amaranthbend/filters/explanation.py
@@ -19,6 +19,7 @@
     list_service_shares,
 )
 from ..core.outcomes import OutcomeReason
+from ..core.paths import normalise_path
 from ..core.policy import RoutePolicy, TeamPolicy
 from ..core.quota_credit import QuotaPreview
 from .dispatch import DispatchFilter
@@ -26,7 +27,7 @@
 from .identity import IdentityFilter
 from .routes import RouteFilter
 from .shutdown import ShutdownFilter
-from .validation import UNSUPPORTED_METHODS, normalise_path
+from .validation import UNSUPPORTED_METHODS
 
 __all__ = ["ExplainedHost", "QuotaView", "RequestExplainer"]
 
--- a/amaranthbend/filters/validation.py
+++ b/amaranthbend/filters/validation.py
@@ -1,13 +1,12 @@
 """Validation of a request's framing and target."""
 
-from urllib.parse import unquote
-
 from ..adapters.body import RequestBody
 from ..adapters.caller import CallerRequest
 from ..core.outcomes import OutcomeReason
+from ..core.paths import normalise_path
 from .local_responses import LocalResponse, make_refusal
 
-__all__ = ["ValidationFilter", "normalise_path"]
+__all__ = ["ValidationFilter"]
 
 UNSUPPORTED_METHODS = frozenset({"CONNECT", "TRACE"})
 METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
@@ -74,20 +73,3 @@
         return False
     request.path = path
     return True
-
-
-def normalise_path(target: str) -> str | None:
-    """Return the normalised path for route matching, None if the path is ambiguous.
-
-    Percent-escapes are decoded and repeated slashes merged, as an upstream may do. A path that
-    matches one route here and another one at the upstream could bypass the claim that its route
-    requires, so paths with dot segments are rejected.
-    """
-    path = target.partition("?")[0]
-    if "%" in path:
-        path = unquote(path, "latin1")
-    if "//" in path:
-        path = "/" + "/".join(segment for segment in path.split("/") if segment)
-    if "/." in path and any(segment in (".", "..") for segment in path.split("/")):
-        return None
-    return path
--- a/amaranthbend/platform/documents.py
+++ b/amaranthbend/platform/documents.py
@@ -7,6 +7,7 @@
 from ..core.actions import Member, UpstreamState
 from ..core.connections import REQUEST_LINE_BYTES, CallerLimits
 from ..core.identity import compute_key_digest
+from ..core.paths import normalise_path
 from ..core.policy import (
     DecodedConfiguration,
     DeploymentPolicy,
@@ -268,9 +269,7 @@
     reader: _PartReader, part: str, rule: dict[str, Any], host: str, max_body_bytes: int
 ) -> RoutePolicy | None:
     """Return a route, None if it is unknown which paths match it."""
-    path_prefix = reader.read(
-        part, lambda: get_path(_get_object(rule, "match"), "pathPrefix"), None
-    )
+    path_prefix = reader.read(part, lambda: _decode_prefix(rule), None)
     if path_prefix is None:
         return None
     action = reader.read(part, lambda: _get_object(rule, "action"), None)
@@ -302,6 +301,13 @@
     )
 
 
+def _decode_prefix(rule: dict[str, Any]) -> str:
+    prefix = get_path(_get_object(rule, "match"), "pathPrefix")
+    if normalise_path(prefix) is None:
+        raise ValueError(f"'pathPrefix' is {abbreviate(prefix)}; requests with dot segments fail")
+    return prefix
+
+
 def _decode_kind(rule: dict[str, Any]) -> bool:
     """Return whether requests of the route's kind may run more than once."""
     kind = get_string(rule, "kind")
