Leave out a tenant whose name cannot be used, and take the rest

The tenant is a fault of the configuration now, named in the log without its keys.

Evidence: test_tenant_with_an_odd_name_hides_no_others, seven cases, all of which failed before.

--- a/amaranthbend/platform/documents.py
+++ b/amaranthbend/platform/documents.py
@@ -198,18 +198,21 @@
 
 
 def _decode_teams(reader: _PartReader, document: dict[str, Any]) -> tuple[TeamPolicy, ...]:
-    """Return the teams; a quota or priority that cannot be read is left out.
+    """Return the teams; a quota or priority that cannot be read, or a name, is left out.
 
     Raises
     ------
     ValueError
-        If a tenant has no usable name or keys, or two tenants have a name or key in common.
+        If a tenant has no usable keys, or two tenants have a name or key in common.
     """
     teams: dict[str, TeamPolicy] = {}
     owners: dict[bytes, str] = {}
     for number, tenant in enumerate(_get_tenants(document)):
         part = f"tenants[{number}]"
-        name = parse_name(get_string(tenant, "name"))
+        name = reader.read(part, lambda: parse_name(get_string(tenant, "name")), None)  # noqa: B023
+        if name is None:
+            # It cannot be told to upstreams, so that its requests are refused.
+            continue
         if name in teams:
             raise ValueError(f"{part}: tenant {name} is listed twice")
         digests = _decode_keys(part, tenant)
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -204,6 +204,24 @@
         assert NORTH_KEY not in str(caught.value)
 
 
+@pytest.mark.parametrize("name", ["Tallinn Zoo", "v\u00f5ru", "\u7af9", "", 5, None, "n" * 300])
+def test_tenant_with_an_odd_name_hides_no_others(name: Any) -> None:
+    """Guards against a configuration that is rejected as a whole because of one tenant.
+
+    A withdrawn key would go on being served then, and a new one be refused.
+    """
+    configuration = make_configuration()
+    configuration["tenants"] = [
+        {"name": name, "apiKeys": ["odd-key"]},
+        {"name": "north", "apiKeys": ["north-key"]},
+    ]
+    decoded = decode_configuration(configuration)
+    assert [team.name for team in decoded.policy.teams] == ["north"]
+    (fault,) = decoded.faults
+    assert "tenants[0]" in fault
+    assert "odd-key" not in fault
+
+
 def test_quota_and_priority_are_decoded() -> None:
     """Guards against a team's priority with the wrong sign, and quotas that are dropped."""
     configuration = make_teams(("north", [NORTH_KEY]), ("south", []))
