Hold a SIGHUP that arrives while the process starts

The node program holds it from its first line on, before it imports the other modules, and reloads its settings once it serves. Until the interpreter runs that line, nothing can prevent the end.

--- a/amaranthbend/programs/node.py
+++ b/amaranthbend/programs/node.py
@@ -3,16 +3,15 @@
 Callers already connect to a machine while it starts after a loss of power or a restart.
 Importing all modules takes up to 1.5 s on the slowest machines. With an open socket connections
 wait in the kernel during that time instead of being refused. So this module imports only what
-it needs to read the settings and to open the socket.
+it needs to read the settings and to open the socket, and that only once a SIGHUP no longer ends
+the process.
 """
 
 import gc
 import os
 import sys
 
-from ..core.errors import EXIT_BAD_SETTINGS, SettingsError
-from ..platform.settings import find_settings_file, load_node_settings
-from .listener import open_listener
+from .early_signals import hold_reload_requests
 
 __all__ = ["METRICS_ADDRESS_ENV_VAR", "main"]
 
@@ -35,6 +34,11 @@
     check : bool
         Check the settings file, log the settings or the error, and exit without serving.
     """
+    hold_reload_requests()
+    from ..core.errors import EXIT_BAD_SETTINGS, SettingsError
+    from ..platform.settings import find_settings_file, load_node_settings
+    from .listener import open_listener
+
     file = settings or find_settings_file()
     try:
         loaded = load_node_settings(file)
--- a/amaranthbend/programs/node_serving.py
+++ b/amaranthbend/programs/node_serving.py
@@ -16,6 +16,7 @@
 from ..core.errors import SettingsError
 from ..platform.settings import load_node_settings
 from ..settings.node import NodeSettings
+from .early_signals import has_reload_request
 from .node_process import NodeProcess
 from .startup import configure_garbage_collector, prepare_event_loop
 
@@ -68,6 +69,8 @@
     stopped = prepare_event_loop()
     reload_requested = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
+    if has_reload_request():
+        reload_requested.set()
     process = NodeProcess(settings)
     configure_garbage_collector()
     process.listen()
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import time
 import urllib.request
 from pathlib import Path
 
@@ -15,7 +16,7 @@
 from standins.node_program import NodeProgram
 from standins.processes import pick_endpoint
 
-from .node_cases import ADDRESS
+from .node_cases import ADDRESS, WAIT_TIMEOUT_S, wait_until
 from .program_cases import run_program
 
 
@@ -92,6 +93,43 @@
     run_program(tmp_path, check)
 
 
+def catches_sighup(pid: int) -> bool:
+    """Return whether a process has a handler for SIGHUP."""
+    try:
+        text = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return False
+    caught = next(line for line in text.splitlines() if line.startswith("SigCgt:"))
+    return bool(int(caught.split()[1], 16) >> (signal.SIGHUP - 1) & 1)
+
+
+def test_reload_request_during_the_start_does_not_end_the_process(tmp_path: Path) -> None:
+    """Guards against a process that ends because its settings change while it starts.
+
+    Seen in the second review: a SIGHUP in the first 0.2 s. Until the interpreter runs the first
+    line of the program, nothing can prevent that.
+    """
+
+    async def check(program: NodeProgram, _instance: Instance) -> None:
+        await program.kill()
+        started_at = time.monotonic()
+        await program.start()
+        assert program.process is not None
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            while not catches_sighup(program.process.pid):
+                await asyncio.sleep(0.001)
+        caught_at = time.monotonic()
+        program.signal(signal.SIGHUP)
+        await program.wait_ready()
+        ready_at = time.monotonic()
+        assert program.process.returncode is None
+        # The modules that take most of the start are imported after it.
+        assert caught_at - started_at < 0.6 * (ready_at - started_at)
+        await wait_until(lambda: "event=settings_reloaded" in program.log_file.read_text())
+
+    run_program(tmp_path, check)
+
+
 def read_metrics(address: str) -> str:
     """Return the text of the metrics page."""
     with urllib.request.urlopen(f"http://{address}/metrics", timeout=5) as answer:
