Let the store alone decide on entries of instances within an era

An instance that starts again where clocks are behind states an earlier start. Compared within an era, that entry would have stayed unused for good; its numbers are compared with those of earlier eras only now (seen when reading, with a test).

--- a/amaranthbend/core/reconciliation.py
+++ b/amaranthbend/core/reconciliation.py
@@ -96,13 +96,16 @@
         Start of the instance, and the number of the write.
     value : Any
         Value of the entry.
-    removed_in : int or None
-        Era in which the entry was removed, None while it exists.
+    era : int
+        Era in which the store has stated it, or its removal.
+    is_removed : bool
+        Whether the entry was removed.
     """
 
     progress: tuple[int, int]
     value: Any
-    removed_in: int | None = None
+    era: int
+    is_removed: bool = False
 
 
 class InstanceReconciler:
@@ -135,7 +138,7 @@
             listed = {event.object.name for event in changes.events}
             for name in [name for name in self._known if name not in listed]:
                 # A running instance writes a missing entry again, with the numbers that it has.
-                if self._known[name].removed_in is None:
+                if not self._known[name].is_removed:
                     del self._known[name]
         return changes._replace(events=events)
 
@@ -152,32 +155,30 @@
         progress = self._read_progress(stored.value)
         if progress is None:
             return event
-        is_returned = (
-            known is not None
-            and era > 0
-            and (
-                progress < known.progress
-                # A list can hold the entry as it was before its removal; later writes are new.
-                or (
-                    is_list
-                    and progress == known.progress
-                    and known.removed_in is not None
-                    and known.removed_in < era
-                )
-            )
-        )
-        if known is None or not is_returned:
-            self._known[stored.name] = _Known(progress, stored.value)
+        if known is None or not self._is_returned(known, progress, era, is_list=is_list):
+            self._known[stored.name] = _Known(progress, stored.value, era)
             self._removed.pop(stored.name, None)
             return event
-        if known.removed_in is None:
+        if not known.is_removed:
             return ObjectEvent(stored._replace(value=known.value), False)
         if is_list:
             return None
         return ObjectEvent(stored._replace(value=None), True)
 
+    @staticmethod
+    def _is_returned(known: _Known, progress: tuple[int, int], era: int, *, is_list: bool) -> bool:
+        """Return whether an entry is one that an older copy of the store has brought back.
+
+        Within an era the store alone decides: the clocks of two starts of an instance may differ.
+        """
+        if era <= known.era:
+            return False
+        # A list can hold the entry as it was before its removal; later writes are new.
+        is_last_before_removal = is_list and known.is_removed and progress == known.progress
+        return progress < known.progress or is_last_before_removal
+
     def _record_removal(self, name: str, known: _Known, era: int) -> None:
-        self._known[name] = known._replace(value=None, removed_in=era)
+        self._known[name] = known._replace(value=None, era=era, is_removed=True)
         self._removed.pop(name, None)
         self._removed[name] = None
         if len(self._removed) > MAX_REMOVED:
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -271,6 +271,24 @@
     assert list_values(reconciler.reconcile(returned, is_list=True)) == {"i-0": leaving}
 
 
+def test_store_alone_decides_within_an_era() -> None:
+    """Guards against an instance that stays unused, as its clock was ahead at an earlier start."""
+    reconciler = InstanceReconciler(read_progress)
+    ahead, behind = {"born": 9, "sequence": 3}, {"born": 5, "sequence": 1}
+
+    def state(at: int, value: dict[str, Any], *, is_list: bool = False) -> Any:
+        changes = StoreChanges([make_event("i-0", at, value)], at)
+        return list_values(reconciler.reconcile(changes, is_list=is_list))["i-0"]
+
+    assert state(Position(1, 4), ahead, is_list=True) == ahead
+    assert state(Position(1, 5), behind) == behind
+    assert state(Position(1, 6), ahead) == ahead
+    # After a return, the known value holds until one that is not older is stated.
+    assert state(Position(2, 2), behind, is_list=True) == ahead
+    assert state(Position(2, 3), ahead) == ahead
+    assert state(Position(2, 4), behind) == behind
+
+
 def test_living_instance_that_the_copy_lacks_may_write_the_same_again() -> None:
     """Guards against an instance that stays unused as its number has not risen."""
     reconciler = InstanceReconciler(read_progress)
--- a/tests/test_return_model.py
+++ b/tests/test_return_model.py
@@ -249,7 +249,7 @@
                 # An entry that was seen to leave comes back by a write of the same or a later
                 # number in a new era, never by the copy alone.
                 assert progress >= host.left.get(name, (0, 0))
-            elif known is not None and known.removed_in is not None:
+            elif known is not None and known.is_removed:
                 host.left[name] = known.progress
 
     def write_instance(self, name: str) -> None:
