--- a/amaranthbend/controllers/relayed_store.py
+++ b/amaranthbend/controllers/relayed_store.py
@@ -16,8 +16,8 @@
 from ..core.change_log import ChangeLog, PeerChanges
 from ..core.change_relay import HostEntry, PeerSelector, compute_max_confirmation_age
 from ..core.pauses import PauseTracker
-from ..core.positions import Eras, Position, get_era
-from ..core.reconciliation import REWRITE_S, Reconciler
+from ..core.positions import Eras, get_era
+from ..core.reconciliation import Reconciler
 from ..core.watch_checks import WatchCheck, choose_check, compute_check_age, compute_check_delay
 from ..core.watching import ObjectStore, StoreChanges, StoreError, StoreErrorKind
 from .first_lists import (
@@ -28,6 +28,7 @@
     FetchedList,
     FirstListWaits,
 )
+from .store_returns import StoreReturns
 
 __all__ = ["RelayedStore"]
 
@@ -41,7 +42,6 @@
 # Timers may fire early by up to this time.
 TIMER_MARGIN_S = 0.002
 MS_PER_S = 1000
-MAX_LOGGED_NAMES = 20
 # Time in which changes must take effect, unless the settings say otherwise.
 DEFAULT_APPLY_S = 2.0
 
@@ -116,9 +116,7 @@
         self._next_watch_at: defaultdict[str, float] = defaultdict(lambda: -math.inf)
         self._eras = eras or Eras()
         self._eras.on_return = self._begin_era
-        self._reconcilers = reconcilers or {}
-        # Time of the last return of the store from a copy.
-        self._returned_at = -math.inf
+        self._returns = StoreReturns(reconcilers or {}, counters)
         # Called when the store has come back from a copy: all kinds have to be listed again.
         self.on_new_era: Callable[[], None] | None = None
 
@@ -129,47 +127,12 @@
 
     def _begin_era(self, before: int, era: int) -> None:
         """Relay nothing that the store has confirmed before it came back from a copy of itself."""
-        self._counters.incr("store.returns")
-        self._returned_at = self._clock()
-        positions = {
-            kind: str(Position.from_number(log.revision))
-            for kind, log in self._change_logs.items()
-            if log.revision is not None
-        }
-        known = ",".join(f"{kind}@{position}" for kind, position in positions.items())
-        log_event("store_returned", before=before, era=era, known=known)
+        self._returns.begin_era(before, era, self._change_logs, self._clock())
         self._list_waits = NEW_ERA_LIST_WAITS
-        for change_log in self._change_logs.values():
-            change_log.begin_era(era)
         self._wake_followers()
         if self.on_new_era is not None:
             self.on_new_era()
 
-    def _reconcile(self, kind: str, changes: StoreChanges, *, is_list: bool) -> StoreChanges:
-        """Return changes in which what is known replaces what an older copy has brought back."""
-        reconciler = self._reconcilers.get(kind)
-        if reconciler is None:
-            return changes
-        reconciled = reconciler.reconcile(changes, is_list=is_list)
-        if reconciled.events != changes.events:
-            stated = {event.object.name: event.object.value for event in changes.events}
-            kept = [
-                event.object.name
-                for event in reconciled.events
-                if not event.is_removal and stated.get(event.object.name) is not event.object.value
-            ]
-            used = {event.object.name for event in reconciled.events if not event.is_removal}
-            ignored = [name for name, value in stated.items() if value and name not in used]
-            self._counters.incr("store.reconciled")
-            log_event(
-                "store_reconciled",
-                kind=kind,
-                revision=changes.revision,
-                kept=",".join(kept[:MAX_LOGGED_NAMES]),
-                ignored=",".join(ignored[:MAX_LOGGED_NAMES]),
-            )
-        return reconciled
-
     def get_confirmation_age(self, kind: str) -> float:
         """Return the seconds since the store confirmed the known objects, infinite if never."""
         return self._clock() - self._change_logs[kind].confirmed_at
@@ -179,7 +142,7 @@
 
         Infinite while the store may still lack what it has lost in a return from a copy.
         """
-        if self._clock() < self._returned_at + REWRITE_S:
+        if self._returns.may_lack_writes(self._clock()):
             return math.inf
         return self.get_confirmation_age(kind)
 
@@ -209,7 +172,7 @@
         changes, confirmed_at, source = fetched.ok_value
         if get_era(changes.revision) < self._eras.latest:
             return Err(StoreError(StoreErrorKind.HISTORY_LOST, f"list of {kind}: new era"))
-        changes = self._reconcile(kind, changes, is_list=True)
+        changes = self._returns.reconcile(kind, changes, is_list=True)
         if is_first:
             log_event(
                 "first_list",
@@ -328,7 +291,7 @@
                 selector.record_answer(peer.name)
                 selector.record_confirmed_changes()
                 changes, age_s = relayed.ok_value
-                changes = self._reconcile(kind, changes, is_list=False)
+                changes = self._returns.reconcile(kind, changes, is_list=False)
                 arrived_at = self._pauses.find_arrival_time(asked_at, now)
                 self._record_changes(kind, changes, arrived_at - age_s)
                 return Ok(changes)
@@ -383,7 +346,7 @@
         if isinstance(answer, Ok):
             now = self._clock()
             self._selector.record_confirmed_changes()
-            changes = self._reconcile(kind, answer.ok_value, is_list=False)
+            changes = self._returns.reconcile(kind, answer.ok_value, is_list=False)
             self._record_changes(kind, changes, self._pauses.find_arrival_time(asked_at, now))
             if changes.events:
                 self._next_watch_at[kind] = now + STORE_BATCH_DELAY_S
--- a/tests/test_return_model.py
+++ b/tests/test_return_model.py
@@ -242,7 +242,7 @@
         assert host.version >= host.newest_version
         host.newest_version = host.version
         for name in INSTANCES:
-            known = host.relayed._reconcilers[SERVERS]._known.get(name)  # type: ignore
+            known = host.relayed._returns._reconcilers[SERVERS]._known.get(name)  # type: ignore
             if name in host.servers.values:
                 progress = read_progress(host.servers.values[name])
                 assert progress is not None
