--- a/amaranthbend/adapters/change_relay.py
+++ b/amaranthbend/adapters/change_relay.py
@@ -117,7 +117,9 @@
             Whether a peer that has lost the store waits for it before it answers.
         """
         url = f"http://{address}{CHANGE_RELAY_PATH}{kind}"
-        fetched = await self._fetch(address, f"{url}?after={after}&awaits_store={awaits_store:d}")
+        # As a number: a position in a later era has another text form, for logs.
+        query = f"after={int(after)}&awaits_store={awaits_store:d}"
+        fetched = await self._fetch(address, f"{url}?{query}")
         if isinstance(fetched, Err):
             return fetched
         return _decode_response(address, fetched.ok_value)
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -5,8 +5,14 @@
 from typing import Any
 
 import pytest
+from result import Err, Ok, Result
 
+from amaranthbend.adapters.change_relay import ChangeRelayClient, make_change_relay_server
 from amaranthbend.controllers.watch_handlers import OUTAGE_RETENTION_S
+from amaranthbend.core.change_log import PeerChanges
+from amaranthbend.core.change_relay import READERS_PER_DATA_CENTRE
+from amaranthbend.core.positions import Position
+from amaranthbend.core.watching import StoreChanges, StoreError, StoreErrorKind
 from standins.instance import Instance
 from standins.node_caller import make_call, make_configuration, read_answer
 from standins.processes import pick_endpoint
@@ -228,5 +234,38 @@
         await wait_until(lambda: fleet.all_have("u2", {"born": 2, "sequence": 1}))
         assert time.monotonic() - written_at < IN_FORCE_S
         assert fleet.store.calls - calls < 2 * len(fleet.hosts)
+        await wait_until(lambda: fleet.count_readers() == READERS_PER_DATA_CENTRE)
+        # From then on, followers ask their peers as before.
+        failures = fleet.sum_counter("peers.failures")
+        await asyncio.sleep(2.0)
+        assert fleet.sum_counter("peers.failures") == failures
 
     run_fleet(check)
+
+
+def test_follower_states_its_position_in_a_form_that_peers_read() -> None:
+    """Guards against calls that peers refuse (400) in all eras but the first.
+
+    Seen in soak seed 7014 with returns of the store.
+    """
+
+    async def check() -> None:
+        asked: list[int] = []
+
+        async def answer(_kind: str, after: int, _awaits: bool) -> Result[PeerChanges, StoreError]:
+            asked.append(after)
+            return Ok(PeerChanges(StoreChanges([], after), 0.0))
+
+        async def list_nothing(_kind: str) -> Result[PeerChanges, StoreError]:
+            return Err(StoreError(StoreErrorKind.UNAVAILABLE, "nothing"))
+
+        server = make_change_relay_server(answer, list_nothing)
+        port = pick_endpoint(ADDRESS).port
+        server.listen(port, ADDRESS)
+        for position in (Position(0, 7), Position(2, 16), Position(9, 2**53)):
+            fetched = await ChangeRelayClient().fetch(f"{ADDRESS}:{port}", "servers", position)
+            assert fetched.unwrap().changes.revision == position
+        assert asked == [Position(0, 7), Position(2, 16), Position(9, 2**53)]
+        server.stop()
+
+    asyncio.run(check())
