--- a/soak/site.py
+++ b/soak/site.py
@@ -185,30 +185,18 @@
         await strikes[fault.kind.partition("_")[0]](fault)
 
     async def return_store(self, planned: StoreReturn) -> None:
-        """Let the store come back from a copy, and write again what others wrote there since.
-
-        Whoever writes an object meanwhile need not write it again.
-        """
+        """Let the store come back from a copy, and write again what others wrote there last."""
         await asyncio.sleep(planned.at_s)
         began_at = time.monotonic()
-        objects = self.store.objects
-        written = {
-            (kind, name): objects.read(kind, name)
-            for kind, name in objects.list_names()
-            if not kind.startswith(HOSTS_KIND_PREFIX)
-        }
         self.store.faults.mode = "reset"
         self.store.return_from_copy(planned.age_s)
-        returned_at = time.monotonic()
         await asyncio.sleep(planned.away_s)
         self.store.faults.mode = "none"
         await asyncio.sleep(planned.rewrite_s)
-        for (kind, name), change in written.items():
-            latest = objects.find_latest(kind, name)
-            if latest is not None and latest.at > returned_at:
-                continue
-            value = None if change is None else change.value
-            if value != (None if latest is None else latest.value):
+        for (kind, name), value in list(self.store.written.items()):
+            stored = self.store.objects.read(kind, name)
+            is_lost = value is not (None if stored is None else stored.value)
+            if is_lost and not kind.startswith(HOSTS_KIND_PREFIX):
                 self.store.put(kind, name, value)
         self.records.outages.append(Period("", began_at, time.monotonic()))
 
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -43,14 +43,6 @@
             (kind, change.name): change for kind, log in self._changes.items() for change in log
         }
 
-    def list_names(self) -> list[tuple[str, str]]:
-        """Return kinds and names of all objects, also of those that were removed."""
-        return list(self._latest)
-
-    def find_latest(self, kind: str, name: str) -> Change | None:
-        """Return the last change of an object, also its removal; None if there was none."""
-        return self._latest.get((kind, name))
-
     def read(self, kind: str, name: str, seen_at: float | None = None) -> Change | None:
         """Return the object, as of `seen_at` if given; None if it does not exist."""
         change = self._latest.get((kind, name))
--- a/standins/store.py
+++ b/standins/store.py
@@ -67,6 +67,8 @@
         self.changed = asyncio.Event()
         # Changes up to this revision are forgotten.
         self.compacted = 0
+        # What was last written, by kind and name, also if a return from a copy has lost it.
+        self.written: dict[tuple[str, str], Any] = {}
         # Number of returns from a copy, stated in all responses.
         self.era = 0
         self.calls = 0
@@ -76,6 +78,7 @@
 
     def put(self, kind: str, name: str, specification: Any) -> int:
         """Write an object as its owner would, and return the revision."""
+        self.written[kind, name] = specification
         change = self.objects.write(kind, name, specification, time.monotonic())
         self.notify()
         return change.revision
