--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,131 +1,178 @@
-"""Reads behind a large download that its instance breaks off are passed on and get no answer."""
+"""A node process that has lost the store sends on to an instance that says that it leaves."""
 
 import asyncio
+import time
 from pathlib import Path
 
-from review.third import Case, Node, has_trouble, make_request, read_answer, run_case
+from review.third import (
+    SUCCESS,
+    Case,
+    Node,
+    StoreLink,
+    has_trouble,
+    make_request,
+    read_answer,
+    run_case,
+)
 from standins.instance import Instance
 
-CONNECTIONS = 100
-BROKEN_OF_100 = 5
-READS = 2
-DOWNLOAD_BYTES = 1_500_000
-# A download takes so long, so that the reads arrive and run meanwhile.
-SEND_S = 0.3
-CLIENTS = 4
-MAX_LOST = 3
+DRAIN_S = 2.0
+# `core_cut` cuts one machine off from the store for 5.5 s in the site file.
+CUT_S = 5.5
+# The instance reports `draining` so long after the cut, and ends so long after its report has been
+# accepted: the drain period and a little longer.
+REPORT_AFTER_S = 0.3
+LEAVES_AFTER_S = 4.6
+CLIENTS = 16
+PAUSE_S = 0.03
+RUN_S = 0.3
 CONFIGURATION = {
     "version": 7,
     "limits": {
         "maxHeaderBytes": 16384,
         "maxBodyBytes": 1048576,
-        "headerTimeout": "3000ms",
-        "idleTimeout": "15000ms",
+        "headerTimeout": "10s",
+        "idleTimeout": "15s",
     },
     "listeners": [
         {
             "host": "shop.example",
             "rules": [
                 {
-                    "name": f"route-{service}",
+                    "name": f"route-{kind}",
                     "kind": kind,
                     "latencyGoal": "400ms",
                     "priority": 1,
-                    "match": {"pathPrefix": f"/{service}/"},
-                    "action": {"service": service, "timeout": "4s", "attempts": 2},
+                    "match": {"pathPrefix": f"/{kind}/"},
+                    "action": {"service": "desk", "timeout": "1s", "attempts": 2},
                 }
-                for service, kind in (("desk", "safe"), ("shelf", "download"))
+                for kind in ("safe", "unsafe")
             ],
         }
     ],
-    "clusters": [
-        {"name": service, "healthCheckPath": "/health", "maxConnections": 220}
-        for service in ("desk", "shelf")
-    ],
+    "clusters": [{"name": "desk", "healthCheckPath": "/health", "maxConnections": 220}],
 }
 
 
-class Shelf(Instance):
-    """An instance that sends downloads with a length, and breaks some of them off."""
-
-    broken: frozenset[str] = frozenset()
-
-    def _finish(
-        self,
-        writer: asyncio.StreamWriter,
-        fault: str,  # noqa: ARG002
-        request_id: str,
-        fields: dict[str, str],
-    ) -> bool:
-        lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-        head = f"HTTP/1.1 200 OK\r\n{lines}Content-Length: {DOWNLOAD_BYTES}\r\n\r\n"
-        writer.write(head.encode("latin1"))
-        asyncio.ensure_future(self._send_body(writer, request_id))
-        return True
-
-    async def _send_body(self, writer: asyncio.StreamWriter, request_id: str) -> None:
-        pieces = 30
-        for number in range(pieces):
-            if number == pieces // 2 and request_id in self.broken:
-                writer.transport.abort()
-                return
-            writer.write(b"d" * (DOWNLOAD_BYTES // pieces))
-            await asyncio.sleep(SEND_S / pieces)
-
-
-async def use_connection(node: Node, number: int) -> list[tuple[str, int]]:
-    """Get a small answer, then send a download and two reads; return the answers to the reads."""
-    reader, writer = await node.connect()
-    writer.write(make_request("/desk/a", f"first-{number}"))
-    first = await read_answer(reader, 4.0)
-    calls = make_request("/shelf/a", f"download-{number}", deadline_ms=4000)
-    names = [f"read-{number}-{read}" for read in range(READS)]
-    for name in names:
-        calls += make_request("/desk/a", name, deadline_ms=4000)
-    writer.write(calls)
-    answers: list[tuple[str, int]] = []
-    is_open = not first.closes and not (await read_answer(reader, 6.0)).closes
-    for name in names:
-        status = 0
-        if is_open:
-            answer = await read_answer(reader, 6.0)
-            status, is_open = answer.status, not answer.closes
-        answers.append((name, status))
+class LeavingInstance(Instance):
+    """An instance that says in all its answers when it leaves, as the users' pages ask."""
+
+    is_leaving = False
+
+    def _describe_self(self) -> dict[str, str]:
+        fields = super()._describe_self()
+        return {**fields, "Server-Leaving": "1"} if self.is_leaving else fields
+
+
+class Sent:
+    """A request as its client sees it."""
+
+    def __init__(self, name: str, node: str) -> None:
+        self.name = name
+        self.node = node
+        self.at = time.monotonic()
+        self.answered_at = 0.0
+        self.status = -1
+        self.is_from_leaving = False
+
+
+async def call(node: Node, sent: Sent, kind: str) -> None:
+    """Send one request on a new connection, and note its answer."""
+    method = "POST" if kind == "unsafe" else "GET"
+    try:
+        reader, writer = await node.connect()
+    except OSError:
+        sent.status = 0
+        return
+    sent.at = time.monotonic()
+    writer.write(make_request(f"/{kind}/x", sent.name, method=method, deadline_ms=1500))
+    answer = await read_answer(reader, 4.0)
+    sent.answered_at = time.monotonic()
+    sent.status = answer.status
+    sent.is_from_leaving = answer.fields.get("server-leaving") == "1"
     writer.close()
-    return answers
+
+
+async def send_traffic(node: Node, name: str, sent: list[Sent], until: float) -> None:
+    """Send safe and unsafe requests by turns."""
+    number = 0
+    while time.monotonic() < until:
+        number += 1
+        request = Sent(f"{name}-{number}", node.name)
+        sent.append(request)
+        await call(node, request, "unsafe" if number % 2 else "safe")
+        await asyncio.sleep(PAUSE_S)
 
 
 async def check(case: Case) -> bool:
-    """Return whether the reads that were passed on are answered."""
+    """Return whether nothing reached the instance later than the drain period allows."""
     case.start_store()
     case.configure(CONFIGURATION)
-    desks = [await case.add_instance(Instance(f"i-desk-{n}", "desk", "tartu-a")) for n in range(4)]
-    shelves = [await case.add_instance(Shelf(f"i-shelf-{n}", "shelf", "tartu-a")) for n in range(4)]
-    if has_trouble():
-        broken = frozenset(
-            f"download-{n}" for n in range(0, CONNECTIONS, CONNECTIONS // BROKEN_OF_100)
-        )
-        for shelf in shelves:
-            shelf.broken = broken
-    for instance in (*desks, *shelves):
+    instances = []
+    for number in range(4):
+        instance = LeavingInstance(f"i-desk-{number}", "desk", "tartu-a")
         instance.slots = 6
-    node = await case.add_node()
+        instance.run_s = RUN_S
+        instances.append(await case.add_instance(instance))
+    leaving = instances[0]
+    link = StoreLink(case)
+    await link.start()
+    cut_node = await case.add_node(link.address)
+    other_node = await case.add_node()
     await case.wait_ready()
     await asyncio.sleep(4.0)
-    numbers = iter(range(CONNECTIONS))
-    answers: list[tuple[str, int]] = []
-
-    async def use_connections() -> None:
-        for number in numbers:
-            answers.extend(await use_connection(node, number))
-
-    await asyncio.gather(*(use_connections() for _ in range(CLIENTS)))
-    ran = {name for desk in desks for name, _deadline in desk.ran}
-    lost = [name for name, status in answers if status == 0 and name in ran]
-    case.note(f"{len(answers)} reads behind downloads: {len(lost)} were passed on and not answered")
-    for name in lost:
-        case.note(f"  {name} ran at an instance of desk, and its connection was closed")
-    return len(lost) <= MAX_LOST
+    begun_at = time.monotonic()
+    until = begun_at + REPORT_AFTER_S + LEAVES_AFTER_S + 1.0
+    sent: list[Sent] = []
+    clients = [
+        asyncio.ensure_future(send_traffic(node, f"{node.name}-{client}", sent, until))
+        for node in (cut_node, other_node)
+        for client in range(CLIENTS // 2)
+    ]
+    if has_trouble():
+        case.note(f"{cut_node.name} is cut off from the store for {CUT_S} s")
+        link.cut()
+        asyncio.get_running_loop().call_later(CUT_S, link.heal)
+    await asyncio.sleep(REPORT_AFTER_S)
+    leaving.is_leaving = True
+    case.store.put("servers", leaving.name, leaving.describe("draining"))
+    case.note(f"the store has accepted that {leaving.name} is draining")
+    await asyncio.sleep(LEAVES_AFTER_S)
+    case.store.remove("servers", leaving.name)
+    await leaving.stop()
+    case.note(f"{leaving.name} has ended")
+    await asyncio.gather(*clients)
+    return judge(case, leaving, sent)
+
+
+def judge(case: Case, leaving: LeavingInstance, sent: list[Sent]) -> bool:
+    """Write what happened to the record, and return whether the rule held."""
+    ran_at = {name: at for (name, _deadline), at in zip(leaving.ran, leaving.ran_at, strict=True)}
+    held = True
+    for node in case.nodes:
+        told = [one.answered_at for one in sent if one.node == node.name and one.is_from_leaving]
+        if not told:
+            case.note(f"{node.name} has passed on no answer with Server-Leaving")
+            continue
+        told_at = min(told)
+        late = [
+            one
+            for one in sent
+            if one.node == node.name and one.name in ran_at and one.at > told_at + DRAIN_S
+        ]
+        case.note(
+            f"{node.name} has passed on {len(told)} answers with Server-Leaving; "
+            f"{len(late)} requests sent later than the drain period reached the instance"
+        )
+        for one in late:
+            case.note(
+                f"  {one.name} sent {one.at - told_at:.2f} s after the first such answer, "
+                f"run by {leaving.name}, status {one.status}"
+            )
+        lost = [one for one in late if one.status != SUCCESS]
+        case.note(f"{len(lost)} of them were not answered with success")
+        held = held and not late
+    return held
 
 
 if __name__ == "__main__":
